--- /dev/null
+++ b/cmake/libraries.cmake
@@ -0,0 +1,26 @@
+# bamboowing_library(NAME [DEPENDS lib...]): a static library from src/NAME/*.cc whose headers are in
+# include/bamboowing/NAME. DEPENDS takes names of our own libraries and of imported targets.
+function(bamboowing_library name)
+  cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/src/${name}/*.cc)
+  if(sources)
+    add_library(bw_${name} STATIC ${sources})
+    target_link_libraries(bw_${name} PUBLIC ${ARG_DEPENDS})
+  else()
+    add_library(bw_${name} INTERFACE)
+    target_link_libraries(bw_${name} INTERFACE ${ARG_DEPENDS})
+  endif()
+endfunction()
+
+# bamboowing_test(NAME [DEPENDS lib...]): the test program of the library NAME, from tests/NAME/*.cc.
+function(bamboowing_test name)
+  cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/tests/${name}/*.cc)
+  if(NOT sources)
+    return()
+  endif()
+  add_executable(${name}_test ${sources})
+  target_link_libraries(${name}_test PRIVATE bw_${name} ${ARG_DEPENDS} GTest::gtest GTest::gtest_main)
+  target_compile_definitions(${name}_test PRIVATE BAMBOOWING_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
+  add_test(NAME ${name} COMMAND ${name}_test)
+endfunction()
