Add the Cap'n Proto codec for messages between processes

Cause: entries and agents need one wire form for their typed messages. Change: schema/wire.capnp, generated code, Write and Read for batches and relayed calls; values out of range are refused on reading. Conclusion: transports can carry the messages.

--- a/cmake/libraries.cmake
+++ b/cmake/libraries.cmake
@@ -2,7 +2,7 @@
 # include/bamboowing/NAME. DEPENDS takes names of our own libraries and of imported targets.
 function(bamboowing_library name)
   cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
-  file(GLOB sources CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/src/${name}/*.cc)
+  file(GLOB sources CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/src/${name}/*.cc ${PROJECT_SOURCE_DIR}/src/${name}/generated/*.cc)
   if(sources)
     add_library(bw_${name} STATIC ${sources})
     target_link_libraries(bw_${name} PUBLIC ${ARG_DEPENDS})
--- /dev/null
+++ b/schema/wire.capnp
@@ -0,0 +1,153 @@
+@0xd3a1c7b2f0e94c65;
+# Messages and RPC interfaces between bamboowing processes. The C++ code is committed under src/wire; after a change run
+# scripts/generate-wire. Fields are only ever added.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("bamboowing::rpc");
+
+struct TaskKey {
+  jobId @0 :Text;
+  task @1 :UInt32;
+  attempt @2 :UInt32;
+}
+
+struct BatchHeader {
+  sender @0 :Text;
+  life @1 :UInt64;
+  sentAtUs @2 :Int64;
+  echoUs @3 :Int64;
+  config @4 :UInt64;
+  shardEpoch @5 :UInt64;
+}
+
+struct StartTask {
+  key @0 :TaskKey;
+  payload @1 :Data;
+  timeLimitUs @2 :Int64;
+  idempotent @3 :Bool;
+}
+
+struct EntryBatch {
+  header @0 :BatchHeader;
+  service @1 :Text;
+  shardIndex @2 :UInt32;
+  starts @3 :List(StartTask);
+  cancels @4 :List(TaskKey);
+  releasedJobs @5 :List(Text);
+  fetchJobs @6 :List(Text);
+  claim @7 :Bool;
+  statusQuery @8 :Bool;
+  draining @9 :Bool;
+  entries @10 :List(Text);
+}
+
+struct Announcement {
+  service @0 :Text;
+  failureDomain @1 :Text;
+  slots @2 :UInt32;
+  draining @3 :Bool;
+}
+
+struct TaskAnswer {
+  key @0 :TaskKey;
+  status @1 :UInt8;
+  result @2 :Data;
+  runTimeUs @3 :Int64;
+}
+
+struct TaskRefusal {
+  key @0 :TaskKey;
+  kind @1 :UInt8;
+}
+
+struct HeldTask {
+  key @0 :TaskKey;
+  state @1 :UInt8;
+}
+
+struct AgentBatch {
+  header @0 :BatchHeader;
+  hasTarget @1 :Bool;
+  target @2 :Announcement;
+  busySlots @3 :UInt32;
+  answers @4 :List(TaskAnswer);
+  refusals @5 :List(TaskRefusal);
+  inventory @6 :List(HeldTask);
+  inventoryOf @7 :UInt64;
+  statusReply @8 :Bool;
+}
+
+struct TaskSpec {
+  payload @0 :Data;
+  declaredUs @1 :Int64 = -1;
+  size @2 :UInt64;
+}
+
+struct JobSpec {
+  jobId @0 :Text;
+  team @1 :Text;
+  service @2 :Text;
+  deadlineUs @3 :Int64;
+  firstSentAgoUs @4 :Int64 = -1;
+  generatedId @5 :Bool;
+  request @6 :Bool;
+  idempotent @7 :Bool;
+  tasks @8 :List(TaskSpec);
+}
+
+struct CallerRequest {
+  verb @0 :UInt8;
+  job @1 :JobSpec;
+  waitLimitUs @2 :Int64;
+}
+
+struct Failure {
+  kind @0 :UInt8;
+  ran @1 :UInt8;
+  reason @2 :Text;
+  retryAfterUs @3 :Int64 = -1;
+}
+
+struct CallerReply {
+  jobId @0 :Text;
+  state @1 :UInt8;
+  results @2 :List(Data);
+  hasError @3 :Bool;
+  error @4 :Failure;
+  tasksDone @5 :UInt32;
+  tasksTotal @6 :UInt32;
+  responseUs @7 :Int64;
+  idealUs @8 :Int64;
+  messages @9 :UInt32;
+}
+
+struct RelayRequest {
+  sender @0 :Text;
+  life @1 :UInt64;
+  config @2 :UInt64;
+  call @3 :CallerRequest;
+  fetchConfig @4 :Bool;
+}
+
+struct RelayReply {
+  config @0 :UInt64;
+  document @1 :Text;
+  reply @2 :CallerReply;
+  notHome @3 :Bool;
+}
+
+interface AgentPort {
+  # Served by an agent to the entry that it is attached to.
+  deliver @0 (batch :EntryBatch) -> ();
+}
+
+interface AgentSession {
+  # Served by an entry to one attached agent.
+  deliver @0 (batch :AgentBatch) -> ();
+}
+
+interface EntryPort {
+  # Bootstrap interface of an entry.
+  attach @0 (agentId :Text, agent :AgentPort) -> (session :AgentSession);
+  relay @1 (request :RelayRequest) -> (reply :RelayReply);
+}
--- /dev/null
+++ b/tests/wire/codec_test.cc
@@ -0,0 +1,146 @@
+#include "bamboowing/wire/codec.h"
+
+#include <capnp/message.h>
+#include <gtest/gtest.h>
+
+namespace bamboowing {
+namespace {
+
+template <typename Wire, typename Message>
+std::optional<Message> RoundTrip(const Message& message) {
+  capnp::MallocMessageBuilder arena;
+  typename Wire::Builder builder = arena.initRoot<Wire>();
+  Write(message, builder);
+  return Read(builder.asReader());
+}
+
+instant At(std::int64_t micros) { return instant(duration(micros)); }
+
+// Guards against a field that is written but not read back, which would lose work without an error.
+TEST(Codec, EntryBatchKeepsEveryField) {
+  entry_batch batch;
+  batch.header = {"entry-1", 11, At(5), At(3), 7, 9};
+  batch.shard = {"seal-check", 2};
+  batch.starts.push_back({{"job", 4, 1}, std::string("a\0b", 3), duration(900), true});
+  batch.cancels.push_back({"other", 6, 0});
+  batch.released_jobs = {"done"};
+  batch.fetch_jobs = {"held"};
+  batch.claim = true;
+  batch.status_query = true;
+  batch.draining = true;
+  batch.entries = {"127.0.0.1:1"};
+  const std::optional<entry_batch> copy = RoundTrip<rpc::EntryBatch>(batch);
+  ASSERT_TRUE(copy);
+  EXPECT_EQ(copy->header.sender, "entry-1");
+  EXPECT_EQ(copy->header.life, 11U);
+  EXPECT_EQ(copy->header.sent_at, At(5));
+  EXPECT_EQ(copy->header.echo, At(3));
+  EXPECT_EQ(copy->header.config, 7U);
+  EXPECT_EQ(copy->header.shard_epoch, 9U);
+  EXPECT_EQ(copy->shard, batch.shard);
+  ASSERT_EQ(copy->starts.size(), 1U);
+  EXPECT_EQ(copy->starts[0].key, batch.starts[0].key);
+  EXPECT_EQ(copy->starts[0].payload, batch.starts[0].payload);
+  EXPECT_EQ(copy->starts[0].time_limit, duration(900));
+  EXPECT_TRUE(copy->starts[0].idempotent);
+  EXPECT_EQ(copy->cancels, batch.cancels);
+  EXPECT_EQ(copy->released_jobs, batch.released_jobs);
+  EXPECT_EQ(copy->fetch_jobs, batch.fetch_jobs);
+  EXPECT_TRUE(copy->claim && copy->status_query && copy->draining);
+  EXPECT_EQ(copy->entries, batch.entries);
+}
+
+// Guards against a lost answer, refusal or inventory item.
+TEST(Codec, AgentBatchKeepsEveryField) {
+  agent_batch batch;
+  batch.target = target_announcement{"seal-check", "galveston", 8, true};
+  batch.busy_slots = 3;
+  batch.answers.push_back({{"job", 1, 2}, task_status::kTimeLimit, "late", duration(77)});
+  batch.refusals.push_back({{"job", 2, 0}, error_kind::kStaleEpoch});
+  batch.inventory.push_back({{"job", 3, 0}, held_state::kReleased});
+  batch.inventory_of = 12;
+  batch.status_reply = true;
+  const std::optional<agent_batch> copy = RoundTrip<rpc::AgentBatch>(batch);
+  ASSERT_TRUE(copy && copy->target);
+  EXPECT_EQ(copy->target->service, "seal-check");
+  EXPECT_EQ(copy->target->failure_domain, "galveston");
+  EXPECT_EQ(copy->target->slots, 8U);
+  EXPECT_TRUE(copy->target->draining);
+  EXPECT_EQ(copy->busy_slots, 3U);
+  ASSERT_EQ(copy->answers.size(), 1U);
+  EXPECT_EQ(copy->answers[0].key, batch.answers[0].key);
+  EXPECT_EQ(copy->answers[0].status, task_status::kTimeLimit);
+  EXPECT_EQ(copy->answers[0].result, "late");
+  EXPECT_EQ(copy->answers[0].run_time, duration(77));
+  ASSERT_EQ(copy->refusals.size(), 1U);
+  EXPECT_EQ(copy->refusals[0].kind, error_kind::kStaleEpoch);
+  ASSERT_EQ(copy->inventory.size(), 1U);
+  EXPECT_EQ(copy->inventory[0].state, held_state::kReleased);
+  EXPECT_EQ(copy->inventory_of, 12U);
+  EXPECT_TRUE(copy->status_reply);
+}
+
+// Guards against a relayed job that differs from the one that the caller sent.
+TEST(Codec, RelayKeepsEveryField) {
+  relay_request request;
+  request.sender = "entry-2";
+  request.life = 5;
+  request.config = 6;
+  request.fetch_config = true;
+  request.call.verb = caller_verb::kCancel;
+  request.call.wait_limit = duration(1000);
+  request.call.job.job_id = "j";
+  request.call.job.team = "t";
+  request.call.job.service = "s";
+  request.call.job.deadline = duration(5);
+  request.call.job.first_sent_ago = duration(0);
+  request.call.job.generated_id = true;
+  request.call.job.request = true;
+  request.call.job.idempotent = true;
+  request.call.job.tasks = {{"p", duration(0), 9}, {"q", std::nullopt, 0}};
+  const std::optional<relay_request> copy = RoundTrip<rpc::RelayRequest>(request);
+  ASSERT_TRUE(copy);
+  EXPECT_EQ(copy->sender, "entry-2");
+  EXPECT_EQ(copy->call.verb, caller_verb::kCancel);
+  EXPECT_TRUE(copy->fetch_config);
+  EXPECT_EQ(copy->call.wait_limit, duration(1000));
+  EXPECT_EQ(copy->call.job.first_sent_ago, duration(0));
+  EXPECT_TRUE(copy->call.job.generated_id && copy->call.job.request && copy->call.job.idempotent);
+  ASSERT_EQ(copy->call.job.tasks.size(), 2U);
+  EXPECT_EQ(copy->call.job.tasks[0].declared, duration(0));
+  EXPECT_EQ(copy->call.job.tasks[0].size, 9U);
+  EXPECT_FALSE(copy->call.job.tasks[1].declared.has_value());
+
+  relay_reply reply;
+  reply.document = "{}";
+  reply.not_home = true;
+  reply.reply.state = job_state::kComplete;
+  reply.reply.results = {"a", std::string("\0", 1)};
+  reply.reply.error = failure(error_kind::kOverloaded, "full");
+  reply.reply.error->retry_after = duration(9);
+  reply.reply.messages = 4;
+  const std::optional<relay_reply> back = RoundTrip<rpc::RelayReply>(reply);
+  ASSERT_TRUE(back && back->reply.error);
+  EXPECT_EQ(back->document, "{}");
+  EXPECT_TRUE(back->not_home);
+  EXPECT_EQ(back->reply.results, reply.reply.results);
+  EXPECT_EQ(back->reply.error->kind, error_kind::kOverloaded);
+  EXPECT_EQ(back->reply.error->ran, not_run::kYes);
+  EXPECT_EQ(back->reply.error->retry_after, duration(9));
+  EXPECT_EQ(back->reply.messages, 4U);
+}
+
+// Guards against a value that a newer or faulty peer sends and that this build can't represent.
+TEST(Codec, RefusesValuesOutOfRange) {
+  capnp::MallocMessageBuilder arena;
+  rpc::AgentBatch::Builder agent = arena.initRoot<rpc::AgentBatch>();
+  agent.initAnswers(1)[0].setStatus(200);
+  EXPECT_FALSE(Read(agent.asReader()));
+  capnp::MallocMessageBuilder other;
+  rpc::RelayReply::Builder reply = other.initRoot<rpc::RelayReply>();
+  reply.initReply().setState(99);
+  EXPECT_FALSE(Read(reply.asReader()));
+}
+
+}  // namespace
+}  // namespace bamboowing
