--- /dev/null
+++ b/src/entry/job_table.cc
@@ -0,0 +1,283 @@
+#include "bamboowing/entry/job_table.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace bamboowing {
+namespace {
+
+bool SameRoute(reply_route a, reply_route b) { return a.relayed == b.relayed && a.id == b.id; }
+
+std::size_t ResultBytes(const std::vector<std::optional<std::string>>& results) {
+  std::size_t bytes = 0;
+  for (const std::optional<std::string>& result : results) {
+    bytes += result ? result->size() : 0;
+  }
+  return bytes;
+}
+
+}  // namespace
+
+std::uint64_t Fingerprint(const job_spec& job) {
+  std::uint64_t hash = XXH3_64bits(job.team.data(), job.team.size());
+  hash = XXH3_64bits_withSeed(job.service.data(), job.service.size(), hash);
+  for (const task_spec& task : job.tasks) {
+    hash = XXH3_64bits_withSeed(task.payload.data(), task.payload.size(), hash);
+  }
+  const std::uint64_t shape =
+      (static_cast<std::uint64_t>(job.tasks.size()) << 2U) | (job.request ? 2U : 0U) | (job.idempotent ? 1U : 0U);
+  return XXH3_64bits_withSeed(&shape, sizeof(shape), hash);
+}
+
+submission job_table::Find(const job_spec& job, reply_route route, duration wait_limit, instant now) {
+  job_record* known = FindRecord(job.job_id);
+  if (known == nullptr) {
+    return submission::kNew;
+  }
+  if (known->fingerprint != Fingerprint(job)) {
+    caller_reply reply;
+    reply.job_id = job.job_id;
+    reply.error = failure(error_kind::kConflict, "job id " + job.job_id + " belongs to a job with other content");
+    replies_.push_back({route, std::move(reply)});
+    return submission::kConflict;
+  }
+  WaitOrReply(*known, route, wait_limit, now);
+  return submission::kJoined;
+}
+
+void job_table::Add(const job_spec& job, reply_route route, duration wait_limit, instant now) {
+  job_record& added = jobs_[job.job_id];
+  added.spec = job;
+  added.fingerprint = Fingerprint(job);
+  added.accepted = now;
+  added.results.resize(job.tasks.size());
+  ++open_jobs_;
+  WaitOrReply(added, route, wait_limit, now);
+}
+
+bool job_table::Watch(std::string_view job_id, reply_route route, duration wait_limit, instant now) {
+  job_record* job = FindRecord(job_id);
+  if (job == nullptr) {
+    return false;
+  }
+  WaitOrReply(*job, route, wait_limit, now);
+  return true;
+}
+
+bool job_table::SetResult(std::string_view job_id, std::uint32_t task, std::string result, duration run_time,
+                          instant now) {
+  job_record* job = FindRecord(job_id);
+  if (job == nullptr || job->state == job_state::kComplete || job->state == job_state::kFailed) {
+    return false;
+  }
+  if (task >= job->results.size() || job->results[task]) {
+    return false;
+  }
+  job->results[task] = std::move(result);
+  job->state = job_state::kRunning;
+  job->ideal = std::max(job->ideal, run_time);
+  ++job->done;
+  if (job->done < job->results.size()) {
+    return false;
+  }
+  End(*job, job_state::kComplete, now);
+  return true;
+}
+
+bool job_table::Fail(std::string_view job_id, failure why, instant now) {
+  job_record* job = FindRecord(job_id);
+  if (job == nullptr || job->state == job_state::kComplete || job->state == job_state::kFailed) {
+    return false;
+  }
+  job->error = std::move(why);
+  End(*job, job_state::kFailed, now);
+  return true;
+}
+
+void job_table::CountMessages(std::string_view job_id, std::uint32_t messages) {
+  if (job_record* job = FindRecord(job_id); job != nullptr) {
+    job->messages += messages;
+  }
+}
+
+bool job_table::IsOpen(std::string_view job_id) const { return OpenJob(job_id) != nullptr; }
+
+const job_spec* job_table::OpenJob(std::string_view job_id) const {
+  const job_record* job = FindRecord(job_id);
+  const bool open = job != nullptr && (job->state == job_state::kQueued || job->state == job_state::kRunning);
+  return open ? &job->spec : nullptr;
+}
+
+void job_table::OpenJobs(std::vector<std::string>& out) const {
+  for (const record_map::value_type& item : jobs_) {
+    if (IsOpen(item.first)) {
+      out.push_back(item.first);
+    }
+  }
+}
+
+void job_table::Forget(reply_route route) {
+  const std::map<route_key, std::string>::iterator waiting = routes_.find({route.relayed, route.id});
+  if (waiting == routes_.end()) {
+    return;
+  }
+  if (job_record* job = FindRecord(waiting->second); job != nullptr) {
+    std::vector<waiter>& waiters = job->waiters;
+    waiters.erase(
+        std::remove_if(waiters.begin(), waiters.end(), [route](const waiter& w) { return SameRoute(w.route, route); }),
+        waiters.end());
+  }
+  routes_.erase(waiting);
+}
+
+void job_table::OnTick(instant now) {
+  while (!waits_.empty() && waits_.begin()->first <= now) {
+    job_record* job = FindRecord(waits_.begin()->second);
+    waits_.erase(waits_.begin());
+    if (job == nullptr) {
+      continue;
+    }
+    std::vector<waiter> rest;
+    for (const waiter& w : job->waiters) {
+      if (w.until <= now) {
+        Queue(*job, w.route, now);
+      } else {
+        rest.push_back(w);
+      }
+    }
+    job->waiters = std::move(rest);
+  }
+  while (!retained_.empty() && retained_.begin()->first + limits_.retention <= now) {
+    if (job_record* job = FindRecord(retained_.begin()->second); job != nullptr) {
+      DropResults(*job);
+    }
+    retained_.erase(retained_.begin());
+  }
+}
+
+std::optional<instant> job_table::next_wakeup() const {
+  std::optional<instant> next;
+  if (!waits_.empty()) {
+    next = waits_.begin()->first;
+  }
+  if (!retained_.empty()) {
+    const instant drop = retained_.begin()->first + limits_.retention;
+    next = next ? std::min(*next, drop) : drop;
+  }
+  return next;
+}
+
+void job_table::TakeReplies(std::vector<routed_reply>& out) {
+  std::move(replies_.begin(), replies_.end(), std::back_inserter(out));
+  replies_.clear();
+}
+
+void job_table::TakeDelivered(std::vector<std::string>& out) {
+  std::move(delivered_.begin(), delivered_.end(), std::back_inserter(out));
+  delivered_.clear();
+}
+
+caller_reply job_table::MakeReply(const job_record& job, instant now) const {
+  caller_reply reply;
+  reply.job_id = job.spec.job_id;
+  reply.state = job.state;
+  reply.error = job.error;
+  reply.tasks_done = job.done;
+  reply.tasks_total = static_cast<std::uint32_t>(job.results.size());
+  reply.ideal_time = job.ideal;
+  reply.messages = job.messages;
+  const bool ended = job.state == job_state::kComplete || job.state == job_state::kFailed;
+  reply.response_time = (ended ? job.ended : now) - job.accepted;
+  if (job.state != job_state::kComplete) {
+    return reply;
+  }
+  if (job.results_dropped) {
+    reply.state = job_state::kFailed;
+    reply.error = failure(error_kind::kOutcomeUnknown, not_run::kNo,
+                          "the job was completed earlier and its answer is no longer retained");
+    return reply;
+  }
+  reply.results.reserve(job.results.size());
+  for (const std::optional<std::string>& result : job.results) {
+    reply.results.push_back(*result);
+  }
+  return reply;
+}
+
+void job_table::WaitOrReply(job_record& job, reply_route route, duration wait_limit, instant now) {
+  const bool ended = job.state == job_state::kComplete || job.state == job_state::kFailed;
+  if (ended || wait_limit <= duration(0)) {
+    Queue(job, route, now);
+    return;
+  }
+  job.waiters.push_back({route, now + wait_limit});
+  routes_[{route.relayed, route.id}] = job.spec.job_id;
+  waits_.emplace(now + wait_limit, job.spec.job_id);
+}
+
+void job_table::End(job_record& job, job_state state, instant now) {
+  job.state = state;
+  job.ended = now;
+  --open_jobs_;
+  if (state == job_state::kFailed) {
+    job.results.assign(job.results.size(), std::nullopt);
+  }
+  std::vector<waiter> waiters;
+  waiters.swap(job.waiters);
+  for (const waiter& w : waiters) {
+    Queue(job, w.route, now);
+  }
+  // Payloads are not needed after the end; only the fingerprint tells whether a resubmission is the same job.
+  job.spec.tasks.clear();
+  job.spec.tasks.shrink_to_fit();
+  retained_bytes_ += ResultBytes(job.results);
+  retained_.emplace(now, job.spec.job_id);
+  finished_.emplace(now, job.spec.job_id);
+  while (retained_bytes_ > limits_.retained_bytes && !retained_.empty()) {
+    if (job_record* oldest = FindRecord(retained_.begin()->second); oldest != nullptr) {
+      DropResults(*oldest);
+    }
+    retained_.erase(retained_.begin());
+  }
+  ForgetOldest();
+}
+
+void job_table::Queue(job_record& job, reply_route route, instant now) {
+  routes_.erase({route.relayed, route.id});
+  replies_.push_back({route, MakeReply(job, now)});
+  const bool ended = job.state == job_state::kComplete || job.state == job_state::kFailed;
+  if (ended && !job.delivered) {
+    job.delivered = true;
+    delivered_.push_back(job.spec.job_id);
+  }
+}
+
+void job_table::DropResults(job_record& job) {
+  retained_bytes_ -= ResultBytes(job.results);
+  job.results.assign(job.results.size(), std::nullopt);
+  job.results_dropped = job.state == job_state::kComplete;
+}
+
+void job_table::ForgetOldest() {
+  while (finished_.size() > limits_.remembered_jobs) {
+    const record_map::iterator oldest = jobs_.find(finished_.begin()->second);
+    if (oldest != jobs_.end()) {
+      DropResults(oldest->second);
+      jobs_.erase(oldest);
+    }
+    finished_.erase(finished_.begin());
+  }
+}
+
+job_table::job_record* job_table::FindRecord(std::string_view job_id) {
+  const record_map::iterator found = jobs_.find(std::string(job_id));
+  return found == jobs_.end() ? nullptr : &found->second;
+}
+
+const job_table::job_record* job_table::FindRecord(std::string_view job_id) const {
+  const record_map::const_iterator found = jobs_.find(std::string(job_id));
+  return found == jobs_.end() ? nullptr : &found->second;
+}
+
+}  // namespace bamboowing
--- /dev/null
+++ b/src/service/agent_rpc.cc
@@ -0,0 +1,197 @@
+#include "bamboowing/service/agent_rpc.h"
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <map>
+#include <thread>
+#include <utility>
+#include <variant>
+
+#include "bamboowing/wire/codec.h"
+#include "mailbox.h"
+
+namespace bamboowing {
+namespace {
+
+constexpr std::size_t kCommandCapacity = 65536;
+
+struct open_entry_session {
+  std::string address;
+};
+struct close_entry_session {
+  std::string address;
+};
+struct send_to_entry {
+  std::string address;
+  agent_batch batch;
+};
+using command = std::variant<open_entry_session, close_entry_session, send_to_entry>;
+
+class agent_port_server final : public rpc::AgentPort::Server {
+ public:
+  agent_port_server(agent_rpc_listener& listener, std::string address)
+      : listener_(listener), address_(std::move(address)) {}
+
+  kj::Promise<void> deliver(DeliverContext context) override {
+    std::optional<entry_batch> batch = Read(context.getParams().getBatch());
+    KJ_REQUIRE(batch.has_value(), "entry batch with a value out of range");
+    listener_.OnEntryBatch(address_, std::move(*batch));
+    return kj::READY_NOW;
+  }
+
+ private:
+  agent_rpc_listener& listener_;
+  std::string address_;
+};
+
+/// One connection to an entry with its attached session.
+struct entry_connection {
+  explicit entry_connection(kj::Own<kj::AsyncIoStream> opened) : stream(kj::mv(opened)), client(*stream) {}
+  kj::Own<kj::AsyncIoStream> stream;
+  capnp::TwoPartyClient client;
+  kj::Maybe<rpc::AgentSession::Client> session;
+};
+
+struct entry_slot {
+  std::uint64_t generation = 0;  ///< tells the events of an older connection to the same address
+  kj::Own<entry_connection> connection;
+  kj::Promise<void> opening = nullptr;
+};
+
+class agent_loop final : public kj::TaskSet::ErrorHandler {
+ public:
+  agent_loop(agent_rpc_listener& listener, std::string agent_id, kj::AsyncIoContext& io)
+      : listener_(listener), agent_id_(std::move(agent_id)), io_(io), tasks_(*this) {}
+
+  void Handle(open_entry_session& open) {
+    Drop(open.address);
+    const std::uint64_t generation = ++last_generation_;
+    entry_slot& slot = slots_[open.address];
+    slot.generation = generation;
+    slot.opening =
+        Open(open.address, generation)
+            .catch_([this, address = open.address, generation](kj::Exception&&) { ReportClosed(address, generation); })
+            .eagerlyEvaluate(nullptr);
+  }
+
+  void Handle(close_entry_session& close) { Drop(close.address); }
+
+  void Handle(send_to_entry& send) {
+    const std::map<std::string, entry_slot>::iterator found = slots_.find(send.address);
+    if (found == slots_.end() || found->second.connection.get() == nullptr) {
+      return;
+    }
+    KJ_IF_MAYBE (session, found->second.connection->session) {
+      capnp::Request<rpc::AgentSession::DeliverParams, rpc::AgentSession::DeliverResults> request =
+          session->deliverRequest();
+      Write(send.batch, request.initBatch());
+      tasks_.add(request.send().ignoreResult());
+    }
+  }
+
+  void taskFailed(kj::Exception&&) override {}  // a broken connection is reported by its disconnect event
+
+ private:
+  kj::Promise<void> Open(const std::string& address, std::uint64_t generation) {
+    return io_.provider->getNetwork()
+        .parseAddress(address)
+        .then([](kj::Own<kj::NetworkAddress>&& to) {
+          kj::Promise<kj::Own<kj::AsyncIoStream>> opened = to->connect();
+          return opened.attach(kj::mv(to));
+        })
+        .then([this, address, generation](kj::Own<kj::AsyncIoStream>&& stream) {
+          return Attach(address, generation, kj::mv(stream));
+        });
+  }
+
+  kj::Promise<void> Attach(const std::string& address, std::uint64_t generation, kj::Own<kj::AsyncIoStream> stream) {
+    const int one = 1;
+    stream->setsockopt(IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+    entry_slot& slot = slots_[address];
+    slot.connection = kj::heap<entry_connection>(kj::mv(stream));
+    tasks_.add(slot.connection->client.onDisconnect().then(
+        [this, address, generation]() { ReportClosed(address, generation); }));
+    rpc::EntryPort::Client port = slot.connection->client.bootstrap().castAs<rpc::EntryPort>();
+    capnp::Request<rpc::EntryPort::AttachParams, rpc::EntryPort::AttachResults> request = port.attachRequest();
+    request.setAgentId(agent_id_);
+    request.setAgent(kj::heap<agent_port_server>(listener_, address));
+    return request.send().then([this, address, generation](capnp::Response<rpc::EntryPort::AttachResults>&& response) {
+      const std::map<std::string, entry_slot>::iterator found = slots_.find(address);
+      if (found == slots_.end() || found->second.generation != generation) {
+        return;
+      }
+      found->second.connection->session = response.getSession();
+      listener_.OnSessionOpened(address);
+    });
+  }
+
+  void ReportClosed(const std::string& address, std::uint64_t generation) {
+    const std::map<std::string, entry_slot>::iterator found = slots_.find(address);
+    if (found != slots_.end() && found->second.generation == generation) {
+      Drop(address);
+      listener_.OnSessionClosed(address);
+    }
+  }
+
+  /// Removes a slot; its objects are destroyed in a later event because this may run inside one of theirs.
+  void Drop(const std::string& address) {
+    const std::map<std::string, entry_slot>::iterator found = slots_.find(address);
+    if (found == slots_.end()) {
+      return;
+    }
+    tasks_.add(
+        kj::evalLater([connection = kj::mv(found->second.connection), opening = kj::mv(found->second.opening)]() {}));
+    slots_.erase(found);
+  }
+
+  agent_rpc_listener& listener_;
+  std::string agent_id_;
+  kj::AsyncIoContext& io_;
+  std::uint64_t last_generation_ = 0;
+  std::map<std::string, entry_slot> slots_;
+  kj::TaskSet tasks_;
+};
+
+class agent_rpc_impl final : public agent_rpc {
+ public:
+  agent_rpc_impl(std::string agent_id, agent_rpc_listener& listener)
+      : listener_(listener), mailbox_(kCommandCapacity), thread_([this, id = std::move(agent_id)] { Run(id); }) {}
+
+  agent_rpc_impl(const agent_rpc_impl&) = delete;
+  agent_rpc_impl& operator=(const agent_rpc_impl&) = delete;
+
+  ~agent_rpc_impl() noexcept override {
+    mailbox_.Close();
+    thread_.join();
+  }
+
+  void OpenSession(std::string address) override { mailbox_.Post(open_entry_session{std::move(address)}); }
+  void CloseSession(std::string address) override { mailbox_.Post(close_entry_session{std::move(address)}); }
+  void Send(std::string address, agent_batch batch) override {
+    mailbox_.Post(send_to_entry{std::move(address), std::move(batch)});
+  }
+
+ private:
+  void Run(const std::string& agent_id) {
+    kj::AsyncIoContext io = kj::setupAsyncIo();
+    agent_loop loop(listener_, agent_id, io);
+    while (std::optional<command> next = mailbox_.Next(io.waitScope)) {
+      std::visit([&loop](auto& what) { loop.Handle(what); }, *next);
+    }
+  }
+
+  agent_rpc_listener& listener_;
+  detail::kj_mailbox<command> mailbox_;
+  std::thread thread_;
+};
+
+}  // namespace
+
+std::unique_ptr<agent_rpc> agent_rpc::Open(std::string agent_id, agent_rpc_listener& listener) {
+  return std::make_unique<agent_rpc_impl>(std::move(agent_id), listener);
+}
+
+}  // namespace bamboowing
--- /dev/null
+++ b/src/service/entry_rpc.cc
@@ -0,0 +1,364 @@
+#include "bamboowing/service/entry_rpc.h"
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <future>
+#include <map>
+#include <thread>
+#include <utility>
+#include <variant>
+
+#include "bamboowing/wire/codec.h"
+#include "mailbox.h"
+
+namespace bamboowing {
+namespace {
+
+constexpr std::size_t kCommandCapacity = 65536;
+
+using command = std::variant<send_to_agent, close_agent_session, send_relay, abandon_relay, answer_relay>;
+
+void DisableDelay(kj::AsyncIoStream& stream) {
+  const int one = 1;
+  stream.setsockopt(IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+}
+
+class entry_loop;
+
+/// One accepted connection: an agent's session or another entry.
+struct connection {
+  connection(kj::Own<kj::AsyncIoStream> accepted, capnp::Capability::Client bootstrap)
+      : stream(kj::mv(accepted)),
+        network(*stream, capnp::rpc::twoparty::Side::SERVER),
+        system(capnp::makeRpcServer(network, kj::mv(bootstrap))) {}
+  kj::Own<kj::AsyncIoStream> stream;
+  capnp::TwoPartyVatNetwork network;
+  capnp::RpcSystem<capnp::rpc::twoparty::VatId> system;
+};
+
+/// An outgoing connection to another entry.
+struct peer_connection {
+  explicit peer_connection(kj::Own<kj::AsyncIoStream> opened)
+      : stream(kj::mv(opened)), client(*stream), port(client.bootstrap().castAs<rpc::EntryPort>()) {}
+  kj::Own<kj::AsyncIoStream> stream;
+  capnp::TwoPartyClient client;
+  rpc::EntryPort::Client port;
+};
+
+struct agent_session {
+  std::uint64_t connection;
+  rpc::AgentPort::Client port;
+};
+
+class agent_session_server final : public rpc::AgentSession::Server {
+ public:
+  agent_session_server(entry_loop& loop, session_id session) : loop_(loop), session_(session) {}
+  agent_session_server(const agent_session_server&) = delete;
+  agent_session_server& operator=(const agent_session_server&) = delete;
+  ~agent_session_server() noexcept(false);
+  kj::Promise<void> deliver(DeliverContext context) override;
+
+ private:
+  entry_loop& loop_;
+  session_id session_;
+};
+
+class entry_port_server final : public rpc::EntryPort::Server {
+ public:
+  entry_port_server(entry_loop& loop, std::uint64_t connection) : loop_(loop), connection_(connection) {}
+  kj::Promise<void> attach(AttachContext context) override;
+  kj::Promise<void> relay(RelayContext context) override;
+
+ private:
+  entry_loop& loop_;
+  std::uint64_t connection_;
+};
+
+/// State of the RPC thread. All members are used on that thread only.
+class entry_loop final : public kj::TaskSet::ErrorHandler {
+ public:
+  entry_loop(entry_rpc_listener& listener, kj::AsyncIoContext& io) : listener_(listener), io_(io), tasks_(*this) {}
+
+  void Listen(kj::Own<kj::ConnectionReceiver> receiver) {
+    receiver_ = kj::mv(receiver);
+    AcceptNext();
+  }
+
+  void Handle(send_to_agent& send) {
+    const std::map<session_id, agent_session>::iterator found = sessions_.find(send.session);
+    if (found == sessions_.end()) {
+      return;
+    }
+    capnp::Request<rpc::AgentPort::DeliverParams, rpc::AgentPort::DeliverResults> request =
+        found->second.port.deliverRequest();
+    Write(send.batch, request.initBatch());
+    tasks_.add(request.send().ignoreResult());
+  }
+
+  void Handle(close_agent_session& close) {
+    const std::map<session_id, agent_session>::iterator found = sessions_.find(close.session);
+    if (found != sessions_.end()) {
+      DropConnection(found->second.connection);
+    }
+  }
+
+  void Handle(send_relay& relay) {
+    const std::map<std::string, kj::Own<peer_connection>>::iterator found = peers_.find(relay.address);
+    if (found != peers_.end()) {
+      SendRelayOn(*found->second, relay);
+      return;
+    }
+    const relay_id id = relay.id;
+    relays_[id] = {relay.address, io_.provider->getNetwork()
+                                      .parseAddress(relay.address)
+                                      .then([this, relay = std::move(relay)](kj::Own<kj::NetworkAddress>&& to) mutable {
+                                        return Connect(kj::mv(to), std::move(relay));
+                                      })
+                                      .catch_([this, id](kj::Exception&&) { FailRelay(id); })
+                                      .eagerlyEvaluate(nullptr)};
+  }
+
+  void Handle(abandon_relay& abandon) {
+    const std::map<relay_id, outgoing_relay>::iterator found = relays_.find(abandon.id);
+    if (found == relays_.end()) {
+      return;
+    }
+    const std::string address = found->second.address;
+    relays_.erase(found);
+    DropPeer(address);
+  }
+
+  void Handle(answer_relay& answer) {
+    const std::map<relay_id, kj::Own<kj::PromiseFulfiller<relay_reply>>>::iterator found = incoming_.find(answer.id);
+    if (found != incoming_.end()) {
+      found->second->fulfill(std::move(answer.reply));
+      incoming_.erase(found);
+    }
+  }
+
+  session_id AddSession(std::uint64_t connection, rpc::AgentPort::Client port, std::string agent) {
+    const session_id id = ++last_id_;
+    sessions_.emplace(id, agent_session{connection, kj::mv(port)});
+    listener_.OnSessionOpened(id, std::move(agent));
+    return id;
+  }
+
+  void RemoveSession(session_id session) {
+    if (sessions_.erase(session) > 0) {
+      listener_.OnSessionClosed(session);
+    }
+  }
+
+  kj::Promise<relay_reply> AcceptRelay(relay_request request) {
+    kj::PromiseFulfillerPair<relay_reply> pair = kj::newPromiseAndFulfiller<relay_reply>();
+    const relay_id id = ++last_id_;
+    incoming_.emplace(id, kj::mv(pair.fulfiller));
+    listener_.OnRelayRequest(id, std::move(request));
+    return kj::mv(pair.promise);
+  }
+
+  entry_rpc_listener& listener() { return listener_; }
+
+  void taskFailed(kj::Exception&&) override {}  // a broken connection is reported by the end of its session
+
+ private:
+  struct outgoing_relay {
+    std::string address;
+    kj::Promise<void> promise = nullptr;
+  };
+
+  void AcceptNext() {
+    tasks_.add(receiver_->accept().then([this](kj::Own<kj::AsyncIoStream>&& stream) {
+      AddConnection(kj::mv(stream));
+      AcceptNext();
+    }));
+  }
+
+  void AddConnection(kj::Own<kj::AsyncIoStream> stream) {
+    DisableDelay(*stream);
+    const std::uint64_t id = ++last_id_;
+    kj::Own<connection> added = kj::heap<connection>(kj::mv(stream), kj::heap<entry_port_server>(*this, id));
+    // The connection must not be destroyed from within its own event, so its removal is a separate event.
+    tasks_.add(added->network.onDisconnect().then([this, id]() { DropConnection(id); }));
+    connections_.emplace(id, kj::mv(added));
+  }
+
+  void DropConnection(std::uint64_t id) {
+    const std::map<std::uint64_t, kj::Own<connection>>::iterator found = connections_.find(id);
+    if (found == connections_.end()) {
+      return;
+    }
+    tasks_.add(kj::evalLater([gone = kj::mv(found->second)]() {}));
+    connections_.erase(found);
+    for (std::map<session_id, agent_session>::iterator it = sessions_.begin(); it != sessions_.end();) {
+      const session_id session = it->first;
+      const bool ends = it->second.connection == id;
+      ++it;
+      if (ends) {
+        RemoveSession(session);
+      }
+    }
+  }
+
+  kj::Promise<void> Connect(kj::Own<kj::NetworkAddress> to, send_relay relay) {
+    kj::Promise<kj::Own<kj::AsyncIoStream>> opened = to->connect();
+    return opened.attach(kj::mv(to))
+        .then([this, relay = std::move(relay)](kj::Own<kj::AsyncIoStream>&& stream) mutable {
+          DisableDelay(*stream);
+          const std::string address = relay.address;
+          std::map<std::string, kj::Own<peer_connection>>::iterator found = peers_.find(address);
+          if (found == peers_.end()) {
+            kj::Own<peer_connection> added = kj::heap<peer_connection>(kj::mv(stream));
+            tasks_.add(added->client.onDisconnect().then([this, address]() { DropPeer(address); }));
+            found = peers_.emplace(address, kj::mv(added)).first;
+          }
+          return RelayOn(*found->second, relay);
+        });
+  }
+
+  kj::Promise<void> RelayOn(peer_connection& peer, send_relay& relay) {
+    capnp::Request<rpc::EntryPort::RelayParams, rpc::EntryPort::RelayResults> request = peer.port.relayRequest();
+    Write(relay.request, request.initRequest());
+    const relay_id id = relay.id;
+    return request.send().then([this, id](capnp::Response<rpc::EntryPort::RelayResults>&& response) {
+      ReportReply(id, Read(response.getReply()));
+    });
+  }
+
+  void SendRelayOn(peer_connection& peer, send_relay& relay) {
+    const relay_id id = relay.id;
+    const std::string address = relay.address;
+    relays_[id] = {
+        address, RelayOn(peer, relay).catch_([this, id](kj::Exception&&) { FailRelay(id); }).eagerlyEvaluate(nullptr)};
+  }
+
+  void ReportReply(relay_id id, std::optional<relay_reply> reply) {
+    const std::map<relay_id, outgoing_relay>::iterator found = relays_.find(id);
+    if (found == relays_.end()) {
+      return;
+    }
+    // This runs inside the promise that is being removed; it is destroyed in a later event.
+    tasks_.add(kj::evalLater([done = kj::mv(found->second.promise)]() {}));
+    relays_.erase(found);
+    listener_.OnRelayReply(id, std::move(reply));
+  }
+
+  void FailRelay(relay_id id) { ReportReply(id, std::nullopt); }
+
+  void DropPeer(const std::string& address) {
+    const std::map<std::string, kj::Own<peer_connection>>::iterator found = peers_.find(address);
+    if (found != peers_.end()) {
+      tasks_.add(kj::evalLater([gone = kj::mv(found->second)]() {}));
+      peers_.erase(found);
+    }
+  }
+
+  entry_rpc_listener& listener_;
+  kj::AsyncIoContext& io_;
+  std::uint64_t last_id_ = 0;
+  kj::Own<kj::ConnectionReceiver> receiver_;
+  std::map<session_id, agent_session> sessions_;
+  std::map<relay_id, outgoing_relay> relays_;
+  std::map<relay_id, kj::Own<kj::PromiseFulfiller<relay_reply>>> incoming_;
+  std::map<std::string, kj::Own<peer_connection>> peers_;
+  std::map<std::uint64_t, kj::Own<connection>> connections_;
+  kj::TaskSet tasks_;
+};
+
+agent_session_server::~agent_session_server() noexcept(false) { loop_.RemoveSession(session_); }
+
+kj::Promise<void> agent_session_server::deliver(DeliverContext context) {
+  std::optional<agent_batch> batch = Read(context.getParams().getBatch());
+  KJ_REQUIRE(batch.has_value(), "agent batch with a value out of range");
+  loop_.listener().OnAgentBatch(session_, std::move(*batch));
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> entry_port_server::attach(AttachContext context) {
+  rpc::EntryPort::AttachParams::Reader params = context.getParams();
+  const session_id session = loop_.AddSession(connection_, params.getAgent(), params.getAgentId());
+  context.getResults().setSession(kj::heap<agent_session_server>(loop_, session));
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> entry_port_server::relay(RelayContext context) {
+  std::optional<relay_request> request = Read(context.getParams().getRequest());
+  KJ_REQUIRE(request.has_value(), "relayed call with a value out of range");
+  context.releaseParams();
+  return loop_.AcceptRelay(std::move(*request)).then([context](relay_reply&& reply) mutable {
+    Write(reply, context.getResults().initReply());
+  });
+}
+
+class entry_rpc_impl final : public entry_rpc {
+ public:
+  explicit entry_rpc_impl(entry_rpc_listener& listener) : listener_(listener), mailbox_(kCommandCapacity) {}
+
+  entry_rpc_impl(const entry_rpc_impl&) = delete;
+  entry_rpc_impl& operator=(const entry_rpc_impl&) = delete;
+
+  ~entry_rpc_impl() noexcept override {
+    mailbox_.Close();
+    if (thread_.joinable()) {
+      thread_.join();
+    }
+  }
+
+  /// Starts the thread; returns an empty text, or why the address can't be bound.
+  std::string Start(std::string address) {
+    std::promise<std::string> started;
+    std::future<std::string> result = started.get_future();
+    thread_ = std::thread(
+        [this, address = std::move(address), started = std::move(started)]() mutable { Run(address, started); });
+    return result.get();
+  }
+
+  void SendToAgent(session_id session, entry_batch batch) override { Post(send_to_agent{session, std::move(batch)}); }
+  void CloseSession(session_id session) override { Post(close_agent_session{session}); }
+  void SendRelay(relay_id id, std::string address, relay_request request) override {
+    Post(send_relay{id, std::move(address), std::move(request)});
+  }
+  void AbandonRelay(relay_id id) override { Post(abandon_relay{id}); }
+  void ReplyRelay(relay_id id, relay_reply reply) override { Post(answer_relay{id, std::move(reply)}); }
+
+ private:
+  // A command that does not fit is dropped like a message on a broken connection; silence detection handles the rest.
+  void Post(command what) { mailbox_.Post(std::move(what)); }
+
+  void Run(const std::string& address, std::promise<std::string>& started) {
+    kj::AsyncIoContext io = kj::setupAsyncIo();
+    entry_loop loop(listener_, io);
+    try {
+      kj::Own<kj::NetworkAddress> bound = io.provider->getNetwork().parseAddress(address).wait(io.waitScope);
+      loop.Listen(bound->listen());
+    } catch (const kj::Exception& error) {
+      started.set_value(error.getDescription().cStr());
+      return;
+    }
+    started.set_value("");
+    while (std::optional<command> next = mailbox_.Next(io.waitScope)) {
+      std::visit([&loop](auto& what) { loop.Handle(what); }, *next);
+    }
+  }
+
+  entry_rpc_listener& listener_;
+  detail::kj_mailbox<command> mailbox_;
+  std::thread thread_;
+};
+
+}  // namespace
+
+std::unique_ptr<entry_rpc> entry_rpc::Open(std::string_view address, entry_rpc_listener& listener, failure& why) {
+  std::unique_ptr<entry_rpc_impl> rpc = std::make_unique<entry_rpc_impl>(listener);
+  const std::string error = rpc->Start(std::string(address));
+  if (!error.empty()) {
+    why = failure(error_kind::kInternal, "cannot listen on " + std::string(address) + ": " + error);
+    return nullptr;
+  }
+  return rpc;
+}
+
+}  // namespace bamboowing
--- /dev/null
+++ b/src/service/mailbox.h
@@ -0,0 +1,78 @@
+/// @file
+/// Hands commands from any thread to a thread that runs a kj event loop.
+#pragma once
+
+#include <kj/async.h>
+
+#include <mutex>
+#include <optional>
+#include <utility>
+
+#include "bamboowing/base/ring.h"
+
+namespace bamboowing::detail {
+
+/// A bounded ring whose consumer waits inside a kj event loop, so that network events are handled during the wait.
+template <typename T>
+class kj_mailbox {
+ public:
+  explicit kj_mailbox(std::size_t capacity) : ring_(capacity) {}
+
+  /// Appends a command and wakes the loop. Returns false when the mailbox is full or closed. Any thread.
+  bool Post(T command) {
+    if (!ring_.TryPush(std::move(command))) {
+      return false;
+    }
+    Wake();
+    return true;
+  }
+
+  /// Ends the wait of the loop for good. Any thread.
+  void Close() {
+    ring_.Close();
+    Wake();
+  }
+
+  /// Returns the next command, running the event loop until there is one; nullopt after Close(). Loop thread only.
+  std::optional<T> Next(kj::WaitScope& scope) {
+    while (true) {
+      std::optional<T> command = ring_.TryPop();
+      if (command || ring_.closed()) {
+        return command;
+      }
+      kj::PromiseCrossThreadFulfillerPair<void> pair = kj::newPromiseAndCrossThreadFulfiller<void>();
+      {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (!woken_) {
+          waker_ = kj::mv(pair.fulfiller);
+        }
+      }
+      if (!TakeWoken()) {
+        pair.promise.wait(scope);
+        TakeWoken();
+      }
+    }
+  }
+
+ private:
+  void Wake() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    woken_ = true;
+    if (waker_.get() != nullptr) {
+      waker_->fulfill();
+      waker_ = nullptr;
+    }
+  }
+
+  bool TakeWoken() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return std::exchange(woken_, false);
+  }
+
+  bounded_ring<T> ring_;
+  std::mutex mutex_;
+  kj::Own<kj::CrossThreadPromiseFulfiller<void>> waker_;
+  bool woken_ = false;
+};
+
+}  // namespace bamboowing::detail
--- /dev/null
+++ b/src/service/settings.cc
@@ -0,0 +1,216 @@
+#include "bamboowing/service/settings.h"
+
+#include <yaml-cpp/yaml.h>
+
+#include <algorithm>
+#include <cctype>
+#include <set>
+
+namespace bamboowing {
+namespace {
+
+/// Collects values from a YAML map and remembers which keys are known.
+class map_reader {
+ public:
+  map_reader(const YAML::Node& map, std::string path, std::vector<settings_error>& errors)
+      : map_(map), path_(std::move(path)), errors_(errors) {}
+
+  YAML::Node Get(const std::string& key) {
+    known_.insert(key);
+    return map_[key];
+  }
+
+  void Text(const std::string& key, std::string& out, bool required) {
+    const YAML::Node node = Get(key);
+    if (!node) {
+      if (required) {
+        Report(key, map_, "missing", "a text");
+      }
+      return;
+    }
+    if (!node.IsScalar()) {
+      Report(key, node, "a list or map", "a text");
+      return;
+    }
+    out = node.Scalar();
+  }
+
+  void Address(const std::string& key, std::string& out, bool required) {
+    Text(key, out, required);
+    if (!out.empty() && !IsAddress(out)) {
+      Report(key, map_[key], out, "IP:PORT, for example 127.0.0.1:8080");
+    }
+  }
+
+  template <typename Number>
+  void Integer(const std::string& key, Number& out, std::int64_t low, std::int64_t high) {
+    const YAML::Node node = Get(key);
+    if (!node) {
+      return;
+    }
+    try {
+      const std::int64_t value = node.as<std::int64_t>();
+      if (value >= low && value <= high) {
+        out = static_cast<Number>(value);
+        return;
+      }
+    } catch (const YAML::Exception&) {  // reported below together with values out of range
+    }
+    Report(key, node, node.IsScalar() ? node.Scalar() : "a list or map",
+           "a whole number from " + std::to_string(low) + " to " + std::to_string(high));
+  }
+
+  void OneOf(const std::string& key, std::string& out, const std::vector<std::string>& allowed, bool required) {
+    Text(key, out, required);
+    if (out.empty() || std::find(allowed.begin(), allowed.end(), out) != allowed.end()) {
+      return;
+    }
+    std::string list;
+    for (const std::string& value : allowed) {
+      list += (list.empty() ? "" : ", ") + value;
+    }
+    Report(key, map_[key], out, "one of: " + list);
+  }
+
+  void Addresses(const std::string& key, std::vector<std::string>& out) {
+    const YAML::Node node = Get(key);
+    if (!node || !node.IsSequence() || node.size() == 0) {
+      Report(key, node ? node : map_, node ? "not a list" : "missing", "a list of IP:PORT with at least one element");
+      return;
+    }
+    for (const YAML::Node& item : node) {
+      const std::string address = item.IsScalar() ? item.Scalar() : "";
+      if (!IsAddress(address)) {
+        Report(key, item, address, "IP:PORT, for example 127.0.0.1:7101");
+      }
+      out.push_back(address);
+    }
+  }
+
+  /// Reports every key that no call asked for.
+  void RefuseUnknown() {
+    if (!map_.IsMap()) {
+      return;
+    }
+    for (const auto& item : map_) {
+      const std::string key = item.first.Scalar();
+      if (known_.count(key) == 0) {
+        std::string list;
+        for (const std::string& name : known_) {
+          list += (list.empty() ? "" : ", ") + name;
+        }
+        Report(key, item.first, "an unknown key", "one of: " + list);
+      }
+    }
+  }
+
+  void Report(const std::string& key, const YAML::Node& where, std::string found, std::string allowed) {
+    const std::uint32_t line = where ? static_cast<std::uint32_t>(where.Mark().line + 1) : 0;
+    errors_.push_back({path_.empty() ? key : path_ + "." + key, line, std::move(found), std::move(allowed)});
+  }
+
+  /// Returns the map under @p key, or an empty map after reporting that it is missing or of another type.
+  YAML::Node Map(const std::string& key) {
+    const YAML::Node node = Get(key);
+    if (!node || !node.IsMap()) {
+      Report(key, node ? node : map_, node ? "not a map" : "missing", "a map");
+      return YAML::Node(YAML::NodeType::Map);
+    }
+    return node;
+  }
+
+ private:
+  static bool IsAddress(const std::string& text) {
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string::npos || colon == 0 || colon + 1 == text.size() || text.size() - colon > 6) {
+      return false;
+    }
+    const bool digits = std::all_of(text.begin() + static_cast<std::ptrdiff_t>(colon) + 1, text.end(),
+                                    [](unsigned char c) { return std::isdigit(c) != 0; });
+    return digits && std::stoul(text.substr(colon + 1)) <= 65535;
+  }
+
+  YAML::Node map_;
+  std::string path_;
+  std::vector<settings_error>& errors_;
+  std::set<std::string> known_;
+};
+
+void ReadCommon(map_reader& top, daemon_settings& settings) {
+  top.Text("id", settings.id, true);
+  top.Text("failure_domain", settings.failure_domain, true);
+  top.Text("log_file", settings.log_file, false);
+  top.OneOf("log_level", settings.log_level, {"debug", "info", "warning", "error"}, false);
+  top.Text("events_file", settings.events_file, false);
+  std::int64_t drain_ms = std::chrono::duration_cast<std::chrono::milliseconds>(settings.drain_limit).count();
+  top.Integer("drain_limit_ms", drain_ms, 0, 3'600'000);
+  settings.drain_limit = std::chrono::milliseconds(drain_ms);
+}
+
+void ReadEntry(map_reader& top, daemon_settings& settings, std::vector<settings_error>& errors) {
+  map_reader entry(top.Map("entry"), "entry", errors);
+  entry.Address("callers_address", settings.callers_address, true);
+  entry.Address("operators_address", settings.operators_address, false);
+  entry.Text("operators_token_file", settings.operators_token_file, !settings.operators_address.empty());
+  entry.Address("peers_address", settings.peers_address, true);
+  entry.Address("store_address", settings.store_address, true);
+  entry.Integer("max_body_bytes", settings.max_body_bytes, 1'000, 64'000'000);
+  entry.Integer("max_open_calls", settings.max_open_calls, 1, 1'000'000);
+  entry.RefuseUnknown();
+}
+
+void ReadAgent(map_reader& top, daemon_settings& settings, std::vector<settings_error>& errors) {
+  map_reader agent(top.Map("agent"), "agent", errors);
+  agent.Addresses("entries", settings.entries);
+  agent.OneOf("target_kind", settings.target_kind, {"minion", "worker"}, false);
+  agent.Address("target_address", settings.target_address, true);
+  agent.Address("announce_address", settings.announce_address, true);
+  agent.RefuseUnknown();
+}
+
+}  // namespace
+
+std::optional<daemon_settings> ParseSettings(std::string_view yaml, std::vector<settings_error>& errors) {
+  YAML::Node root;
+  try {
+    root = YAML::Load(std::string(yaml));
+  } catch (const YAML::Exception& broken) {
+    errors.push_back({"", static_cast<std::uint32_t>(broken.mark.line + 1), broken.msg, "a YAML document"});
+    return std::nullopt;
+  }
+  if (!root.IsMap()) {
+    errors.push_back({"", 1, "not a map", "a YAML map with the key role"});
+    return std::nullopt;
+  }
+  daemon_settings settings;
+  map_reader top(root, "", errors);
+  std::string role;
+  top.OneOf("role", role, {"entry", "agent"}, true);
+  ReadCommon(top, settings);
+  if (role == "agent") {
+    settings.role = daemon_role::kAgent;
+    ReadAgent(top, settings, errors);
+  } else if (role == "entry") {
+    ReadEntry(top, settings, errors);
+  }
+  if (!role.empty()) {
+    top.RefuseUnknown();
+  }
+  if (!errors.empty()) {
+    return std::nullopt;
+  }
+  return settings;
+}
+
+std::string Describe(const settings_error& error) {
+  std::string text = "settings";
+  if (error.line > 0) {
+    text += " line " + std::to_string(error.line);
+  }
+  if (!error.path.empty()) {
+    text += ": " + error.path;
+  }
+  return text + ": found " + error.found + ", allowed is " + error.allowed;
+}
+
+}  // namespace bamboowing
