Add agent_core with sessions and task ledger; add echo_life, heartbeat_interval to messages

Cause: the daemon needs the agent's decisions before it can run an agent. Change: agent_core, session_table and task_ledger in library agent. batch_header gains echo_life, the incarnation whose clock `echo` is: without it, a start that was prepared for an earlier life of an agent could pass the staleness check when both lives share the machine's clock. entry_batch gains heartbeat_interval, since only the entry knows how many sessions share its budget.

--- a/include/bamboowing/message/batch.h
+++ b/include/bamboowing/message/batch.h
@@ -19,6 +19,7 @@
   incarnation life = 0;       ///< incarnation of the sending process
   instant sent_at;            ///< sender's clock
   instant echo;               ///< receiver's clock in the newest batch that the sender had received; zero if none
+  incarnation echo_life = 0;  ///< incarnation of the receiver whose clock `echo` is; 0 if none
   config_version config = 0;  ///< newest configuration version that the sender has applied
   epoch shard_epoch = 0;      ///< highest epoch of the shard that the sender knows
 };
@@ -70,6 +71,7 @@
   bool status_query = false;         ///< the entry asks for what the agent holds of this entry's tasks
   bool draining = false;             ///< the operators drain this target: the agent reports it as leaving
   std::vector<std::string> entries;  ///< addresses of all known entries; empty when unchanged
+  duration heartbeat_interval{0};    ///< how long an idle agent may send nothing on this session; 0 when unchanged
 };
 
 /// Describes the target beside an agent.
--- /dev/null
+++ b/src/agent/agent_core.cc
@@ -0,0 +1,209 @@
+#include "bamboowing/agent/agent_core.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bamboowing {
+
+agent_core::agent_core(agent_settings settings, std::uint64_t seed, instant now)
+    : settings_(std::move(settings)),
+      sessions_(settings_, seed, now),
+      ledger_(
+          {settings_.retention, settings_.record_retention, settings_.retained_bytes_limit, settings_.record_limit}),
+      target_seen_(now),
+      last_change_(now) {}
+
+void agent_core::OnTargetAnnounced(const target_announcement& target, instant now) {
+  const bool changed = !target_.has_value() || target_->service != target.service || target_->slots != target.slots ||
+                       target_->draining != target.draining;
+  target_ = target;
+  target_seen_ = now;
+  if (changed) {
+    Record(event_kind::kTargetAnnounced, now, nullptr, target.service, target.slots, {});
+    Announce(now);
+  }
+}
+
+void agent_core::OnTargetLeft(instant now) {
+  if (!target_.has_value() || target_->draining) {
+    return;
+  }
+  target_->draining = true;
+  Record(event_kind::kTargetLeft, now, nullptr, target_->service, ledger_.running(), {});
+  Announce(now);
+}
+
+void agent_core::OnSessionOpened(std::string_view address, instant now) {
+  entry_session* session = sessions_.Opened(address, now);
+  if (session == nullptr) {
+    actions_.emplace_back(close_session{std::string(address)});
+    return;
+  }
+  outgoing_.erase(session->address);
+  Record(event_kind::kSessionOpened, now, nullptr, session->address, 0, {});
+  AnnounceOn(*session, now);
+  if (home_.has_value() && home_->address == address) {
+    ReportHeld(*session, now);
+  }
+}
+
+void agent_core::OnSessionClosed(std::string_view address, instant now) {
+  if (sessions_.Closed(address, now)) {
+    Record(event_kind::kSessionClosed, now, nullptr, std::string(address), 0, {});
+  }
+}
+
+void agent_core::OnTaskEnded(const task_answer& answer, instant now) {
+  const std::optional<task_answer> result = ledger_.End(answer, now);
+  if (!result.has_value()) {
+    return;
+  }
+  last_change_ = now;
+  Record(event_kind::kTaskAnswered, now, &result->key, {}, static_cast<std::uint64_t>(result->status), {});
+  entry_session* home = HomeSession();
+  if (home == nullptr) {
+    answer_unsent_ = true;
+    return;
+  }
+  SendAnswer(*home, *result, now);
+}
+
+void agent_core::OnDrain(instant now) {
+  if (draining_) {
+    return;
+  }
+  draining_ = true;
+  last_change_ = now;
+  Record(event_kind::kProcessDraining, now, nullptr, {}, ledger_.running(), {});
+  Announce(now);
+  CheckDrained(now);
+}
+
+void agent_core::OnTick(instant now) {
+  ledger_.Expire(now);
+  ExpireRefusals(now);
+  CheckTarget(now);
+  sessions_.Tick(now, home_.has_value() ? std::string_view(home_->address) : std::string_view(), actions_);
+  SendHeartbeats(now);
+  CheckDrained(now);
+}
+
+std::optional<instant> agent_core::next_wakeup() const {
+  std::optional<instant> next =
+      sessions_.next_wakeup(home_.has_value() ? std::string_view(home_->address) : std::string_view());
+  const auto earlier = [&next](instant at) { next = next.has_value() ? std::min(*next, at) : at; };
+  const std::optional<instant> expiry = ledger_.next_expiry();
+  if (expiry.has_value()) {
+    earlier(*expiry);
+  }
+  if (target_.has_value() && !target_->draining) {
+    earlier(target_seen_ + settings_.target_timeout);
+  }
+  if (draining_ && !drained_ && ledger_.running() == 0) {
+    earlier(last_change_ + settings_.drain_linger);
+  }
+  return next;
+}
+
+void agent_core::ClearActions() {
+  actions_.clear();
+  outgoing_.clear();
+}
+
+bool agent_core::leaving() const { return draining_ || operators_drain_ || !target_.has_value() || target_->draining; }
+
+target_announcement agent_core::Announcement() const {
+  target_announcement announcement = target_.value_or(target_announcement{});
+  if (announcement.failure_domain.empty()) {
+    announcement.failure_domain = settings_.failure_domain;
+  }
+  announcement.draining = leaving();
+  return announcement;
+}
+
+void agent_core::Announce(instant now) {
+  for (auto& [address, session] : sessions_.all()) {
+    if (session.state == session_state::kOpen) {
+      AnnounceOn(session, now);
+    }
+  }
+}
+
+void agent_core::AnnounceOn(entry_session& session, instant now) {
+  agent_batch& batch = Outgoing(session, now);
+  if (target_.has_value()) {
+    batch.target = Announcement();
+  }
+}
+
+agent_batch& agent_core::Outgoing(entry_session& session, instant now) {
+  clock_sent_ = std::max(now, clock_sent_ + duration(1));
+  const auto [it, added] = outgoing_.try_emplace(session.address, actions_.size());
+  if (added) {
+    actions_.emplace_back(send_batch{session.address, {}});
+  }
+  agent_batch& batch = std::get<send_batch>(actions_[it->second]).batch;
+  batch.header = {settings_.id,       settings_.life, clock_sent_, session.entry_clock,
+                  session.entry_life, config_,        highest_};
+  batch.busy_slots = static_cast<std::uint32_t>(ledger_.running());
+  session.last_sent = now;
+  return batch;
+}
+
+entry_session* agent_core::HomeSession() {
+  if (!home_.has_value()) {
+    return nullptr;
+  }
+  entry_session* session = sessions_.Find(home_->address);
+  const bool usable = session != nullptr && session->state == session_state::kOpen &&
+                      (session->entry_life == 0 || session->entry_life == home_->life);
+  return usable ? session : nullptr;
+}
+
+void agent_core::Record(event_kind kind, instant now, const task_key* key, std::string peer, std::uint64_t number,
+                        std::string detail) {
+  event what;
+  what.kind = kind;
+  what.at = now;
+  if (key != nullptr) {
+    what.job_id = key->job_id;
+    what.task = key->task;
+  }
+  what.peer = std::move(peer);
+  what.number = number;
+  what.detail = std::move(detail);
+  actions_.emplace_back(record_event{std::move(what)});
+}
+
+void agent_core::ExpireRefusals(instant now) {
+  for (auto it = refused_.begin(); it != refused_.end();) {
+    it = it->second < now ? refused_.erase(it) : std::next(it);
+  }
+}
+
+void agent_core::SendHeartbeats(instant now) {
+  const std::string home = home_.has_value() ? home_->address : std::string();
+  for (auto& [address, session] : sessions_.all()) {
+    if (session.state == session_state::kOpen && sessions_.HeartbeatDue(session, home) <= now) {
+      Outgoing(session, now);
+    }
+  }
+}
+
+void agent_core::CheckTarget(instant now) {
+  if (target_.has_value() && !target_->draining && target_seen_ + settings_.target_timeout <= now) {
+    OnTargetLeft(now);
+  }
+}
+
+void agent_core::CheckDrained(instant now) {
+  if (!draining_ || drained_ || ledger_.running() > 0) {
+    return;
+  }
+  entry_session* home = HomeSession();
+  const bool delivered = !answer_unsent_ && home != nullptr && home->acknowledged >= answer_sent_;
+  const bool lingered = last_change_ + settings_.drain_linger <= now;
+  drained_ = ledger_.retained() == 0 || (delivered && lingered);
+}
+
+}  // namespace bamboowing
--- /dev/null
+++ b/src/agent/session_table.cc
@@ -0,0 +1,135 @@
+#include "bamboowing/agent/session_table.h"
+
+#include <algorithm>
+
+namespace bamboowing {
+namespace {
+
+// A session that is not the home's is silent when this many heartbeats of the entry are missing.
+constexpr int kMissedHeartbeats = 3;
+
+}  // namespace
+
+session_table::session_table(const agent_settings& settings, std::uint64_t seed, instant now)
+    : settings_(settings), random_(seed) {
+  for (const std::string& address : settings.entries) {
+    Add(address, true, now);
+  }
+}
+
+entry_session* session_table::Find(std::string_view address) {
+  const std::map<std::string, entry_session, std::less<>>::iterator found = sessions_.find(address);
+  return found == sessions_.end() ? nullptr : &found->second;
+}
+
+void session_table::Add(const std::string& address, bool seed, instant now) {
+  if (sessions_.size() >= kMaxSessions || sessions_.count(address) != 0) {
+    return;
+  }
+  entry_session session;
+  session.address = address;
+  session.seed = seed;
+  session.backoff = settings_.backoff_min;
+  session.heartbeat = settings_.idle_heartbeat_interval;
+  // The jitter spreads the first connections of agents that start together.
+  session.due = now + duration(random_.Below(static_cast<std::uint64_t>(settings_.backoff_min.count())));
+  sessions_.emplace(address, session);
+}
+
+void session_table::Learn(span<const std::string> addresses, instant now) {
+  for (auto it = sessions_.begin(); it != sessions_.end();) {
+    const bool listed = std::find(addresses.begin(), addresses.end(), it->first) != addresses.end();
+    const bool keep = listed || it->second.seed || it->second.state != session_state::kWaiting;
+    it = keep ? std::next(it) : sessions_.erase(it);
+  }
+  for (const std::string& address : addresses) {
+    Add(address, false, now);
+  }
+}
+
+void session_table::PlanAttempt(entry_session& session, instant now) {
+  const std::uint64_t half = static_cast<std::uint64_t>(session.backoff.count()) / 2;
+  session.state = session_state::kWaiting;
+  session.due = now + duration(half + random_.Below(half + 1));
+  session.backoff = std::min(session.backoff * 2, settings_.backoff_max);
+}
+
+entry_session* session_table::Opened(std::string_view address, instant now) {
+  entry_session* session = Find(address);
+  if (session == nullptr) {
+    return nullptr;
+  }
+  session->state = session_state::kOpen;
+  session->last_sent = now;
+  session->last_received = now;
+  session->entry_life = 0;
+  session->entry_clock = instant{};
+  session->acknowledged = instant{};
+  return session;
+}
+
+bool session_table::Closed(std::string_view address, instant now) {
+  entry_session* session = Find(address);
+  if (session == nullptr || session->state == session_state::kWaiting) {
+    return false;
+  }
+  const bool was_open = session->state == session_state::kOpen;
+  PlanAttempt(*session, now);
+  return was_open;
+}
+
+void session_table::Received(entry_session& session, const batch_header& header, instant now) {
+  if (session.entry_life != header.life) {
+    session.entry_life = header.life;
+    session.entry_clock = instant{};
+  }
+  session.entry_clock = std::max(session.entry_clock, header.sent_at);
+  session.last_received = now;
+  session.backoff = settings_.backoff_min;
+}
+
+duration session_table::IntervalOf(const entry_session& session, std::string_view home) const {
+  return session.address == home ? settings_.heartbeat_interval : session.heartbeat;
+}
+
+instant session_table::HeartbeatDue(const entry_session& session, std::string_view home) const {
+  return session.last_sent + IntervalOf(session, home);
+}
+
+instant session_table::SilenceEnds(const entry_session& session, std::string_view home) const {
+  const duration limit = session.address == home
+                             ? settings_.silence_limit
+                             : std::max(settings_.silence_limit, session.heartbeat * kMissedHeartbeats);
+  return session.last_received + limit;
+}
+
+void session_table::Tick(instant now, std::string_view home, std::vector<agent_action>& out) {
+  for (auto& [address, session] : sessions_) {
+    if (session.state == session_state::kWaiting && session.due <= now) {
+      session.state = session_state::kConnecting;
+      session.due = now + settings_.connect_timeout;
+      out.emplace_back(open_session{address});
+      continue;
+    }
+    const bool too_slow = session.state == session_state::kConnecting && session.due <= now;
+    const bool silent = session.state == session_state::kOpen && SilenceEnds(session, home) <= now;
+    if (too_slow || silent) {
+      out.emplace_back(close_session{address});
+      PlanAttempt(session, now);
+    }
+  }
+}
+
+std::optional<instant> session_table::next_wakeup(std::string_view home) const {
+  std::optional<instant> next;
+  for (const auto& [address, session] : sessions_) {
+    instant due = session.due;
+    if (session.state == session_state::kOpen) {
+      due = std::min(HeartbeatDue(session, home), SilenceEnds(session, home));
+    }
+    next = next.has_value() ? std::min(*next, due) : due;
+  }
+  return next;
+}
+
+}  // namespace bamboowing
