Add the HTTP server and client behind plain interfaces

Entries and agents need HTTP towards callers, targets and the key-value service. Both are adapters of cpprestsdk; its types stay in two source files. The client sends a body that the library cannot rewind, because the library repeats a request on its own when a reused connection breaks. The server bounds the body and the number of open requests.

--- /dev/null
+++ b/src/platform/address.cc
@@ -0,0 +1,70 @@
+#include "address.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <charconv>
+
+namespace bamboowing {
+namespace {
+
+constexpr int kMaxPort = 65535;
+
+std::optional<sockaddr_in> ToSocketAddress(const std::string& host, int port) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<std::uint16_t>(port));
+  if (inet_pton(AF_INET, host.c_str(), &address.sin_addr) != 1) {
+    return std::nullopt;
+  }
+  return address;
+}
+
+int BindAndAskPort(int socket_fd, sockaddr_in address) {
+  socklen_t size = sizeof(address);
+  auto* const generic = reinterpret_cast<sockaddr*>(&address);
+  if (bind(socket_fd, generic, size) != 0 || getsockname(socket_fd, generic, &size) != 0) {
+    return 0;
+  }
+  return ntohs(address.sin_port);
+}
+
+}  // namespace
+
+std::optional<ip_endpoint> ParseEndpoint(std::string_view text, failure& why) {
+  const std::size_t colon = text.rfind(':');
+  ip_endpoint endpoint;
+  bool valid = colon != std::string_view::npos;
+  if (valid) {
+    const std::string_view port = text.substr(colon + 1);
+    endpoint.host = std::string(text.substr(0, colon));
+    const std::from_chars_result parsed = std::from_chars(port.data(), port.data() + port.size(), endpoint.port);
+    valid = !port.empty() && parsed.ec == std::errc() && parsed.ptr == port.data() + port.size() &&
+            endpoint.port >= 0 && endpoint.port <= kMaxPort && ToSocketAddress(endpoint.host, 0).has_value();
+  }
+  if (!valid) {
+    why = failure(error_kind::kInvalidField,
+                  "expected an address like 127.0.0.1:8080, found '" + std::string(text) + "'");
+    return std::nullopt;
+  }
+  return endpoint;
+}
+
+int FreePort(const std::string& host) {
+  const std::optional<sockaddr_in> address = ToSocketAddress(host, 0);
+  const int socket_fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (!address || socket_fd < 0) {
+    return 0;
+  }
+  const int port = BindAndAskPort(socket_fd, *address);
+  close(socket_fd);
+  return port;
+}
+
+std::string HttpUrl(const ip_endpoint& endpoint) {
+  return "http://" + endpoint.host + ":" + std::to_string(endpoint.port);
+}
+
+}  // namespace bamboowing
--- /dev/null
+++ b/src/platform/http_client.cc
@@ -0,0 +1,181 @@
+#include "bamboowing/platform/http_client.h"
+
+#include <cpprest/http_client.h>
+#include <cpprest/producerconsumerstream.h>
+#include <pplx/threadpool.h>
+
+#include <chrono>
+#include <condition_variable>
+#include <mutex>
+
+#include "address.h"
+
+namespace bamboowing {
+namespace {
+
+namespace web_client = web::http::client;
+
+// The library's own time-out covers single send and receive operations. It only has to be longer than the longest wait
+// of any caller (a job's deadline is at most 10 min); the time-out of a request is a timer of its own.
+constexpr std::chrono::seconds kLibraryTimeout{900};
+
+using body_buffer = concurrency::streams::producer_consumer_buffer<std::uint8_t>;
+
+// After a reused connection breaks, the library sends a request again if it can rewind the body. It can't rewind this
+// kind of buffer, which keeps a request that the server may have started from being started twice.
+void SetBodyForOneAttempt(web::http::http_request& message, const std::string& body) {
+  body_buffer buffer;
+  if (!body.empty()) {
+    buffer.putn_nocopy(reinterpret_cast<const std::uint8_t*>(body.data()), body.size()).wait();
+  }
+  buffer.close(std::ios_base::out).wait();
+  message.set_body(buffer.create_istream(), body.size(), "application/json");
+}
+
+web::http::http_request ToMessage(const http_request& request) {
+  web::http::http_request message(request.method);
+  web::uri_builder uri;
+  uri.set_path(request.path, true);
+  for (const std::pair<const std::string, std::string>& item : request.query) {
+    uri.append_query(item.first, item.second, true);
+  }
+  message.set_request_uri(uri.to_uri());
+  if (!request.authorization.empty()) {
+    message.headers().add(web::http::header_names::authorization, request.authorization);
+  }
+  if (request.method != "GET") {
+    SetBodyForOneAttempt(message, request.body);
+  }
+  return message;
+}
+
+failure FailureFrom(const web::http::http_exception& error) {
+  // The library reports these two conditions only from its connect step.
+  const bool refused =
+      error.error_code() == std::errc::connection_refused || error.error_code() == std::errc::host_unreachable;
+  return {error_kind::kTargetLost, refused ? not_run::kYes : not_run::kUnknown, error.what()};
+}
+
+// One request in flight, with its time-out.
+class pending_request : public std::enable_shared_from_this<pending_request> {
+ public:
+  explicit pending_request(http_client::callback done)
+      : done_(std::move(done)), timer_(crossplat::threadpool::shared_instance().service()) {}
+
+  void Start(web_client::http_client& client, const web::http::http_request& message, duration timeout) {
+    const std::shared_ptr<pending_request> self = shared_from_this();
+    timer_.expires_after(timeout);
+    timer_.async_wait([self](const boost::system::error_code& error) {
+      if (!error) {
+        self->timed_out_ = true;
+        self->cancel_.cancel();
+      }
+    });
+    client.request(message, cancel_.get_token())
+        .then([self](const web::http::http_response& answer) {
+          self->response_.status = answer.status_code();
+          self->response_.content_type = answer.headers().content_type();
+          self->ReadRetryAfter(answer);
+          return answer.extract_vector();
+        })
+        .then([self](const pplx::task<std::vector<unsigned char>>& body) { self->Finish(body); });
+  }
+
+ private:
+  void ReadRetryAfter(const web::http::http_response& answer) {
+    int seconds = 0;
+    if (answer.headers().match(web::http::header_names::retry_after, seconds)) {
+      response_.retry_after = std::chrono::seconds(seconds);
+    }
+  }
+
+  void Finish(const pplx::task<std::vector<unsigned char>>& body) {
+    std::optional<http_response> answer;
+    failure why;
+    try {
+      const std::vector<unsigned char>& bytes = body.get();
+      response_.body.assign(bytes.begin(), bytes.end());
+      answer = std::move(response_);
+    } catch (const web::http::http_exception& error) {
+      why = timed_out_ ? TimeoutFailure() : FailureFrom(error);
+    } catch (const std::exception& error) {
+      why = timed_out_ ? TimeoutFailure() : failure(error_kind::kTargetLost, not_run::kUnknown, error.what());
+    }
+    boost::asio::post(timer_.get_executor(), [self = shared_from_this()] { self->timer_.cancel(); });
+    done_(std::move(answer), std::move(why));
+  }
+
+  static failure TimeoutFailure() {
+    return {error_kind::kTargetLost, not_run::kUnknown, "no answer within the time-out"};
+  }
+
+  http_client::callback done_;
+  boost::asio::steady_timer timer_;
+  pplx::cancellation_token_source cancel_;
+  std::atomic<bool> timed_out_ = false;
+  http_response response_;
+};
+
+class cpprest_client : public http_client {
+ public:
+  explicit cpprest_client(const ip_endpoint& endpoint) : client_(HttpUrl(endpoint), Config()) {}
+
+  void SendAsync(const http_request& request, duration timeout, callback done) override {
+    const std::shared_ptr<pending_request> pending = std::make_shared<pending_request>(std::move(done));
+    pending->Start(client_, ToMessage(request), timeout);
+  }
+
+ private:
+  static web_client::http_client_config Config() {
+    web_client::http_client_config config;
+    config.set_timeout(kLibraryTimeout);
+    return config;
+  }
+
+  web_client::http_client client_;
+};
+
+// Hands an answer from the pool's thread to the thread that waits for it.
+struct answer_slot {
+  std::mutex mutex;
+  std::condition_variable ready;
+  bool done = false;
+  std::optional<http_response> response;
+  failure why;
+};
+
+}  // namespace
+
+std::unique_ptr<http_client> http_client::Open(std::string_view address, failure& why) {
+  const std::optional<ip_endpoint> endpoint = ParseEndpoint(address, why);
+  if (!endpoint) {
+    return nullptr;
+  }
+  return std::make_unique<cpprest_client>(*endpoint);
+}
+
+std::optional<http_response> http_client::Send(const http_request& request, duration timeout, failure& why) {
+  const std::shared_ptr<answer_slot> slot = std::make_shared<answer_slot>();
+  SendAsync(request, timeout, [slot](std::optional<http_response> response, failure reason) {
+    const std::lock_guard<std::mutex> lock(slot->mutex);
+    slot->response = std::move(response);
+    slot->why = std::move(reason);
+    slot->done = true;
+    slot->ready.notify_one();
+  });
+  std::unique_lock<std::mutex> lock(slot->mutex);
+  slot->ready.wait(lock, [&slot] { return slot->done; });
+  why = std::move(slot->why);
+  return std::move(slot->response);
+}
+
+bool SetHttpThreads(int threads) {
+  try {
+    crossplat::threadpool::initialize_with_threads(static_cast<std::size_t>(threads));
+    return true;
+  } catch (const std::exception&) {
+    return false;
+  }
+}
+
+}  // namespace bamboowing
--- /dev/null
+++ b/src/platform/http_server.cc
@@ -0,0 +1,242 @@
+#include "bamboowing/platform/http_server.h"
+
+#include <cpprest/http_listener.h>
+#include <cpprest/uri.h>
+
+#include <array>
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+
+#include "address.h"
+
+namespace bamboowing {
+namespace {
+
+namespace web_listener = web::http::experimental::listener;
+
+constexpr std::size_t kReadBytes = 64U << 10U;
+constexpr int kPortAttempts = 20;
+
+// Counts the requests without an answer and refuses more than the limit.
+class request_gate {
+ public:
+  explicit request_gate(std::size_t limit) : limit_(limit) {}
+
+  std::optional<failure> Enter() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    ++open_;
+    if (draining_) {
+      return failure(error_kind::kDraining, "the process is shutting down");
+    }
+    if (open_ > limit_) {
+      return failure(error_kind::kOverloaded, "more than " + std::to_string(limit_) + " requests are open");
+    }
+    return std::nullopt;
+  }
+
+  void Leave() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    --open_;
+    if (open_ == 0) {
+      idle_.notify_all();
+    }
+  }
+
+  void DrainAndWait() {
+    std::unique_lock<std::mutex> lock(mutex_);
+    draining_ = true;
+    idle_.wait(lock, [this] { return open_ == 0; });
+  }
+
+  std::size_t open() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return open_;
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  std::condition_variable idle_;
+  const std::size_t limit_;
+  std::size_t open_ = 0;
+  bool draining_ = false;
+};
+
+web::http::http_response ToMessage(http_response&& response) {
+  web::http::http_response message(static_cast<web::http::status_code>(response.status));
+  if (response.retry_after) {
+    const std::int64_t seconds = std::chrono::ceil<std::chrono::seconds>(*response.retry_after).count();
+    message.headers().add(web::http::header_names::retry_after, std::to_string(seconds));
+  }
+  message.set_body(std::move(response.body), response.content_type);
+  return message;
+}
+
+// One request from its header to the end of its answer.
+class open_request {
+ public:
+  open_request(web::http::http_request message, std::shared_ptr<request_gate> gate)
+      : message_(std::move(message)), gate_(std::move(gate)) {}
+  open_request(const open_request&) = delete;
+  open_request& operator=(const open_request&) = delete;
+  ~open_request() { Answer(ErrorResponse(failure(error_kind::kInternal, "the request was dropped"))); }
+
+  void Answer(http_response&& response) {
+    if (answered_.exchange(true)) {
+      return;
+    }
+    const std::shared_ptr<request_gate> gate = gate_;
+    message_.reply(ToMessage(std::move(response))).then([gate](const pplx::task<void>& sent) {
+      try {
+        sent.get();
+      } catch (const std::exception&) {
+        // The caller left before its answer; there is nobody to tell.
+      }
+      gate->Leave();
+    });
+  }
+
+  const web::http::http_request& message() const { return message_; }
+  std::vector<std::uint8_t>& buffer() { return buffer_; }
+  std::string& body() { return body_; }
+
+ private:
+  web::http::http_request message_;
+  std::shared_ptr<request_gate> gate_;
+  std::atomic<bool> answered_ = false;
+  std::vector<std::uint8_t> buffer_;
+  std::string body_;
+};
+
+http_request FromMessage(const web::http::http_request& message, std::string&& body) {
+  http_request request;
+  request.method = message.method();
+  request.path = web::uri::decode(message.relative_uri().path());
+  for (const std::pair<const std::string, std::string>& item : web::uri::split_query(message.relative_uri().query())) {
+    request.query[web::uri::decode(item.first)] = web::uri::decode(item.second);
+  }
+  message.headers().match(web::http::header_names::authorization, request.authorization);
+  request.body = std::move(body);
+  return request;
+}
+
+// Reads bodies and calls the handler.
+class request_reader : public std::enable_shared_from_this<request_reader> {
+ public:
+  request_reader(http_server::handler handle, const http_limits& limits)
+      : handle_(std::move(handle)), limits_(limits), gate_(std::make_shared<request_gate>(limits.open_requests)) {}
+
+  void Take(const web::http::http_request& message) {
+    const std::optional<failure> refused = gate_->Enter();
+    const std::shared_ptr<open_request> request = std::make_shared<open_request>(message, gate_);
+    if (refused) {
+      request->Answer(ErrorResponse(*refused));
+      return;
+    }
+    if (message.headers().content_length() > limits_.body_bytes) {
+      RefuseBody(*request);
+      return;
+    }
+    ReadMore(request);
+  }
+
+  request_gate& gate() { return *gate_; }
+
+ private:
+  void ReadMore(const std::shared_ptr<open_request>& request) {
+    request->buffer().resize(kReadBytes);
+    const std::shared_ptr<request_reader> self = shared_from_this();
+    request->message()
+        .body()
+        .streambuf()
+        .getn(request->buffer().data(), kReadBytes)
+        .then([self, request](const pplx::task<std::size_t>& read) { self->Append(request, read); });
+  }
+
+  void Append(const std::shared_ptr<open_request>& request, const pplx::task<std::size_t>& read) {
+    std::size_t count = 0;
+    try {
+      count = read.get();
+    } catch (const std::exception&) {
+      request->Answer(ErrorResponse(failure(error_kind::kInvalidField, "the body ended early")));
+      return;
+    }
+    request->body().append(reinterpret_cast<const char*>(request->buffer().data()), count);
+    if (request->body().size() > limits_.body_bytes) {
+      RefuseBody(*request);
+    } else if (count == kReadBytes) {
+      ReadMore(request);
+    } else {
+      Handle(request);
+    }
+  }
+
+  void RefuseBody(open_request& request) const {
+    const std::string reason = "the body exceeds " + std::to_string(limits_.body_bytes) + " bytes";
+    request.Answer(ErrorResponse(failure(error_kind::kTooLarge, reason)));
+  }
+
+  void Handle(const std::shared_ptr<open_request>& request) {
+    http_request plain = FromMessage(request->message(), std::move(request->body()));
+    handle_(std::move(plain), [request](http_response response) { request->Answer(std::move(response)); });
+  }
+
+  const http_server::handler handle_;
+  const http_limits limits_;
+  const std::shared_ptr<request_gate> gate_;
+};
+
+class cpprest_server : public http_server {
+ public:
+  cpprest_server(const ip_endpoint& endpoint, std::shared_ptr<request_reader> reader)
+      : port_(endpoint.port), reader_(std::move(reader)), listener_(HttpUrl(endpoint)) {
+    listener_.support([reader = reader_](const web::http::http_request& message) { reader->Take(message); });
+    listener_.open().wait();
+  }
+
+  ~cpprest_server() override { CloseListener(); }
+
+  void Close() override { CloseListener(); }
+  int port() const override { return port_; }
+  std::size_t open_requests() const override { return reader_->gate().open(); }
+
+ private:
+  void CloseListener() {
+    if (closed_.exchange(true)) {
+      return;
+    }
+    reader_->gate().DrainAndWait();
+    listener_.close().wait();
+  }
+
+  const int port_;
+  const std::shared_ptr<request_reader> reader_;
+  web_listener::http_listener listener_;
+  std::atomic<bool> closed_ = false;
+};
+
+}  // namespace
+
+std::unique_ptr<http_server> http_server::Open(std::string_view address, handler handle, const http_limits& limits,
+                                               failure& why) {
+  std::optional<ip_endpoint> endpoint = ParseEndpoint(address, why);
+  if (!endpoint) {
+    return nullptr;
+  }
+  const std::shared_ptr<request_reader> reader = std::make_shared<request_reader>(std::move(handle), limits);
+  const bool any_port = endpoint->port == 0;
+  // Another process can take the free port before the listener binds it.
+  for (int attempt = 0; attempt < (any_port ? kPortAttempts : 1); ++attempt) {
+    if (any_port) {
+      endpoint->port = FreePort(endpoint->host);
+    }
+    try {
+      return std::make_unique<cpprest_server>(*endpoint, reader);
+    } catch (const std::exception& error) {
+      why = failure(error_kind::kInternal, "cannot listen on " + std::string(address) + ": " + error.what());
+    }
+  }
+  return nullptr;
+}
+
+}  // namespace bamboowing
--- /dev/null
+++ b/tests/platform/http_test.cc
@@ -0,0 +1,66 @@
+#include <gtest/gtest.h>
+
+#include <thread>
+
+#include "bamboowing/platform/http_client.h"
+#include "bamboowing/platform/http_server.h"
+
+namespace bamboowing {
+namespace {
+
+constexpr duration kPatience = std::chrono::seconds(5);
+
+std::string Address(const http_server& server) { return "127.0.0.1:" + std::to_string(server.port()); }
+
+std::unique_ptr<http_server> OpenEcho(const http_limits& limits) {
+  failure why;
+  std::unique_ptr<http_server> server = http_server::Open(
+      "127.0.0.1:0",
+      [](const http_request& request, const http_server::responder& answer) {
+        http_response response;
+        response.body = request.method + " " + request.path + " " + request.authorization + " " + request.body;
+        for (const std::pair<const std::string, std::string>& item : request.query) {
+          response.body += " " + item.first + "=" + item.second;
+        }
+        answer(response);
+      },
+      limits, why);
+  EXPECT_NE(server, nullptr) << why.reason;
+  return server;
+}
+
+// Guards against parts of a request that get lost or stay encoded between client and server.
+TEST(Http, CarriesEveryPartOfARequest) {
+  const std::unique_ptr<http_server> server = OpenEcho({});
+  failure why;
+  const std::unique_ptr<http_client> client = http_client::Open(Address(*server), why);
+  http_request request{"POST", "/v1/jobs", {{"a b", "c&d"}}, "{}", "Bearer x"};
+  const std::optional<http_response> response = client->Send(request, kPatience, why);
+  ASSERT_TRUE(response) << why.reason;
+  EXPECT_EQ(response->body, "POST /v1/jobs Bearer x {} a b=c&d");
+  EXPECT_EQ(response->status, 200);
+}
+
+// Guards against a refused connection that is reported as a request whose outcome is unknown.
+TEST(Http, ConnectionRefusedIsCertainlyNotSent) {
+  std::unique_ptr<http_server> server = OpenEcho({});
+  const std::string address = Address(*server);
+  server->Close();
+  server.reset();
+  failure why;
+  const std::unique_ptr<http_client> client = http_client::Open(address, why);
+  EXPECT_FALSE(client->Send({"GET", "/", {}, "", ""}, kPatience, why));
+  EXPECT_EQ(why.ran, not_run::kYes) << why.reason;
+}
+
+// Guards against addresses that need a name service, and against ports out of range.
+TEST(Http, RefusesMalformedAddresses) {
+  for (const char* address : {"localhost:80", "127.0.0.1", "127.0.0.1:", "127.0.0.1:65536", "127.0.0.1:8x", ""}) {
+    failure why;
+    EXPECT_EQ(http_client::Open(address, why), nullptr) << address;
+    EXPECT_EQ(why.kind, error_kind::kInvalidField);
+  }
+}
+
+}  // namespace
+}  // namespace bamboowing
