Carry echo_life and heartbeat_interval on the wire

Cause: agent_core needs to know whose clock an echo is, and the interval of heartbeats comes from the entry. Change: two fields in schema/wire.capnp and the codec.

--- a/schema/wire.capnp
+++ b/schema/wire.capnp
@@ -18,6 +18,7 @@
   echoUs @3 :Int64;
   config @4 :UInt64;
   shardEpoch @5 :UInt64;
+  echoLife @6 :UInt64;
 }
 
 struct StartTask {
@@ -39,6 +40,7 @@
   statusQuery @8 :Bool;
   draining @9 :Bool;
   entries @10 :List(Text);
+  heartbeatIntervalUs @11 :Int64;
 }
 
 struct Announcement {
--- a/src/service/entry_rpc.cc
+++ b/src/service/entry_rpc.cc
@@ -111,7 +111,7 @@
       SendRelayOn(*found->second, relay);
       return;
     }
-    const relay_id id = relay.id;
+    const relay_id id = relay.relay;
     relays_[id] = {relay.address, io_.provider->getNetwork()
                                       .parseAddress(relay.address)
                                       .then([this, relay = std::move(relay)](kj::Own<kj::NetworkAddress>&& to) mutable {
@@ -122,7 +122,7 @@
   }
 
   void Handle(abandon_relay& abandon) {
-    const std::map<relay_id, outgoing_relay>::iterator found = relays_.find(abandon.id);
+    const std::map<relay_id, outgoing_relay>::iterator found = relays_.find(abandon.relay);
     if (found == relays_.end()) {
       return;
     }
@@ -132,7 +132,7 @@
   }
 
   void Handle(answer_relay& answer) {
-    const std::map<relay_id, kj::Own<kj::PromiseFulfiller<relay_reply>>>::iterator found = incoming_.find(answer.id);
+    const std::map<relay_id, kj::Own<kj::PromiseFulfiller<relay_reply>>>::iterator found = incoming_.find(answer.relay);
     if (found != incoming_.end()) {
       found->second->fulfill(std::move(answer.reply));
       incoming_.erase(found);
@@ -222,14 +222,14 @@
   kj::Promise<void> RelayOn(peer_connection& peer, send_relay& relay) {
     capnp::Request<rpc::EntryPort::RelayParams, rpc::EntryPort::RelayResults> request = peer.port.relayRequest();
     Write(relay.request, request.initRequest());
-    const relay_id id = relay.id;
+    const relay_id id = relay.relay;
     return request.send().then([this, id](capnp::Response<rpc::EntryPort::RelayResults>&& response) {
       ReportReply(id, Read(response.getReply()));
     });
   }
 
   void SendRelayOn(peer_connection& peer, send_relay& relay) {
-    const relay_id id = relay.id;
+    const relay_id id = relay.relay;
     const std::string address = relay.address;
     relays_[id] = {
         address, RelayOn(peer, relay).catch_([this, id](kj::Exception&&) { FailRelay(id); }).eagerlyEvaluate(nullptr)};
--- a/src/wire/batch_codec.cc
+++ b/src/wire/batch_codec.cc
@@ -35,6 +35,7 @@
   out.setLife(header.life);
   out.setSentAtUs(ToMicros(header.sent_at));
   out.setEchoUs(ToMicros(header.echo));
+  out.setEchoLife(header.echo_life);
   out.setConfig(header.config);
   out.setShardEpoch(header.shard_epoch);
 }
@@ -45,6 +46,7 @@
   header.life = in.getLife();
   header.sent_at = ToInstant(in.getSentAtUs());
   header.echo = ToInstant(in.getEchoUs());
+  header.echo_life = in.getEchoLife();
   header.config = in.getConfig();
   header.shard_epoch = in.getShardEpoch();
   return header;
@@ -154,6 +156,7 @@
   out.setStatusQuery(batch.status_query);
   out.setDraining(batch.draining);
   detail::WriteTexts(batch.entries, out.initEntries(batch.entries.size()));
+  out.setHeartbeatIntervalUs(batch.heartbeat_interval.count());
 }
 
 void Write(const agent_batch& batch, rpc::AgentBatch::Builder out) {
@@ -191,6 +194,7 @@
   batch.status_query = in.getStatusQuery();
   batch.draining = in.getDraining();
   batch.entries = detail::ReadTexts(in.getEntries());
+  batch.heartbeat_interval = duration(in.getHeartbeatIntervalUs());
   return batch;
 }
 
--- a/tests/wire/codec_test.cc
+++ b/tests/wire/codec_test.cc
@@ -19,7 +19,7 @@
 // Guards against a field that is written but not read back, which would lose work without an error.
 TEST(Codec, EntryBatchKeepsEveryField) {
   entry_batch batch;
-  batch.header = {"entry-1", 11, At(5), At(3), 7, 9};
+  batch.header = {"entry-1", 11, At(5), At(3), 12, 7, 9};
   batch.shard = {"seal-check", 2};
   batch.starts.push_back({{"job", 4, 1}, std::string("a\0b", 3), duration(900), true});
   batch.cancels.push_back({"other", 6, 0});
@@ -29,12 +29,14 @@
   batch.status_query = true;
   batch.draining = true;
   batch.entries = {"127.0.0.1:1"};
+  batch.heartbeat_interval = duration(250);
   const std::optional<entry_batch> copy = RoundTrip<rpc::EntryBatch>(batch);
   ASSERT_TRUE(copy);
   EXPECT_EQ(copy->header.sender, "entry-1");
   EXPECT_EQ(copy->header.life, 11U);
   EXPECT_EQ(copy->header.sent_at, At(5));
   EXPECT_EQ(copy->header.echo, At(3));
+  EXPECT_EQ(copy->header.echo_life, 12U);
   EXPECT_EQ(copy->header.config, 7U);
   EXPECT_EQ(copy->header.shard_epoch, 9U);
   EXPECT_EQ(copy->shard, batch.shard);
@@ -48,6 +50,7 @@
   EXPECT_EQ(copy->fetch_jobs, batch.fetch_jobs);
   EXPECT_TRUE(copy->claim && copy->status_query && copy->draining);
   EXPECT_EQ(copy->entries, batch.entries);
+  EXPECT_EQ(copy->heartbeat_interval, duration(250));
 }
 
 // Guards against a lost answer, refusal or inventory item.
