--- /dev/null
+++ b/include/bamboowing/intent/schema.h
@@ -0,0 +1,12 @@
+/// @file
+/// The JSON Schema of the intent document.
+#pragma once
+
+#include <string_view>
+
+namespace bamboowing {
+
+/// Returns schema/intent.schema.json as it was at build time. Valid for the life of the program.
+std::string_view IntentSchemaText();
+
+}  // namespace bamboowing
