Add the policy benchmark with baselines and ideals

Cause: the order of waiting work and the choice of target need figures. Change: policy_bench drives the dispatcher and five baselines over seeded traces in virtual time and compares them with the two ideals.

--- /dev/null
+++ b/benchmark/policy_bench/report.h
@@ -0,0 +1,46 @@
+/// @file
+/// Figures of the policy benchmark and their table and JSON forms.
+#pragma once
+
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <vector>
+
+#include "simulation.h"
+
+namespace bamboowing::bench {
+
+/// Figures of one policy in one case. A ratio divides a figure of the policy's responses by the same figure of the
+/// ideal's responses, both over the jobs that the policy completed, without the first twentieth of the trace.
+struct policy_figures {
+  std::string which;  ///< name of the case
+  std::string policy;
+  double mean = 0;           ///< mean response over the mean of *shortest*
+  double p50 = 0;            ///< median over the median of *shortest*
+  double p99 = 0;            ///< 99th percentile over that of *arrival*
+  double worst = 0;          ///< longest response over the longest of *arrival*
+  double past_deadline = 0;  ///< share of accepted, not failed and not cancelled jobs that ended late or expired
+  double refused = 0;        ///< share of all jobs
+  double failed = 0;         ///< share of all jobs
+  double in_time = 0;        ///< share of all jobs completed before their deadline
+  double wasted = 0;         ///< messages beyond one start and one answer a started task, over the latter
+  double mean_ms = 0;        ///< mean response
+  double p99_ms = 0;         ///< 99th percentile of the responses
+  std::uint64_t jobs = 0;    ///< jobs counted as completed
+};
+
+/// Computes the figures of a run.
+policy_figures MakeFigures(const bench_case& which, const std::string& policy, const std::vector<bench_job>& trace,
+                           const run_result& run, const std::vector<duration>& shortest,
+                           const std::vector<duration>& arrival);
+
+/// Averages runs of the same case and policy with different seeds.
+policy_figures Average(const std::vector<policy_figures>& runs);
+
+/// One line for a table, and its head.
+std::string TableHead();
+std::string TableLine(const policy_figures& figures);
+
+nlohmann::json ToJson(const policy_figures& figures);
+
+}  // namespace bamboowing::bench
--- /dev/null
+++ b/benchmark/policy_bench/simulation.cc
@@ -0,0 +1,295 @@
+#include "simulation.h"
+
+#include <algorithm>
+#include <queue>
+
+#include "bamboowing/base/random.h"
+#include "fleet.h"
+
+namespace bamboowing::bench {
+namespace {
+
+constexpr std::uint32_t kFaultyTarget = 6;  // 3x, a third faster than the median
+constexpr double kStraggleFactor = 10;
+constexpr double kFaultAt = 1.0 / 3;  // of the time in which jobs arrive
+constexpr int kWaves = 10;
+constexpr double kCancelledShare = 0.5;
+constexpr duration kLossDetection{2'000'000};  // design section 6.7
+
+enum class sim_event_kind : std::uint8_t {
+  kJobSent,
+  kStartArrives,
+  kCancelArrives,
+  kRunEnds,
+  kAnswerArrives,
+  kRefusalArrives,
+  kWakeup,
+  kFault,
+  kLossDetected,
+};
+
+struct sim_event {
+  instant at;
+  std::uint64_t order = 0;  // ties keep the order of scheduling
+  sim_event_kind kind = sim_event_kind::kWakeup;
+  task_ref task;
+  scheduled_end end;
+  finished_task finished;
+  std::uint32_t target = 0;
+
+  bool operator<(const sim_event& other) const { return at != other.at ? at > other.at : order > other.order; }
+};
+
+class simulation {
+ public:
+  simulation(const bench_case& which, const std::vector<bench_job>& trace, dispatch_policy& policy, std::uint64_t seed)
+      : case_(which), trace_(trace), policy_(policy), random_(seed), left_(trace.size()) {
+    const std::vector<double> speeds = TargetSpeeds();
+    for (std::uint32_t i = 0; i < speeds.size(); ++i) {
+      targets_.emplace_back(i, speeds[i], policy.queues_at_target());
+    }
+    result_.ends.resize(trace.size(), job_end::kUnfinished);
+    result_.responses.resize(trace.size());
+    ScheduleFaults();
+  }
+
+  run_result Run() {
+    while (next_job_ < trace_.size() || !events_.empty()) {
+      const bool job_is_next =
+          next_job_ < trace_.size() && (events_.empty() || ArrivalTime(next_job_) <= events_.top().at);
+      if (job_is_next) {
+        now_ = ArrivalTime(next_job_);
+        OfferJob(next_job_);
+        ++next_job_;
+      } else {
+        const sim_event next = events_.top();
+        events_.pop();
+        now_ = next.at;
+        Handle(next);
+      }
+      Perform();
+    }
+    return std::move(result_);
+  }
+
+ private:
+  instant ArrivalTime(std::size_t job) const { return trace_[job].sent + case_.client_delay; }
+
+  sim_event& Schedule(instant at, sim_event_kind kind) {
+    scratch_ = sim_event();
+    scratch_.at = at;
+    scratch_.order = ++order_;
+    scratch_.kind = kind;
+    return scratch_;
+  }
+
+  void ScheduleFaults() {
+    if (case_.fault == fault_kind::kNone || case_.fault == fault_kind::kJobFailsAnywhere || trace_.empty()) {
+      return;
+    }
+    const std::int64_t end_us = trace_.back().sent.time_since_epoch().count();
+    if (case_.fault == fault_kind::kCancellations) {
+      for (int i = 1; i <= kWaves; ++i) {
+        events_.push(Schedule(instant(duration(end_us * i / (kWaves + 1))), sim_event_kind::kFault));
+      }
+      return;
+    }
+    const auto at_us = static_cast<std::int64_t>(static_cast<double>(end_us) * kFaultAt);
+    events_.push(Schedule(instant(duration(at_us)), sim_event_kind::kFault));
+  }
+
+  void OfferJob(std::size_t job) {
+    left_[job] = static_cast<std::uint32_t>(trace_[job].tasks.size());
+    if (!policy_.OnJob(now_, static_cast<std::uint32_t>(job), trace_[job], actions_)) {
+      result_.ends[job] = job_end::kRefused;
+    }
+  }
+
+  void Handle(const sim_event& next) {
+    switch (next.kind) {
+      case sim_event_kind::kStartArrives:
+        StartAtTarget(next);
+        break;
+      case sim_event_kind::kCancelArrives:
+        SendAnswer(targets_[next.target].Cancel(next.task, now_, new_ends_), next.target);
+        break;
+      case sim_event_kind::kRunEnds:
+        SendAnswer(targets_[next.end.target].End(next.end, now_, new_ends_), next.end.target);
+        break;
+      case sim_event_kind::kAnswerArrives:
+        TakeAnswer(next.finished, next.target);
+        break;
+      case sim_event_kind::kRefusalArrives:
+        policy_.OnRefused(now_, next.task, actions_);
+        break;
+      case sim_event_kind::kWakeup:
+        if (next.at == wakeup_) {
+          wakeup_.reset();
+          policy_.OnWakeup(now_, actions_);
+        }
+        break;
+      case sim_event_kind::kFault:
+        ApplyFault();
+        break;
+      case sim_event_kind::kLossDetected:
+        DetectLoss();
+        break;
+      case sim_event_kind::kJobSent:
+        break;
+    }
+  }
+
+  void StartAtTarget(const sim_event& next) {
+    fake_target& target = targets_[next.target];
+    if (target.lost()) {
+      return;
+    }
+    const bench_job& job = trace_[next.task.job];
+    const placed_task task{next.task, job.tasks[next.task.task].work, job.fails_anywhere};
+    if (!target.Start(task, now_, new_ends_)) {
+      ++result_.refusals;
+      ++result_.messages;
+      sim_event& refusal = Schedule(now_ + case_.target_delay, sim_event_kind::kRefusalArrives);
+      refusal.task = next.task;
+      events_.push(refusal);
+    }
+  }
+
+  void SendAnswer(const std::optional<finished_task>& finished, std::uint32_t target) {
+    if (!finished || targets_[target].lost()) {
+      return;
+    }
+    ++result_.messages;
+    sim_event& answer = Schedule(now_ + case_.target_delay, sim_event_kind::kAnswerArrives);
+    answer.finished = *finished;
+    answer.target = target;
+    events_.push(answer);
+  }
+
+  void TakeAnswer(const finished_task& finished, std::uint32_t target) {
+    policy_.OnAnswer(now_, finished.task, target, finished.status, finished.run_time, actions_);
+    const std::uint32_t job = finished.task.job;
+    if (result_.ends[job] != job_end::kUnfinished) {
+      return;
+    }
+    if (finished.status != task_status::kSucceeded) {
+      EndJob(job, job_end::kFailed);
+      return;
+    }
+    if (--left_[job] == 0) {
+      result_.ends[job] = job_end::kCompleted;
+      result_.responses[job] = now_ + case_.client_delay - trace_[job].sent;
+    }
+  }
+
+  void EndJob(std::uint32_t job, job_end end) {
+    result_.ends[job] = end;
+    policy_.OnCancel(now_, job, actions_);
+  }
+
+  void ApplyFault() {
+    switch (case_.fault) {
+      case fault_kind::kTargetFailsAll:
+        targets_[kFaultyTarget].FailAll();
+        break;
+      case fault_kind::kTargetStraggles:
+        targets_[kFaultyTarget].SlowDown(kStraggleFactor, now_, new_ends_);
+        break;
+      case fault_kind::kTargetLost:
+        targets_[kFaultyTarget].Lose();
+        events_.push(Schedule(now_ + kLossDetection, sim_event_kind::kLossDetected));
+        break;
+      default:
+        CancelWave();
+        break;
+    }
+  }
+
+  void CancelWave() {
+    for (std::uint32_t job = 0; job < next_job_; ++job) {
+      if (result_.ends[job] == job_end::kUnfinished && random_.Unit() < kCancelledShare) {
+        EndJob(job, job_end::kCancelled);
+      }
+    }
+  }
+
+  void DetectLoss() {
+    std::vector<task_ref> lost;
+    policy_.OnTargetLost(now_, kFaultyTarget, lost, actions_);
+    for (const task_ref& task : lost) {
+      if (result_.ends[task.job] == job_end::kUnfinished) {
+        EndJob(task.job, job_end::kFailed);
+      }
+    }
+  }
+
+  // Sends what the policy decided and schedules the ends of runs that started.
+  void Perform() {
+    while (!actions_.expired_jobs.empty()) {
+      const std::uint32_t job = actions_.expired_jobs.back();
+      actions_.expired_jobs.pop_back();
+      if (result_.ends[job] == job_end::kUnfinished) {
+        EndJob(job, job_end::kExpired);
+      }
+    }
+    for (const policy_actions::start& start : actions_.starts) {
+      Send(start, sim_event_kind::kStartArrives);
+      result_.tasks_started += start.task.attempt == 0 ? 1 : 0;
+    }
+    for (const policy_actions::start& cancel : actions_.cancels) {
+      SendCancel(cancel);
+    }
+    actions_.starts.clear();
+    actions_.cancels.clear();
+    for (const scheduled_end& end : new_ends_) {
+      sim_event& run_end = Schedule(end.at, sim_event_kind::kRunEnds);
+      run_end.end = end;
+      events_.push(run_end);
+    }
+    new_ends_.clear();
+    PlanWakeup();
+  }
+
+  void Send(const policy_actions::start& start, sim_event_kind kind) {
+    ++result_.messages;
+    sim_event& message = Schedule(now_ + case_.target_delay, kind);
+    message.task = start.task;
+    message.target = start.target;
+    events_.push(message);
+  }
+
+  void SendCancel(const policy_actions::start& cancel) { Send(cancel, sim_event_kind::kCancelArrives); }
+
+  void PlanWakeup() {
+    const std::optional<instant> wanted = policy_.next_wakeup();
+    if (wanted && (!wakeup_ || *wanted < *wakeup_)) {
+      wakeup_ = std::max(*wanted, now_);
+      events_.push(Schedule(*wakeup_, sim_event_kind::kWakeup));
+    }
+  }
+
+  const bench_case& case_;
+  const std::vector<bench_job>& trace_;
+  dispatch_policy& policy_;
+  seeded_random random_;
+  std::vector<fake_target> targets_;
+  std::priority_queue<sim_event> events_;
+  std::vector<std::uint32_t> left_;
+  std::vector<scheduled_end> new_ends_;
+  policy_actions actions_;
+  std::optional<instant> wakeup_;
+  sim_event scratch_;
+  run_result result_;
+  instant now_;
+  std::size_t next_job_ = 0;
+  std::uint64_t order_ = 0;
+};
+
+}  // namespace
+
+run_result RunPolicy(const bench_case& which, const std::vector<bench_job>& trace, dispatch_policy& policy,
+                     std::uint64_t seed) {
+  return simulation(which, trace, policy, seed).Run();
+}
+
+}  // namespace bamboowing::bench
