Add library ownership: shard_owner, job_recovery, record codec; add agent_batch.shard

Cause: an entry needs to know whether it is home of a shard, whether it may act, and what to do with each task of a resubmitted job. Change: shard_owner claims by lease, holder key and compare-and-swap of the record, gathers acknowledgements, waits out the previous home and renews; job_recovery decides from inventories; shard_record and shard_holder have a JSON text form. agent_batch gains `shard`, since an epoch without its shard could fence the home of another shard. The record names agents by id and incarnation, because a restarted agent has forgotten its epoch and its starts.

--- a/include/bamboowing/message/batch.h
+++ b/include/bamboowing/message/batch.h
@@ -85,6 +85,7 @@
 /// From an agent to an entry.
 struct agent_batch {
   batch_header header;
+  shard_id shard;  ///< the shard whose highest epoch the header gives; the service is empty when no entry claimed one
   std::optional<target_announcement> target;  ///< present in the first batch of a session and when it changes
   std::uint32_t busy_slots = 0;               ///< slots in use, whoever started the tasks
   std::vector<task_answer> answers;
--- /dev/null
+++ b/include/bamboowing/ownership/job_recovery.h
@@ -0,0 +1,121 @@
+/// @file
+/// What a new home does with each task of a resubmitted job (design section 6.3).
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "bamboowing/base/error.h"
+#include "bamboowing/base/types.h"
+#include "bamboowing/message/batch.h"
+#include "bamboowing/message/job.h"
+#include "bamboowing/ownership/shard_record.h"
+
+namespace bamboowing {
+
+struct recovery_settings {
+  duration recovery_window = std::chrono::seconds(120);  ///< an agent that is missing for longer is given up
+  /// A job whose tasks cannot be determined waits this long after the takeover for missing agents. Covers the longest
+  /// pause between two attempts of an agent to connect.
+  duration accounting_wait = std::chrono::seconds(6);
+  /// Covers the way of a submission from the caller and the drift of the caller's clock.
+  duration first_sent_margin = std::chrono::seconds(1);
+  duration memory = std::chrono::minutes(10);  ///< inventories are forgotten this long after the takeover
+  std::size_t held_limit = 500000;             ///< tasks remembered from inventories
+};
+
+enum class task_step : std::uint8_t {
+  kStart,       ///< certainly not started: queue it
+  kTakeAnswer,  ///< fetch the retained answer from `agent`
+  kAwait,       ///< it runs on `agent`, whose answer will come
+};
+
+/// What to do with one task.
+struct task_plan {
+  task_step step = task_step::kStart;
+  recorded_agent agent;       ///< not for kStart
+  std::uint32_t attempt = 0;  ///< attempt under which the agent holds it; 0 for kStart
+};
+
+enum class recovery_verdict : std::uint8_t {
+  kProceed,  ///< follow the plans
+  kHold,     ///< not yet known: decide again at `decide_again` or after the next inventory
+  kFail,     ///< answer the job with `reason`; start nothing
+};
+
+/// What to do with a job.
+struct recovery_decision {
+  recovery_verdict verdict = recovery_verdict::kProceed;
+  std::vector<task_plan> tasks;  ///< for kProceed: one for each task of the job
+  instant decide_again;          ///< for kHold
+  failure reason;                ///< for kFail
+};
+
+/// Collects the inventories of one epoch and decides about jobs that were perhaps started under an earlier one.
+///
+/// The caller asks Decide() for every job that is submitted to this home and that its own job table does not know.
+/// `generated_id` and `first_sent_ago` must be true statements: a relay that submits a job again, after it sent it to
+/// another home, clears `generated_id` and sets or raises `first_sent_ago`.
+///
+/// An idempotent request is started again where any other job would fail.
+///
+/// Memory: at most `held_limit` tasks of about 100 bytes and their job ids. Above it, unknown jobs count as uncertain
+/// until the recovery window ends.
+class job_recovery {
+ public:
+  explicit job_recovery(const recovery_settings& settings) : settings_(settings) {}
+
+  /// A claim took effect: forgets earlier inventories. @p to_account are the agents that may hold tasks.
+  void Begin(span<const recorded_agent> to_account, instant now);
+
+  /// This entry became home: the recovery window starts.
+  void OnHome(instant now);
+
+  /// The inventory with which an agent acknowledged the claim, or a later status report of an agent in this epoch.
+  void OnInventory(const recorded_agent& agent, span<const held_task> held, instant now);
+
+  /// An agent is lost together with what it holds.
+  void OnAgentLost(const recorded_agent& agent);
+
+  /// Decides about a job that arrived at @p now.
+  recovery_decision Decide(const job_spec& job, instant now) const;
+
+  /// Drops what is no longer needed.
+  void OnTick(instant now);
+
+  /// Agents that may hold tasks and have not sent an inventory.
+  const std::set<recorded_agent>& missing() const { return missing_; }
+
+ private:
+  struct holding {
+    std::uint32_t task = 0;
+    std::uint32_t attempt = 0;
+    held_state state = held_state::kRunning;
+    std::uint32_t agent = 0;  ///< index in agents_
+  };
+
+  void Hold(const held_task& task, std::uint32_t agent);
+  static recovery_decision AnswerGone(std::uint32_t task);
+  std::uint32_t IndexOf(const recorded_agent& agent);
+  const holding* BestHolding(const std::string& job_id, std::uint32_t task) const;
+  bool CertainlyNew(const job_spec& job, instant now) const;
+  recovery_decision Uncertain(instant now) const;
+
+  recovery_settings settings_;
+  std::set<recorded_agent> missing_;
+  std::vector<recorded_agent> agents_;
+  std::vector<bool> agent_lost_;
+  std::unordered_map<std::string, std::vector<holding>> held_;
+  std::size_t held_count_ = 0;
+  bool incomplete_ = false;  ///< held_limit was reached
+  std::optional<instant> home_since_;
+};
+
+}  // namespace bamboowing
--- a/src/agent/agent_core.cc
+++ b/src/agent/agent_core.cc
@@ -145,6 +145,7 @@
   agent_batch& batch = std::get<send_batch>(actions_[it->second]).batch;
   batch.header = {settings_.id,       settings_.life, clock_sent_, session.entry_clock,
                   session.entry_life, config_,        highest_};
+  batch.shard = shard_.value_or(shard_id{});
   batch.busy_slots = static_cast<std::uint32_t>(ledger_.running());
   session.last_sent = now;
   return batch;
