Order waiting work by arrival and work, hold long tasks for fast targets

Change: learned estimates of work, learned speeds, place = arrival plus a share of the waiting work, work of jobs with a longer task running is put off, a task waits for a faster target if its job ends earlier that way, clocks of the teams' shares, admission by deadline, ejection by a cumulative sum test, retry budget. Test: the cancellation test admitted its second job before the first start and so assumed the order by arrival; it now admits it afterwards and checks the same.

--- a/benchmark/policy_bench/baselines.cc
+++ b/benchmark/policy_bench/baselines.cc
@@ -173,7 +173,8 @@
   return {"bamboowing", "random", "round_robin", "two_choices", "least_outstanding", "least_outstanding_speed"};
 }
 
-std::unique_ptr<dispatch_policy> MakePolicy(const std::string& name, std::uint32_t targets, std::uint64_t seed) {
+std::unique_ptr<dispatch_policy> MakePolicy(const std::string& name, const dispatch_settings& product,
+                                            std::uint32_t targets, std::uint64_t seed) {
   if (name == "random") {
     return std::make_unique<random_policy>(targets, seed);
   }
@@ -186,7 +187,7 @@
   if (name == "least_outstanding" || name == "least_outstanding_speed") {
     return std::make_unique<least_outstanding_policy>(targets, seed, name == "least_outstanding_speed");
   }
-  return MakeProduct(dispatch_settings(), targets, seed);
+  return MakeProduct(product, targets, seed);
 }
 
 }  // namespace bamboowing::bench
--- a/benchmark/policy_bench/main.cc
+++ b/benchmark/policy_bench/main.cc
@@ -7,6 +7,7 @@
 #include <thread>
 
 #include "ideal.h"
+#include "overrides.h"
 #include "report.h"
 #include "simulation.h"
 
@@ -21,6 +22,7 @@
   std::string filter;
   std::string json;
   std::vector<std::string> policies;
+  dispatch_settings product;
 };
 
 // Runs all policies of one case on the traces of all seeds.
@@ -32,7 +34,7 @@
     const std::vector<duration> shortest = IdealResponses(trace, ideal_order::kShortest);
     const std::vector<duration> arrival = IdealResponses(trace, ideal_order::kArrival);
     for (std::size_t i = 0; i < options.policies.size(); ++i) {
-      const std::unique_ptr<dispatch_policy> policy = MakePolicy(options.policies[i], targets, seed);
+      const std::unique_ptr<dispatch_policy> policy = MakePolicy(options.policies[i], options.product, targets, seed);
       const run_result run = RunPolicy(which, trace, *policy, seed);
       runs[i].push_back(MakeFigures(which, options.policies[i], trace, run, shortest, arrival));
     }
@@ -99,6 +101,8 @@
   parser.add_options()("case", "run only the cases whose name contains this",
                        cxxopts::value<std::string>()->default_value(""));
   parser.add_options()("policy", "run only this policy", cxxopts::value<std::string>()->default_value(""));
+  parser.add_options()("set", "settings of the dispatcher, for example work_share=4,hold_back=0",
+                       cxxopts::value<std::vector<std::string>>()->default_value(""));
   parser.add_options()("json", "file for the figures", cxxopts::value<std::string>()->default_value(""));
   parser.add_options()("help", "print this text");
   const cxxopts::ParseResult parsed = parser.parse(argc, argv);
@@ -115,6 +119,11 @@
   options.json = parsed["json"].as<std::string>();
   const std::string policy = parsed["policy"].as<std::string>();
   options.policies = policy.empty() ? PolicyNames() : std::vector<std::string>{policy};
+  for (const std::string& text : parsed["set"].as<std::vector<std::string>>()) {
+    if (!text.empty()) {
+      ApplyOverride(text, options.product);
+    }
+  }
   Report(options, RunAll(options));
   return 0;
 }
--- a/benchmark/policy_bench/workload.cc
+++ b/benchmark/policy_bench/workload.cc
@@ -57,7 +57,7 @@
   return std::nullopt;
 }
 
-bench_job MakeJob(const bench_case& which, seeded_random& random) {
+bench_job MakeJob(const bench_case& which, seeded_random& random, seeded_random& declared_random) {
   bench_job job;
   job.deadline = Micros(kShortestDeadlineUs + random.Unit() * (kLongestDeadlineUs - kShortestDeadlineUs));
   job.team = static_cast<std::uint32_t>(random.Below(kTeams));
@@ -66,7 +66,7 @@
   for (bench_task& task : job.tasks) {
     const double work_us = TaskWorkUs(random);
     task.work = Micros(work_us);
-    task.declared = Declared(which.declared, work_us, random);
+    task.declared = Declared(which.declared, work_us, declared_random);
   }
   return job;
 }
@@ -127,6 +127,8 @@
 
 std::vector<bench_job> MakeTrace(const bench_case& which, std::uint64_t seed, std::uint32_t jobs) {
   seeded_random random(seed);
+  // The declared times have a source of their own, so that all qualities share one trace.
+  seeded_random declared_random(~seed);
   const double mean_job_us = MeanTaskUs() * (LogUniformMean(1, kMaxTasks + 1) - 0.5);
   const double capacity = static_cast<double>(kTargets) * kSlots;
   const double mean_gap_us = mean_job_us / (capacity * which.load);
@@ -134,7 +136,7 @@
   double at_us = 0;
   for (std::uint32_t i = 0; i < jobs; ++i) {
     at_us += -std::log(1 - random.Unit()) * mean_gap_us;
-    bench_job job = MakeJob(which, random);
+    bench_job job = MakeJob(which, random, declared_random);
     job.sent = instant(Micros(which.bursts ? BurstTime(at_us, random) : at_us));
     trace.push_back(std::move(job));
   }
--- /dev/null
+++ b/include/bamboowing/dispatch/admission.h
@@ -0,0 +1,31 @@
+/// @file
+/// Whether a job may enter the queue.
+#pragma once
+
+#include <optional>
+
+#include "bamboowing/base/error.h"
+#include "bamboowing/dispatch/job_queue.h"
+#include "bamboowing/dispatch/settings.h"
+
+namespace bamboowing {
+
+/// Checks jobs against the bounds of the queue, the team's share of it and the deadline.
+class admission_control {
+ public:
+  explicit admission_control(const dispatch_settings& settings) : settings_(settings) {}
+
+  /// Refuses a job that is malformed or that exceeds a bound of the queue.
+  std::optional<failure> CheckBounds(const job_queue& queue, const job_spec& job, std::size_t tasks) const;
+
+  /// Refuses a job when its team's part of the queue is full.
+  std::optional<failure> CheckShare(const job_queue& queue, team_index team, std::size_t tasks, double capacity) const;
+
+  /// Refuses a job that cannot end before its deadline.
+  std::optional<failure> CheckDeadline(const job_queue& queue, const queued_job& job, double capacity) const;
+
+ private:
+  dispatch_settings settings_;
+};
+
+}  // namespace bamboowing
--- a/include/bamboowing/dispatch/dispatcher.h
+++ b/include/bamboowing/dispatch/dispatcher.h
@@ -3,18 +3,21 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
-#include <unordered_map>
-#include <utility>
 #include <vector>
 
 #include "bamboowing/base/error.h"
 #include "bamboowing/base/types.h"
+#include "bamboowing/dispatch/admission.h"
+#include "bamboowing/dispatch/job_queue.h"
+#include "bamboowing/dispatch/placement.h"
+#include "bamboowing/dispatch/retry_budget.h"
+#include "bamboowing/dispatch/run_time_estimator.h"
 #include "bamboowing/dispatch/settings.h"
+#include "bamboowing/dispatch/target_health.h"
+#include "bamboowing/dispatch/target_table.h"
 #include "bamboowing/message/batch.h"
 #include "bamboowing/message/job.h"
 
@@ -126,38 +129,38 @@
   std::vector<team_depth> TeamDepths() const;
 
  private:
-  struct task_state {
-    bool waiting = false;
-    bool in_flight = false;
-    std::uint32_t attempt = 0;
-    std::string target;
+  struct located_task {
+    job_index job = 0;
+    std::uint32_t task = 0;
   };
-  struct job_entry {
-    std::string team;
-    std::uint64_t order = 0;
-    instant deadline;
-    bool expired = false;
-    std::map<std::uint32_t, task_state> tasks;
-  };
-  struct target_entry {
-    std::uint32_t slots = 0;
-    std::uint32_t busy = 0;
-    bool draining = false;
-  };
-  using waiting_place = std::pair<std::uint64_t, std::uint32_t>;
 
-  task_state* FindInFlight(const task_key& key);
-  void Release(const std::string& target);
-  void FinishTask(const task_key& key);
-  void DropWaiting(job_entry& job);
-  void EraseIfDone(const std::string& job_id);
+  std::optional<located_task> FindInFlight(const task_key& key) const;
+  std::optional<failure> AddJob(const job_spec& job, span<const std::uint32_t> tasks_to_start, bool recovered,
+                                instant now);
+  queued_job MakeJob(const job_spec& job, span<const std::uint32_t> tasks_to_start, instant now);
+  void FillTargets(instant now, std::vector<assignment>& out);
+  bool FillTarget(const free_slot& slot, instant now, std::vector<assignment>& out);
+  void Start(const placement& chosen, const free_slot& slot, instant now, std::vector<assignment>& out);
+  bool HoldLimitReached(instant now) const;
+  void LeaveTarget(const located_task& which, instant now);
+  void Learn(const located_task& which, const task_answer& answer, target_index target, instant now);
+  void LearnHealth(const located_task& which, task_status status, target_index target, instant now);
+  void ApplyHealth(target_index target, health_effect effect, std::string reason);
+  bool TryRetry(const located_task& which, target_index failed_on, instant now);
+  task_outcome EndTask(const located_task& which);
+  void RestoreTargets(instant now);
+  task_key KeyOf(job_index job, std::uint32_t task) const;
 
   dispatch_settings settings_;
-  std::uint64_t next_order_ = 0;
-  std::unordered_map<std::string, job_entry> jobs_;
-  std::map<std::string, target_entry, std::less<>> targets_;
-  std::map<waiting_place, std::string> waiting_;
-  std::set<std::pair<instant, std::string>> deadlines_;
+  job_queue queue_;
+  target_table targets_;
+  target_health health_;
+  run_time_estimator estimator_;
+  admission_control admission_;
+  placement_rule placement_;
+  retry_budget retries_;
+  std::vector<health_change> changes_;
+  std::optional<instant> held_since_;  // set while tasks wait for faster targets although a slot is free
 };
 
 }  // namespace bamboowing
--- /dev/null
+++ b/include/bamboowing/dispatch/retry_budget.h
@@ -0,0 +1,36 @@
+/// @file
+/// Bounds the retries of idempotent requests to a share of the traffic.
+#pragma once
+
+#include <algorithm>
+
+#include "bamboowing/dispatch/settings.h"
+
+namespace bamboowing {
+
+/// A budget that admitted requests fill and retries empty, so that retries cannot multiply the load during an outage.
+class retry_budget {
+ public:
+  explicit retry_budget(const retry_settings& settings) : settings_(settings) {}
+
+  /// Records an admitted request that may be retried.
+  void OnAdmitted() { available_ = std::min(available_ + settings_.budget_share, settings_.max_budget); }
+
+  /// Takes one retry from the budget. Returns false if it is used up.
+  bool TryTake() {
+    if (available_ < 1) {
+      return false;
+    }
+    available_ -= 1;
+    return true;
+  }
+
+  /// Retries that may be made now.
+  double available() const { return available_; }
+
+ private:
+  retry_settings settings_;
+  double available_ = 1;  // the first request of a quiet service may be retried
+};
+
+}  // namespace bamboowing
--- /dev/null
+++ b/include/bamboowing/dispatch/run_time_estimator.h
@@ -0,0 +1,53 @@
+/// @file
+/// Expected work of a task, learned from earlier tasks with similar declarations.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <vector>
+
+#include "bamboowing/base/types.h"
+#include "bamboowing/message/job.h"
+
+namespace bamboowing {
+
+/// Learns the mean work of tasks by team and declaration.
+///
+/// Declared run times (or sizes when no run time is declared) are divided into classes of half an octave. The mean of
+/// each class corrects declared times that are biased in any way, and gives the same value for all classes when the
+/// declarations carry no information. A class with few observations leans on its neighbours, a team with few
+/// observations on all teams.
+///
+/// Work is the run time on a target of mean speed, in microseconds.
+class run_time_estimator {
+ public:
+  /// @param first_guess work assumed when nothing is declared and nothing was learned.
+  run_time_estimator(std::uint32_t max_teams, duration first_guess);
+
+  /// Class of the declaration of @p task.
+  static std::uint8_t DeclarationClass(const task_spec& task);
+
+  /// Expected work of a task of @p team (below max_teams).
+  double Estimate(std::uint32_t team, std::uint8_t declaration_class) const;
+
+  /// Records the work of an answered task.
+  void Observe(std::uint32_t team, std::uint8_t declaration_class, double work_us);
+
+  static constexpr int kClasses = 128;
+
+ private:
+  struct table {
+    std::array<float, kClasses> count{};
+    std::array<float, kClasses> sum{};
+  };
+
+  double EstimateFrom(const table& learned, int declaration_class, double prior, double prior_weight) const;
+  double DeclaredWork(int declaration_class) const;
+  static void Record(table& learned, int declaration_class, double work_us);
+
+  double first_guess_us_;
+  table all_;
+  std::vector<table> teams_;
+};
+
+}  // namespace bamboowing
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -4,223 +4,220 @@
 #include <numeric>
 
 namespace bamboowing {
+namespace {
 
-dispatcher::dispatcher(const dispatch_settings& settings, std::uint64_t /*seed*/) : settings_(settings) {}
+// Changes of health that nobody drains are dropped, the oldest first, beyond this number.
+constexpr std::size_t kMostChanges = 4096;
 
-void dispatcher::SetTeams(span<const team_share> /*teams*/) {}
+}  // namespace
+
+dispatcher::dispatcher(const dispatch_settings& settings, std::uint64_t seed)
+    : settings_(settings),
+      queue_(settings),
+      targets_(seed),
+      health_(settings.health, seed + 1),
+      estimator_(settings.max_teams, settings.first_guess),
+      admission_(settings),
+      placement_(settings.order),
+      retries_(settings.retry) {}
+
+void dispatcher::SetTeams(span<const team_share> teams) { queue_.SetTeams(teams); }
 
 void dispatcher::AddTarget(std::string_view target, std::uint32_t slots, instant now) {
-  if (targets_.size() >= settings_.max_targets && targets_.find(target) == targets_.end()) {
+  if (targets_.Find(target) != kNoTarget) {
+    SetUsableSlots(target, slots, now);
     return;
   }
-  targets_.try_emplace(std::string(target));
-  SetUsableSlots(target, slots, now);
+  if (targets_.size() < settings_.max_targets) {
+    const target_index added = targets_.Add(target, std::min(slots, settings_.max_slots_per_target));
+    health_.Add(added);
+  }
 }
 
 void dispatcher::SetUsableSlots(std::string_view target, std::uint32_t slots, instant /*now*/) {
-  const auto found = targets_.find(target);
-  if (found != targets_.end()) {
-    found->second.slots = std::min(slots, settings_.max_slots_per_target);
+  const target_index index = targets_.Find(target);
+  if (index != kNoTarget) {
+    targets_.at(index).slots = std::min(slots, settings_.max_slots_per_target);
+    targets_.Update(index);
   }
 }
 
 void dispatcher::SetTargetDraining(std::string_view target, bool draining, instant /*now*/) {
-  const auto found = targets_.find(target);
-  if (found != targets_.end()) {
-    found->second.draining = draining;
+  const target_index index = targets_.Find(target);
+  if (index != kNoTarget) {
+    targets_.at(index).draining = draining;
+    targets_.Update(index);
   }
 }
 
 void dispatcher::RemoveTarget(std::string_view target, instant /*now*/, std::vector<task_key>& in_flight) {
-  targets_.erase(std::string(target));
-  for (const auto& [job_id, job] : jobs_) {
-    for (const auto& [index, task] : job.tasks) {
-      if (task.in_flight && task.target == target) {
-        in_flight.push_back({job_id, index, task.attempt});
-      }
-    }
+  const target_index index = targets_.Find(target);
+  if (index == kNoTarget) {
+    return;
   }
+  for (const flight& task : targets_.at(index).in_flight) {
+    queue_.job(task.job).tasks[task.task].target = kNoTarget;
+    in_flight.push_back(KeyOf(task.job, task.task));
+  }
+  health_.Remove(index);
+  targets_.Remove(index);
 }
 
 std::optional<failure> dispatcher::Admit(const job_spec& job, instant now) {
   std::vector<std::uint32_t> all(job.tasks.size());
   std::iota(all.begin(), all.end(), 0U);
-  return AdmitPartial(job, all, now);
+  return AddJob(job, all, false, now);
 }
 
 std::optional<failure> dispatcher::AdmitPartial(const job_spec& job, span<const std::uint32_t> tasks_to_start,
                                                 instant now) {
-  if (job.tasks.size() > settings_.max_tasks_per_job) {
-    return failure(error_kind::kTooLarge, "the job has more tasks than one job may have");
+  return AddJob(job, tasks_to_start, true, now);
+}
+
+std::optional<failure> dispatcher::AddJob(const job_spec& job, span<const std::uint32_t> tasks_to_start, bool recovered,
+                                          instant now) {
+  std::optional<failure> refusal = admission_.CheckBounds(queue_, job, tasks_to_start.size());
+  if (refusal) {
+    return refusal;
   }
-  if (jobs_.count(job.job_id) > 0) {
-    return failure(error_kind::kConflict, "a job with this id is queued already");
+  const double capacity = targets_.TotalCapacity();
+  queued_job added = MakeJob(job, tasks_to_start, now);
+  if (!recovered) {
+    refusal = admission_.CheckShare(queue_, added.team, tasks_to_start.size(), capacity);
+    if (!refusal) {
+      refusal = admission_.CheckDeadline(queue_, added, capacity);
+    }
+    if (refusal) {
+      return refusal;
+    }
   }
-  if (waiting_.size() + tasks_to_start.size() > settings_.max_waiting_tasks || jobs_.size() >= settings_.max_jobs) {
-    return failure(error_kind::kOverloaded, "the queue is full");
+  if (added.request && added.idempotent) {
+    retries_.OnAdmitted();
   }
-  job_entry entry;
-  entry.team = job.team;
-  entry.order = next_order_++;
-  entry.deadline = now + job.deadline;
+  const job_index index = queue_.Add(std::move(added), capacity);
+  queue_.EraseIfDone(index);
+  return std::nullopt;
+}
+
+queued_job dispatcher::MakeJob(const job_spec& job, span<const std::uint32_t> tasks_to_start, instant now) {
+  queued_job result;
+  result.id = job.job_id;
+  result.team = queue_.TeamOf(job.team);
+  result.arrival = now;
+  result.deadline = now + job.deadline;
+  result.request = job.request;
+  result.idempotent = job.idempotent;
+  result.tasks.resize(job.tasks.size());
   for (const std::uint32_t index : tasks_to_start) {
-    entry.tasks[index].waiting = true;
-    waiting_.emplace(waiting_place{entry.order, index}, job.job_id);
+    if (index >= job.tasks.size()) {
+      continue;
+    }
+    queued_task& task = result.tasks[index];
+    task.declaration = run_time_estimator::DeclarationClass(job.tasks[index]);
+    task.work_us = static_cast<float>(estimator_.Estimate(result.team, task.declaration));
+    task.place = task_place::kWaiting;
+    result.longest_us = std::max(result.longest_us, static_cast<double>(task.work_us));
+    result.first_work_us += task.work_us;
   }
-  deadlines_.emplace(entry.deadline, job.job_id);
-  jobs_.emplace(job.job_id, std::move(entry));
-  EraseIfDone(job.job_id);
-  return std::nullopt;
+  return result;
 }
 
 void dispatcher::CancelJob(std::string_view job_id, instant /*now*/, std::vector<task_key>& in_flight) {
-  const std::string id(job_id);
-  const auto found = jobs_.find(id);
-  if (found == jobs_.end()) {
+  const std::optional<job_index> index = queue_.Find(job_id);
+  if (!index) {
     return;
   }
-  DropWaiting(found->second);
-  for (const auto& [index, task] : found->second.tasks) {
-    in_flight.push_back({id, index, task.attempt});
+  queue_.DropWaiting(*index);
+  const queued_job& job = queue_.job(*index);
+  for (std::uint32_t task = 0; task < job.tasks.size(); ++task) {
+    if (job.tasks[task].place == task_place::kInFlight) {
+      in_flight.push_back(KeyOf(*index, task));
+    }
   }
-  EraseIfDone(id);
+  queue_.EraseIfDone(*index);
 }
 
 void dispatcher::ExpireJobs(instant now, std::vector<std::string>& job_ids) {
-  while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
-    const std::string id = deadlines_.begin()->second;
-    deadlines_.erase(deadlines_.begin());
-    job_ids.push_back(id);
-    jobs_.at(id).expired = true;
-    DropWaiting(jobs_.at(id));
-    EraseIfDone(id);
-  }
-}
-
-void dispatcher::NextStarts(instant /*now*/, std::vector<assignment>& out) {
-  for (auto& [name, target] : targets_) {
-    while (!target.draining && target.busy < target.slots && !waiting_.empty()) {
-      const auto next = waiting_.begin();
-      task_state& task = jobs_.at(next->second).tasks.at(next->first.second);
-      task.waiting = false;
-      task.in_flight = true;
-      task.target = name;
-      ++target.busy;
-      out.push_back({{next->second, next->first.second, task.attempt}, name});
-      waiting_.erase(next);
-    }
+  std::optional<std::pair<instant, job_index>> next = queue_.NextDeadline();
+  while (next && next->first <= now) {
+    job_ids.push_back(queue_.job(next->second).id);
+    queue_.DropWaiting(next->second);
+    queue_.EraseIfDone(next->second);
+    next = queue_.NextDeadline();
   }
 }
 
-task_outcome dispatcher::OnAnswered(const task_answer& answer, std::string_view /*target*/, instant now) {
-  return OnTaskLost(answer.key, now);
+void dispatcher::NextStarts(instant now, std::vector<assignment>& out) {
+  RestoreTargets(now);
+  FillTargets(now, out);
 }
 
-void dispatcher::OnRefused(const task_key& key, instant /*now*/) {
-  task_state* task = FindInFlight(key);
-  if (task == nullptr) {
-    return;
-  }
-  Release(task->target);
-  job_entry& job = jobs_.at(key.job_id);
-  task->in_flight = false;
-  ++task->attempt;
-  if (job.expired) {
-    job.tasks.erase(key.task);
-    EraseIfDone(key.job_id);
-    return;
+std::optional<instant> dispatcher::next_wakeup() const {
+  std::optional<instant> earliest = health_.next_return();
+  const auto consider = [&earliest](instant at) { earliest = earliest ? std::min(*earliest, at) : at; };
+  const std::optional<std::pair<instant, job_index>> deadline = queue_.NextDeadline();
+  if (deadline) {
+    consider(deadline->first);
   }
-  task->waiting = true;
-  waiting_.emplace(waiting_place{job.order, key.task}, key.job_id);
-}
-
-task_outcome dispatcher::OnTaskLost(const task_key& key, instant /*now*/) {
-  task_state* task = FindInFlight(key);
-  if (task == nullptr) {
-    return task_outcome::kUnknown;
+  if (held_since_ && queue_.waiting() > 0) {
+    consider(*held_since_ + settings_.order.hold_limit);
   }
-  Release(task->target);
-  FinishTask(key);
-  return task_outcome::kFinal;
+  return earliest;
 }
 
-std::optional<instant> dispatcher::next_wakeup() const {
-  if (deadlines_.empty()) {
-    return std::nullopt;
-  }
-  return deadlines_.begin()->first;
+void dispatcher::DrainHealthChanges(std::vector<health_change>& out) {
+  out.insert(out.end(), changes_.begin(), changes_.end());
+  changes_.clear();
 }
 
-void dispatcher::DrainHealthChanges(std::vector<health_change>& /*out*/) {}
-
 dispatch_counts dispatcher::counts() const {
   dispatch_counts result;
-  result.jobs = static_cast<std::uint32_t>(jobs_.size());
-  result.waiting = static_cast<std::uint32_t>(waiting_.size());
-  result.targets = static_cast<std::uint32_t>(targets_.size());
-  for (const team_depth& depth : TeamDepths()) {
-    result.in_flight += depth.in_flight;
-  }
+  result.jobs = queue_.jobs();
+  result.waiting = queue_.waiting();
+  result.in_flight = queue_.in_flight();
+  result.targets = targets_.size();
+  result.ejected_targets = health_.ejected();
+  result.retry_budget = retries_.available();
   return result;
 }
 
 std::vector<team_depth> dispatcher::TeamDepths() const {
-  std::map<std::string, team_depth> depths;
-  for (const auto& [job_id, job] : jobs_) {
-    team_depth& depth = depths[job.team];
-    for (const auto& [index, task] : job.tasks) {
-      depth.waiting += task.waiting ? 1 : 0;
-      depth.in_flight += task.in_flight ? 1 : 0;
-    }
-  }
   std::vector<team_depth> result;
-  for (auto& [team, depth] : depths) {
-    depth.team = team;
-    result.push_back(depth);
+  for (const queued_team& team : queue_.teams()) {
+    if (team.active()) {
+      result.push_back({team.name, team.waiting, team.in_flight});
+    }
   }
+  std::sort(result.begin(), result.end(), [](const team_depth& a, const team_depth& b) { return a.team < b.team; });
   return result;
 }
 
-dispatcher::task_state* dispatcher::FindInFlight(const task_key& key) {
-  const auto job = jobs_.find(key.job_id);
-  if (job == jobs_.end()) {
-    return nullptr;
+void dispatcher::RestoreTargets(instant now) {
+  std::vector<target_index> restored;
+  health_.Restore(now, restored);
+  for (const target_index target : restored) {
+    ApplyHealth(target, health_effect::kWidened, "");
+    changes_.push_back({targets_.at(target).name, false, "the ejection is over; one slot is used at first"});
   }
-  const auto task = job->second.tasks.find(key.task);
-  const bool matches = task != job->second.tasks.end() && task->second.in_flight && task->second.attempt == key.attempt;
-  return matches ? &task->second : nullptr;
 }
 
-void dispatcher::Release(const std::string& target) {
-  const auto found = targets_.find(target);
-  if (found != targets_.end()) {
-    --found->second.busy;
+void dispatcher::ApplyHealth(target_index target, health_effect effect, std::string reason) {
+  if (effect == health_effect::kNone) {
+    return;
   }
-}
-
-void dispatcher::FinishTask(const task_key& key) {
-  jobs_.at(key.job_id).tasks.erase(key.task);
-  EraseIfDone(key.job_id);
-}
-
-void dispatcher::DropWaiting(job_entry& job) {
-  for (auto task = job.tasks.begin(); task != job.tasks.end();) {
-    if (task->second.waiting) {
-      waiting_.erase({job.order, task->first});
-      task = job.tasks.erase(task);
-    } else {
-      ++task;
-    }
+  targets_.at(target).allowed = health_.Allowed(target);
+  targets_.Update(target);
+  if (effect == health_effect::kEjected) {
+    changes_.push_back({targets_.at(target).name, true, std::move(reason)});
+  }
+  if (changes_.size() > kMostChanges) {
+    changes_.erase(changes_.begin());
   }
-  job.expired = true;
 }
 
-void dispatcher::EraseIfDone(const std::string& job_id) {
-  const auto job = jobs_.find(job_id);
-  if (job != jobs_.end() && job->second.tasks.empty()) {
-    deadlines_.erase({job->second.deadline, job_id});
-    jobs_.erase(job);
-  }
+task_key dispatcher::KeyOf(job_index job, std::uint32_t task) const {
+  const queued_job& of = queue_.job(job);
+  return {of.id, task, of.tasks[task].attempt};
 }
 
 }  // namespace bamboowing
--- /dev/null
+++ b/src/dispatch/dispatcher_starts.cc
@@ -0,0 +1,68 @@
+// The part of the dispatcher that fills free slots.
+#include <cmath>
+
+#include "bamboowing/dispatch/dispatcher.h"
+
+namespace bamboowing {
+namespace {
+
+// Free targets for which no task was found before the slower ones are given up. More than one, because a request that
+// is retried may not suit the first.
+constexpr int kMostMisses = 3;
+
+}  // namespace
+
+void dispatcher::FillTargets(instant now, std::vector<assignment>& out) {
+  const bool hold = !HoldLimitReached(now);
+  free_slot slot;
+  int misses = 0;
+  for (int speed_class = target_table::kSpeedClasses - 1; speed_class >= 0; --speed_class) {
+    while (queue_.waiting() > 0 && misses < kMostMisses && targets_.HasFree(speed_class)) {
+      slot.target = targets_.PickFree(speed_class);
+      slot.speed = targets_.RelativeSpeed(slot.target);
+      if (!FillTarget(slot, now, out)) {
+        ++misses;
+        break;
+      }
+    }
+    if (queue_.waiting() == 0 || misses >= kMostMisses) {
+      break;
+    }
+    if (hold) {
+      slot.faster_capacity += targets_.ClassCapacity(speed_class);
+      slot.faster_slots += targets_.ClassSlots(speed_class);
+    }
+  }
+  if (misses == 0 || queue_.waiting() == 0) {
+    held_since_.reset();
+  } else if (!held_since_) {
+    held_since_ = now;
+  }
+}
+
+bool dispatcher::FillTarget(const free_slot& slot, instant now, std::vector<assignment>& out) {
+  const std::optional<placement> chosen = placement_.Choose(queue_, slot, now);
+  if (!chosen) {
+    return false;
+  }
+  Start(*chosen, slot, now, out);
+  return true;
+}
+
+void dispatcher::Start(const placement& chosen, const free_slot& slot, instant now, std::vector<assignment>& out) {
+  queued_job& job = queue_.job(chosen.job);
+  const double work_us = job.tasks[job.waiting[chosen.position]].work_us;
+  const instant expected_end = now + duration(static_cast<std::int64_t>(work_us / slot.speed));
+  const std::uint32_t task = queue_.Take(chosen.job, chosen.position, slot.target, expected_end);
+  job.tasks[task].flight_position = targets_.AddFlight(slot.target, {chosen.job, task});
+  const double capacity = targets_.TotalCapacity();
+  queue_.Reorder(chosen.job, capacity);
+  queue_.ChargeShare(job.team, work_us, capacity, now);
+  out.push_back({KeyOf(chosen.job, task), targets_.at(slot.target).name});
+}
+
+bool dispatcher::HoldLimitReached(instant now) const {
+  return held_since_ && now - *held_since_ >= settings_.order.hold_limit;
+}
+
+}  // namespace bamboowing
--- /dev/null
+++ b/src/dispatch/job_queue.cc
@@ -0,0 +1,276 @@
+#include "bamboowing/dispatch/job_queue.h"
+
+#include <algorithm>
+
+namespace bamboowing {
+namespace {
+
+duration Micros(double us) { return duration(static_cast<std::int64_t>(us)); }
+
+}  // namespace
+
+void job_queue::SetTeams(span<const team_share> teams) {
+  shares_.clear();
+  for (const team_share& share : teams) {
+    shares_[share.name] = share;
+  }
+  for (queued_team& team : teams_) {
+    const auto found = shares_.find(team.name);
+    active_weight_ -= team.active() ? team.weight : 0;
+    ApplyShare(team, found == shares_.end() ? team_share() : found->second, settings_);
+    active_weight_ += team.active() ? team.weight : 0;
+  }
+}
+
+team_index job_queue::TeamOf(const std::string& name) {
+  const auto found = team_by_name_.find(name);
+  if (found != team_by_name_.end()) {
+    return found->second;
+  }
+  if (teams_.size() >= settings_.max_teams) {
+    return static_cast<team_index>(teams_.size() - 1);
+  }
+  const auto index = static_cast<team_index>(teams_.size());
+  teams_.emplace_back();
+  teams_.back().name = name;
+  const auto share = shares_.find(name);
+  ApplyShare(teams_.back(), share == shares_.end() ? team_share() : share->second, settings_);
+  team_by_name_.emplace(name, index);
+  return index;
+}
+
+job_index job_queue::Add(queued_job job, double capacity) {
+  job_index index = 0;
+  if (unused_.empty()) {
+    index = static_cast<job_index>(jobs_.size());
+    jobs_.emplace_back();
+  } else {
+    index = unused_.back();
+    unused_.pop_back();
+  }
+  jobs_[index] = std::make_unique<queued_job>(std::move(job));
+  queued_job& added = *jobs_[index];
+  for (std::uint32_t i = 0; i < added.tasks.size(); ++i) {
+    if (added.tasks[i].place == task_place::kWaiting) {
+      added.waiting.push_back(static_cast<std::uint16_t>(i));
+      CountWaiting(added, added.tasks[i].work_us, 1);
+    }
+  }
+  std::stable_sort(added.waiting.begin(), added.waiting.end(), [&added](std::uint16_t a, std::uint16_t b) {
+    return added.tasks[a].work_us < added.tasks[b].work_us;
+  });
+  by_id_.emplace(added.id, index);
+  deadlines_.emplace(added.deadline, index);
+  added.place = PlaceOf(added, capacity);
+  if (!added.waiting.empty()) {
+    teams_[added.team].order.emplace(added.place, index);
+  }
+  return index;
+}
+
+std::optional<job_index> job_queue::Find(std::string_view job_id) const {
+  const auto found = by_id_.find(job_id);
+  if (found == by_id_.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+std::uint32_t job_queue::Take(job_index index, std::size_t position, target_index target, instant expected_end) {
+  queued_job& taken_from = job(index);
+  const std::uint32_t task = taken_from.waiting[position];
+  taken_from.waiting.erase(taken_from.waiting.begin() + static_cast<std::ptrdiff_t>(position));
+  queued_task& state = taken_from.tasks[task];
+  state.place = task_place::kInFlight;
+  state.target = target;
+  state.expected_end = expected_end;
+  taken_from.expected_end = std::max(taken_from.expected_end, expected_end);
+  CountWaiting(taken_from, -state.work_us, -1);
+  CountInFlight(taken_from, state.work_us, 1);
+  return task;
+}
+
+void job_queue::PutBack(job_index index, std::uint32_t task) {
+  queued_job& returned_to = job(index);
+  queued_task& state = returned_to.tasks[task];
+  CountInFlight(returned_to, -state.work_us, -1);
+  ++state.attempt;
+  state.target = kNoTarget;
+  if (returned_to.dropped) {
+    state.place = task_place::kDone;
+    return;
+  }
+  state.place = task_place::kWaiting;
+  InsertWaiting(returned_to, task);
+  CountWaiting(returned_to, state.work_us, 1);
+}
+
+void job_queue::Finish(job_index index, std::uint32_t task) {
+  queued_job& finished_of = job(index);
+  finished_of.tasks[task].place = task_place::kDone;
+  CountInFlight(finished_of, -finished_of.tasks[task].work_us, -1);
+  if (finished_of.tasks[task].expected_end < finished_of.expected_end) {
+    return;
+  }
+  finished_of.expected_end = instant();
+  for (const queued_task& other : finished_of.tasks) {
+    if (other.place == task_place::kInFlight) {
+      finished_of.expected_end = std::max(finished_of.expected_end, other.expected_end);
+    }
+  }
+}
+
+void job_queue::DropWaiting(job_index index) {
+  queued_job& dropped = job(index);
+  if (!dropped.dropped) {
+    deadlines_.erase({dropped.deadline, index});
+    dropped.dropped = true;
+  }
+  teams_[dropped.team].order.erase({dropped.place, index});
+  for (const std::uint16_t task : dropped.waiting) {
+    dropped.tasks[task].place = task_place::kDone;
+    CountWaiting(dropped, -dropped.tasks[task].work_us, -1);
+  }
+  dropped.waiting.clear();
+}
+
+bool job_queue::EraseIfDone(job_index index) {
+  const queued_job& done = job(index);
+  if (!done.waiting.empty() || done.in_flight > 0) {
+    return false;
+  }
+  by_id_.erase(done.id);
+  deadlines_.erase({done.deadline, index});
+  jobs_[index].reset();
+  unused_.push_back(index);
+  return true;
+}
+
+void job_queue::Reorder(job_index index, double capacity) {
+  queued_job& moved = job(index);
+  std::set<std::pair<instant, job_index>>& order = teams_[moved.team].order;
+  const instant place = PlaceOf(moved, capacity);
+  const auto present = order.find({moved.place, index});
+  const bool stands = present != order.end();
+  if (stands && !moved.waiting.empty() && place == moved.place) {
+    return;
+  }
+  if (stands) {
+    order.erase(present);
+  }
+  moved.place = place;
+  if (!moved.waiting.empty()) {
+    order.emplace(place, index);
+  }
+}
+
+void job_queue::ChargeShare(team_index index, double work_us, double capacity, instant now) {
+  if (capacity <= 0) {
+    return;
+  }
+  queued_team& charged = teams_[index];
+  const instant earliest = now - settings_.share.burst_credit;
+  const instant latest = now + settings_.share.longest_debt;
+  const instant used = std::max(charged.share_clock, earliest) + Micros(work_us / (capacity * ShareOf(index)));
+  charged.share_clock = std::min(used, latest);
+}
+
+std::optional<std::pair<instant, job_index>> job_queue::NextDeadline() const {
+  if (deadlines_.empty()) {
+    return std::nullopt;
+  }
+  return *deadlines_.begin();
+}
+
+void job_queue::BeginOrder(std::vector<order_step>& steps) const {
+  steps.clear();
+  for (team_index i = 0; i < teams_.size(); ++i) {
+    if (!teams_[i].order.empty()) {
+      steps.push_back({i, teams_[i].order.begin()});
+    }
+  }
+}
+
+std::optional<job_index> job_queue::NextInOrder(std::vector<order_step>& steps, instant now) const {
+  order_step* best = nullptr;
+  instant best_place;
+  for (order_step& step : steps) {
+    const queued_team& team = teams_[step.team];
+    if (step.next == team.order.end()) {
+      continue;
+    }
+    // Work of a team that is ahead of its share stands behind everything that arrived before the time at which the team
+    // is level with its share.
+    const instant place = team.share_clock > now ? std::max(step.next->first, team.share_clock) : step.next->first;
+    if (best == nullptr || place < best_place) {
+      best = &step;
+      best_place = place;
+    }
+  }
+  if (best == nullptr) {
+    return std::nullopt;
+  }
+  const job_index index = best->next->second;
+  ++best->next;
+  return index;
+}
+
+double job_queue::ShareOf(team_index index) const {
+  const queued_team& team = teams_[index];
+  const double others = active_weight_ - (team.active() ? team.weight : 0);
+  return team.weight / std::max(others + team.weight, 1.0);
+}
+
+instant job_queue::PlaceOf(const queued_job& job, double capacity) const {
+  const order_settings& order = settings_.order;
+  const double drain_us = job.waiting_work_us / std::max(capacity, 1.0);
+  instant place = job.arrival + Micros(order.work_share * drain_us);
+  if (order.slack_share > 0 && job.in_flight > 0) {
+    place = std::max(place, job.expected_end - Micros(order.slack_share * drain_us));
+  }
+  const auto allowed_us = static_cast<double>((job.deadline - job.arrival).count());
+  return std::min(place, job.arrival + Micros(order.deadline_share * allowed_us));
+}
+
+void job_queue::InsertWaiting(queued_job& job, std::uint32_t task) {
+  const auto position =
+      std::lower_bound(job.waiting.begin(), job.waiting.end(), job.tasks[task].work_us,
+                       [&job](std::uint16_t other, float work) { return job.tasks[other].work_us < work; });
+  job.waiting.insert(position, static_cast<std::uint16_t>(task));
+}
+
+void job_queue::CountWaiting(queued_job& job, double work_us, int tasks) {
+  queued_team& team = teams_[job.team];
+  const bool was_active = team.active();
+  job.waiting_work_us = std::max(0.0, job.waiting_work_us + work_us);
+  team.waiting_work_us = std::max(0.0, team.waiting_work_us + work_us);
+  waiting_work_us_ = std::max(0.0, waiting_work_us_ + work_us);
+  team.waiting += tasks;
+  waiting_ += tasks;
+  SetActive(team, was_active);
+}
+
+void job_queue::CountInFlight(queued_job& job, double work_us, int tasks) {
+  queued_team& team = teams_[job.team];
+  const bool was_active = team.active();
+  job.in_flight += tasks;
+  team.in_flight += tasks;
+  in_flight_ += tasks;
+  in_flight_work_us_ = std::max(0.0, in_flight_work_us_ + work_us);
+  SetActive(team, was_active);
+}
+
+void job_queue::SetActive(queued_team& team, bool was_active) {
+  if (team.active() != was_active) {
+    active_weight_ += was_active ? -static_cast<double>(team.weight) : static_cast<double>(team.weight);
+  }
+}
+
+void job_queue::ApplyShare(queued_team& team, const team_share& share, const dispatch_settings& settings) {
+  team.weight = std::max(share.weight, 1U);
+  team.priority = share.priority;
+  const double part = std::clamp(share.queue_share, 0.0, 1.0);
+  team.max_waiting = static_cast<std::uint32_t>(part * settings.max_waiting_tasks);
+}
+
+}  // namespace bamboowing
--- /dev/null
+++ b/src/dispatch/placement.cc
@@ -0,0 +1,56 @@
+#include "bamboowing/dispatch/placement.h"
+
+#include <algorithm>
+
+namespace bamboowing {
+namespace {
+
+// Jobs considered for one slot. The work before the later ones is usually so long that they are worth starting
+// anywhere.
+constexpr int kJobsConsidered = 16;
+
+}  // namespace
+
+std::optional<placement> placement_rule::Choose(const job_queue& queue, const free_slot& slot, instant now) {
+  queue.BeginOrder(steps_);
+  double work_before_us = 0;
+  for (int i = 0; i < kJobsConsidered; ++i) {
+    const std::optional<job_index> index = queue.NextInOrder(steps_, now);
+    if (!index) {
+      return std::nullopt;
+    }
+    const queued_job& job = queue.job(*index);
+    const std::optional<std::size_t> position = TaskFor(job, slot, work_before_us, now);
+    if (position) {
+      return placement{*index, *position};
+    }
+    work_before_us += job.waiting_work_us;
+  }
+  return std::nullopt;
+}
+
+std::optional<std::size_t> placement_rule::TaskFor(const queued_job& job, const free_slot& slot, double work_before_us,
+                                                   instant now) const {
+  if (job.avoid == slot.target) {
+    return std::nullopt;
+  }
+  if (slot.faster_slots < 1 || settings_.hold_back <= 0) {
+    return job.waiting.size() - 1;
+  }
+  // Expected end of the job if all its waiting tasks go to faster targets: the shortest task starts last.
+  const double faster_speed = slot.faster_capacity / slot.faster_slots;
+  const double shortest_us = job.tasks[job.waiting.front()].work_us;
+  const double drained_us = (work_before_us + job.waiting_work_us) / slot.faster_capacity;
+  const double running_us = job.in_flight > 0 ? static_cast<double>((job.expected_end - now).count()) : 0;
+  const double end_us = std::max(running_us, drained_us + shortest_us / faster_speed);
+  const double longest_fitting_us = settings_.hold_back * end_us * slot.speed;
+  const auto after = std::upper_bound(
+      job.waiting.begin(), job.waiting.end(), longest_fitting_us,
+      [&job](double limit, std::uint16_t task) { return limit < static_cast<double>(job.tasks[task].work_us); });
+  if (after == job.waiting.begin()) {
+    return std::nullopt;
+  }
+  return static_cast<std::size_t>(after - job.waiting.begin()) - 1;
+}
+
+}  // namespace bamboowing
--- /dev/null
+++ b/src/dispatch/run_time_estimator.cc
@@ -0,0 +1,87 @@
+#include "bamboowing/dispatch/run_time_estimator.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bamboowing {
+namespace {
+
+// Class 0: nothing declared. Classes 1 to 63: declared run time, two for each octave from 0.5 ms. Classes 64 to 127:
+// declared size, one for each octave.
+constexpr int kFirstSizeClass = 64;
+constexpr double kShortestDeclaredUs = 500;
+
+// Neighbours count half as much with each class of distance; beyond this distance they hardly count.
+constexpr int kReach = 6;
+// Observations that the neighbours, all teams and the declaration itself are worth.
+constexpr double kNeighbourWeight = 4;
+constexpr double kAllTeamsWeight = 4;
+constexpr double kDeclarationWeight = 0.5;
+// Older observations fade: a class is halved when it reaches this count.
+constexpr float kMemory = 512;
+
+bool SameKind(int a, int b) { return a != 0 && b != 0 && (a < kFirstSizeClass) == (b < kFirstSizeClass); }
+
+}  // namespace
+
+run_time_estimator::run_time_estimator(std::uint32_t max_teams, duration first_guess)
+    : first_guess_us_(static_cast<double>(first_guess.count())), teams_(max_teams) {}
+
+std::uint8_t run_time_estimator::DeclarationClass(const task_spec& task) {
+  if (task.declared && task.declared->count() > 0) {
+    const double octaves = std::log2(static_cast<double>(task.declared->count()) / kShortestDeclaredUs);
+    return static_cast<std::uint8_t>(1 + std::clamp(static_cast<int>(2 * octaves), 0, kFirstSizeClass - 2));
+  }
+  if (task.size > 0) {
+    return static_cast<std::uint8_t>(kFirstSizeClass + static_cast<int>(std::log2(static_cast<double>(task.size))));
+  }
+  return 0;
+}
+
+double run_time_estimator::Estimate(std::uint32_t team, std::uint8_t declaration_class) const {
+  const double of_all = EstimateFrom(all_, declaration_class, DeclaredWork(declaration_class), kDeclarationWeight);
+  return EstimateFrom(teams_[team], declaration_class, of_all, kAllTeamsWeight);
+}
+
+void run_time_estimator::Observe(std::uint32_t team, std::uint8_t declaration_class, double work_us) {
+  Record(all_, declaration_class, work_us);
+  Record(teams_[team], declaration_class, work_us);
+}
+
+double run_time_estimator::EstimateFrom(const table& learned, int declaration_class, double prior,
+                                        double prior_weight) const {
+  double near_count = prior_weight;
+  double near_sum = prior_weight * prior;
+  const int first = std::max(0, declaration_class - kReach);
+  const int last = std::min(kClasses - 1, declaration_class + kReach);
+  for (int other = first; other <= last; ++other) {
+    if (SameKind(other, declaration_class)) {
+      const double weight = std::ldexp(1.0, -std::abs(other - declaration_class));
+      near_count += weight * learned.count[other];
+      near_sum += weight * learned.sum[other];
+    }
+  }
+  const double near_mean = near_sum / near_count;
+  return (learned.sum[declaration_class] + kNeighbourWeight * near_mean) /
+         (learned.count[declaration_class] + kNeighbourWeight);
+}
+
+double run_time_estimator::DeclaredWork(int declaration_class) const {
+  if (declaration_class == 0 || declaration_class >= kFirstSizeClass) {
+    return first_guess_us_;
+  }
+  return kShortestDeclaredUs * std::exp2((declaration_class - 0.5) / 2);
+}
+
+void run_time_estimator::Record(table& learned, int declaration_class, double work_us) {
+  float& count = learned.count[declaration_class];
+  float& sum = learned.sum[declaration_class];
+  if (count >= kMemory) {
+    count /= 2;
+    sum /= 2;
+  }
+  count += 1;
+  sum += static_cast<float>(work_us);
+}
+
+}  // namespace bamboowing
--- /dev/null
+++ b/src/dispatch/target_table.cc
@@ -0,0 +1,152 @@
+#include "bamboowing/dispatch/target_table.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bamboowing {
+namespace {
+
+// Observations after which older ones fade. Run times within one class of estimates differ by a factor of e or more, so
+// fewer would make the order of targets unstable.
+constexpr double kMemory = 200;
+// The recent mean covers about six tasks. When it differs from the long one by this logarithm (a factor of 3.3), which
+// chance does about once in some thousand tasks, the target has changed and the old observations are dropped.
+constexpr double kRecentWeight = 1.0 / 6;
+constexpr double kChangedLog = 1.2;
+constexpr double kRecentTasks = 6;
+constexpr int kShortestBetweenResets = 8;
+
+// Speeds are sorted into classes 8 % apart. The range spans a factor of about 2,000.
+constexpr double kClassWidth = 0.08;
+constexpr double kLargestLog = kClassWidth * target_table::kSpeedClasses / 2;
+// A target leaves its class only when it is this many widths from the middle, so that it does not alternate between
+// two classes.
+constexpr double kClassHysteresis = 0.8;
+
+int SpeedClass(double log_speed, int present) {
+  const double position = (std::clamp(log_speed, -kLargestLog, kLargestLog) + kLargestLog) / kClassWidth;
+  if (std::abs(position - (present + 0.5)) < kClassHysteresis) {
+    return present;
+  }
+  return std::clamp(static_cast<int>(position), 0, target_table::kSpeedClasses - 1);
+}
+
+}  // namespace
+
+void speed_estimate::Observe(double log_ratio) {
+  const double bounded = std::clamp(log_ratio, -kLargestLog, kLargestLog);
+  weight_ = std::min(weight_ + 1, kMemory);
+  mean_ += (bounded - mean_) / weight_;
+  recent_ += (bounded - recent_) * kRecentWeight;
+  ++since_reset_;
+  if (std::abs(recent_ - mean_) > kChangedLog && since_reset_ >= kShortestBetweenResets) {
+    mean_ = recent_;
+    weight_ = kRecentTasks;
+    since_reset_ = 0;
+  }
+}
+
+target_index target_table::Find(std::string_view name) const {
+  const auto found = by_name_.find(name);
+  return found == by_name_.end() ? kNoTarget : found->second;
+}
+
+target_index target_table::Add(std::string_view name, std::uint32_t slots) {
+  target_index index = 0;
+  if (unused_.empty()) {
+    index = static_cast<target_index>(targets_.size());
+    targets_.emplace_back();
+  } else {
+    index = unused_.back();
+    unused_.pop_back();
+    targets_[index] = target_state();
+  }
+  target_state& target = targets_[index];
+  target.name = std::string(name);
+  target.slots = slots;
+  target.allowed = slots;
+  target.speed = speed_estimate(std::log(mean_speed()));
+  by_name_.emplace(target.name, index);
+  Update(index);
+  return index;
+}
+
+void target_table::Remove(target_index index) {
+  target_state& target = targets_[index];
+  SetFree(index, false);
+  Count(target, false);
+  by_name_.erase(target.name);
+  target.in_flight.clear();
+  unused_.push_back(index);
+}
+
+void target_table::Update(target_index index) {
+  target_state& target = targets_[index];
+  const int new_class = SpeedClass(target.speed.log_speed(), target.speed_class);
+  if (new_class != target.speed_class) {
+    SetFree(index, false);
+  }
+  Count(target, false);
+  target.speed_class = new_class;
+  Count(target, true);
+  const std::uint32_t limit = target.draining ? 0 : std::min(target.slots, target.allowed);
+  SetFree(index, target.in_flight.size() < limit);
+}
+
+std::uint32_t target_table::AddFlight(target_index index, flight task) {
+  target_state& target = targets_[index];
+  target.in_flight.push_back(task);
+  const std::uint32_t limit = std::min(target.slots, target.allowed);
+  SetFree(index, target.in_flight.size() < limit);
+  return static_cast<std::uint32_t>(target.in_flight.size() - 1);
+}
+
+std::optional<flight> target_table::RemoveFlight(target_index index, std::uint32_t position) {
+  std::vector<flight>& tasks = targets_[index].in_flight;
+  std::optional<flight> moved;
+  if (position + 1 < tasks.size()) {
+    tasks[position] = tasks.back();
+    moved = tasks[position];
+  }
+  tasks.pop_back();
+  Update(index);
+  return moved;
+}
+
+target_index target_table::PickFree(int speed_class) {
+  const std::vector<target_index>& free = free_[speed_class];
+  return free.empty() ? kNoTarget : free[random_.Below(free.size())];
+}
+
+double target_table::RelativeSpeed(target_index index) const {
+  return std::exp(targets_[index].speed.log_speed()) / mean_speed();
+}
+
+void target_table::Count(target_state& target, bool add) {
+  const std::uint32_t usable = target.draining ? 0 : std::min(target.slots, target.allowed);
+  const double slots = add ? usable : 0;
+  const double capacity = slots * std::exp(target.speed.log_speed());
+  class_slots_[target.speed_class] += slots - target.counted_slots;
+  class_capacity_[target.speed_class] += capacity - target.counted_capacity;
+  total_slots_ += slots - target.counted_slots;
+  total_capacity_ += capacity - target.counted_capacity;
+  target.counted_slots = slots;
+  target.counted_capacity = capacity;
+}
+
+void target_table::SetFree(target_index index, bool free) {
+  target_state& target = targets_[index];
+  std::vector<target_index>& list = free_[target.speed_class];
+  if (free && target.free_position < 0) {
+    target.free_position = static_cast<std::int32_t>(list.size());
+    list.push_back(index);
+  } else if (!free && target.free_position >= 0) {
+    const target_index last = list.back();
+    list[target.free_position] = last;
+    targets_[last].free_position = target.free_position;
+    list.pop_back();
+    target.free_position = -1;
+  }
+}
+
+}  // namespace bamboowing
--- a/tests/dispatch/dispatcher_test.cc
+++ b/tests/dispatch/dispatcher_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <set>
 
 namespace bamboowing {
 namespace {
@@ -78,8 +79,8 @@
   dispatcher queue(dispatch_settings(), 1);
   queue.AddTarget("a", 1, At(0));
   ASSERT_FALSE(queue.Admit(MakeJob("j", 3), At(0)).has_value());
-  ASSERT_FALSE(queue.Admit(MakeJob("k", 1), At(0)).has_value());
   const task_key key = Starts(queue, At(0)).at(0).key;
+  ASSERT_FALSE(queue.Admit(MakeJob("k", 1), At(0)).has_value());
   std::vector<task_key> in_flight;
   queue.CancelJob("j", At(1), in_flight);
   ASSERT_EQ(in_flight.size(), 1U);
