--- /dev/null
+++ b/include/bamboowing/intent/report.h
@@ -0,0 +1,25 @@
+/// @file
+/// The full check of a document: errors and warnings together.
+#pragma once
+
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "bamboowing/intent/document.h"
+
+namespace bamboowing {
+
+/// Result of a check. `document` is set if and only if `errors` is empty. Warnings name settings that are allowed but
+/// probably not meant; they never stop a write.
+struct intent_report {
+  std::optional<intent_document> document;
+  std::vector<intent_error> errors;
+  std::vector<intent_error> warnings;
+};
+
+/// Checks @p text as ParseIntent does and also gives the warnings. Rules between fields are checked even when other
+/// fields are invalid; a rule that depends on an invalid field is left out.
+intent_report CheckIntent(std::string_view text);
+
+}  // namespace bamboowing
--- a/src/intent/document.cc
+++ b/src/intent/document.cc
@@ -2,11 +2,10 @@
 
 #include <algorithm>
 #include <cmath>
-#include <tuple>
+#include <utility>
 
+#include "bamboowing/intent/report.h"
 #include "codec.h"
-#include "schema_check.h"
-#include "text_reader.h"
 
 namespace bamboowing {
 namespace {
@@ -28,30 +27,12 @@
                      [id](const std::string& pattern) { return MatchesIdPattern(pattern, id); });
 }
 
-void AddLines(const std::map<std::string, int>& lines, std::vector<intent_error>& errors) {
-  for (intent_error& error : errors) {
-    if (error.line == 0) {
-      error.line = intent_detail::LineOf(lines, error.path);
-    }
-  }
-  std::stable_sort(errors.begin(), errors.end(), [](const intent_error& a, const intent_error& b) {
-    return std::tie(a.line, a.path) < std::tie(b.line, b.path);
-  });
-}
-
 }  // namespace
 
 std::optional<intent_document> ParseIntent(std::string_view text, std::vector<intent_error>& errors) {
-  std::vector<intent_error> found;
-  intent_detail::read_text read = intent_detail::ReadText(text, found);
-  std::optional<intent_document> document;
-  if (found.empty() && intent_detail::CheckSchema(read.value, found)) {
-    intent_detail::FillDefaults(intent_detail::IntentSchema(), read.value);
-    document = intent_detail::Decode(read.value);
-  }
-  AddLines(read.lines, found);
-  errors.insert(errors.end(), found.begin(), found.end());
-  return document;
+  intent_report report = CheckIntent(text);
+  errors.insert(errors.end(), report.errors.begin(), report.errors.end());
+  return std::move(report.document);
 }
 
 std::string ToJson(const intent_document& document) {
--- /dev/null
+++ b/src/intent/report.cc
@@ -0,0 +1,53 @@
+#include "bamboowing/intent/report.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "codec.h"
+#include "rules.h"
+#include "schema_check.h"
+#include "text_reader.h"
+
+namespace bamboowing {
+namespace {
+
+using intent_detail::read_text;
+
+void SortByLine(const read_text& read, std::vector<intent_error>& errors) {
+  for (intent_error& error : errors) {
+    if (error.line == 0) {
+      error.line = intent_detail::LineOf(read.lines, error.path);
+    }
+  }
+  std::stable_sort(errors.begin(), errors.end(), [](const intent_error& a, const intent_error& b) {
+    return std::tie(a.line, a.path) < std::tie(b.line, b.path);
+  });
+}
+
+void CheckValue(nlohmann::json& value, intent_report& report) {
+  if (!intent_detail::CheckSchema(value, report.errors)) {
+    intent_detail::Repair(report.errors, value);
+  }
+  intent_detail::FillDefaults(intent_detail::IntentSchema(), value);
+  intent_document document = intent_detail::Decode(value);
+  intent_detail::CheckRules(document, report.errors);
+  if (report.errors.empty()) {
+    intent_detail::CheckWarnings(document, report.warnings);
+    report.document = std::move(document);
+  }
+}
+
+}  // namespace
+
+intent_report CheckIntent(std::string_view text) {
+  intent_report report;
+  read_text read = intent_detail::ReadText(text, report.errors);
+  if (report.errors.empty()) {
+    CheckValue(read.value, report);
+  }
+  SortByLine(read, report.errors);
+  SortByLine(read, report.warnings);
+  return report;
+}
+
+}  // namespace bamboowing
--- /dev/null
+++ b/src/intent/rules.h
@@ -0,0 +1,18 @@
+/// @file
+/// The rules between the fields of an intent document.
+#pragma once
+
+#include <vector>
+
+#include "bamboowing/intent/document.h"
+
+namespace bamboowing::intent_detail {
+
+/// Adds every violation of a rule. An empty name stands for an invalid one, which has its own error: rules that need
+/// the name are left out.
+void CheckRules(const intent_document& document, std::vector<intent_error>& errors);
+
+/// Adds a warning for every setting that is allowed but probably not meant.
+void CheckWarnings(const intent_document& document, std::vector<intent_error>& warnings);
+
+}  // namespace bamboowing::intent_detail
--- a/src/intent/schema_check.cc
+++ b/src/intent/schema_check.cc
@@ -1,5 +1,6 @@
 #include "schema_check.h"
 
+#include <algorithm>
 #include <memory>
 #include <set>
 #include <valijson/adapters/nlohmann_json_adapter.hpp>
@@ -111,6 +112,57 @@
   return "a list of " + count + " entries";
 }
 
+using path_set = std::set<std::string>;
+
+void RepairAt(const json& schema, const std::string& path, const path_set& invalid, json& value);
+
+json EmptyValue(const json& schema) {
+  const std::string type = schema.at("type").get<std::string>();
+  if (type == "object") {
+    json value = json::object();
+    RepairAt(schema, "", {}, value);
+    return value;
+  }
+  return type == "array" ? json::array() : json("");
+}
+
+/// A list with too many or too few elements is kept, so that its elements are checked.
+bool MustReplace(const json& schema, const std::string& path, const path_set& invalid, const json& value) {
+  return invalid.count(path) != 0 && !(value.is_array() && schema.at("type") == "array");
+}
+
+void RepairMember(const std::string& key, const json& map_schema, const std::string& path, const path_set& invalid,
+                  json& map) {
+  const json& schema = map_schema.at("properties").at(key);
+  const std::string member_path = MemberPath(path, key);
+  if (map.contains(key) && MustReplace(schema, member_path, invalid, map[key])) {
+    map.erase(key);
+  }
+  const json required = map_schema.value("required", json::array());
+  if (!map.contains(key) && std::find(required.begin(), required.end(), key) != required.end()) {
+    map[key] = EmptyValue(schema);
+  }
+  if (map.contains(key)) {
+    RepairAt(schema, member_path, invalid, map[key]);
+  }
+}
+
+void RepairAt(const json& schema, const std::string& path, const path_set& invalid, json& value) {
+  if (MustReplace(schema, path, invalid, value)) {
+    value = EmptyValue(schema);
+  }
+  if (value.is_array()) {
+    for (std::size_t i = 0; i < value.size(); ++i) {
+      RepairAt(schema.at("items"), ElementPath(path, i), invalid, value[i]);
+    }
+  }
+  if (value.is_object()) {
+    for (const auto& [key, unused] : schema.at("properties").items()) {
+      RepairMember(key, schema, path, invalid, value);
+    }
+  }
+}
+
 void FillMember(const std::string& key, const json& schema, json& map) {
   if (!map.contains(key)) {
     if (!schema.contains("default")) {
@@ -149,6 +201,14 @@
   return false;
 }
 
+void Repair(const std::vector<intent_error>& errors, json& value) {
+  path_set invalid;
+  for (const intent_error& error : errors) {
+    invalid.insert(error.path);
+  }
+  RepairAt(IntentSchema(), "", invalid, value);
+}
+
 void FillDefaults(const json& schema, json& value) {
   if (value.is_array()) {
     for (json& element : value) {
