--- a/cmake/embed.cmake
+++ b/cmake/embed.cmake
@@ -1,15 +1,28 @@
-# bamboowing_embed(LIBRARY VARIABLE FILE): gives the library LIBRARY the text of FILE as the constant VARIABLE of the
-# namespace bamboowing::embedded, declared `extern const std::string_view`. The text is read when CMake configures, and
-# a change of the file configures again.
-function(bamboowing_embed library variable file)
-  set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS ${file})
-  file(READ ${file} text)
+# bamboowing_embed(LIBRARY VARIABLE FILE...): gives the library LIBRARY the texts of the FILEs, so that a program needs
+# no file at run time. They are declared in the namespace bamboowing::embedded as
+#   extern const std::pair<std::string_view, std::string_view> VARIABLE[];   // name without directory, text
+#   extern const std::size_t VARIABLECount;
+# The texts are read when CMake configures, and a change of a file configures again.
+function(bamboowing_embed library variable)
+  set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS ${ARGN})
+  set(table "")
+  foreach(file ${ARGN})
+    get_filename_component(name ${file} NAME)
+    file(READ ${file} text)
+    string(APPEND table "    {\"${name}\", R\"EMBEDDED_TEXT(${text})EMBEDDED_TEXT\"},\n")
+  endforeach()
   set(generated ${PROJECT_BINARY_DIR}/embedded/${variable}.cc)
   file(CONFIGURE OUTPUT ${generated} @ONLY CONTENT [[
+#include <cstddef>
 #include <string_view>
+#include <utility>
 namespace bamboowing::embedded {
-extern const std::string_view @variable@;
-const std::string_view @variable@ = R"EMBEDDED_TEXT(@text@)EMBEDDED_TEXT";
+using embedded_file = std::pair<std::string_view, std::string_view>;
+extern const embedded_file @variable@[];
+extern const std::size_t @variable@Count;
+const embedded_file @variable@[] = {
+@table@};
+const std::size_t @variable@Count = sizeof(@variable@) / sizeof(@variable@[0]);
 }  // namespace bamboowing::embedded
 ]])
   target_sources(bw_${library} PRIVATE ${generated})
--- a/src/intent/schema.cc
+++ b/src/intent/schema.cc
@@ -1,10 +1,9 @@
 #include "bamboowing/intent/schema.h"
 
+#include "embedded.h"
+
 namespace bamboowing {
-namespace embedded {
-extern const std::string_view kIntentSchema;
-}  // namespace embedded
 
-std::string_view IntentSchemaText() { return embedded::kIntentSchema; }
+std::string_view IntentSchemaText() { return embedded::kSchemaFiles[0].second; }
 
 }  // namespace bamboowing
