--- /dev/null
+++ b/src/observe/causal_pairs.cc
@@ -0,0 +1,213 @@
+#include "bamboowing/observe/causal_pairs.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <unordered_map>
+
+#include "bamboowing/message/job.h"
+
+namespace bamboowing {
+namespace {
+
+using index_list = std::vector<std::size_t>;
+
+/// Events of one task, by kind and side.
+struct task_events {
+  index_list sent;
+  index_list started;
+  index_list answered_by_agent;
+  index_list answer_received;
+  index_list refused_by_agent;
+  index_list refusal_received;
+};
+
+/// Events of one job that concern the job as a whole.
+struct job_events {
+  index_list relayed;
+  index_list accepted;
+  index_list completed;
+  index_list answered;
+  std::map<std::int64_t, task_events> tasks;
+};
+
+bool IsAgent(const recorded_event& one) { return one.process.role == "agent"; }
+
+bool SameProcess(const recorded_event& a, const recorded_event& b) {
+  return a.process.life == b.process.life && a.process.id == b.process.id;
+}
+
+bool AttemptsAgree(const event& a, const event& b) { return a.attempt < 0 || b.attempt < 0 || a.attempt == b.attempt; }
+
+/// An entry that loses a target records the answer itself, without a cause at the agent.
+bool IsLostTarget(const event& answered) {
+  return answered.error == error_kind::kTargetLost || answered.number == static_cast<std::uint64_t>(task_status::kLost);
+}
+
+class pair_finder {
+ public:
+  explicit pair_finder(span<const recorded_event> events) : events_(events) {
+    for (std::size_t i = 0; i < events_.size(); ++i) {
+      process_ids_.insert(events_[i].process.id);
+      Sort(i);
+    }
+  }
+
+  std::vector<causal_pair> Find() {
+    for (const std::pair<const std::string_view, job_events>& one : jobs_) {
+      PairJob(one.second);
+    }
+    PairSessions();
+    // The order must not depend on a hash, so that the same logs always give the same time line.
+    std::sort(pairs_.begin(), pairs_.end(), [](const causal_pair& a, const causal_pair& b) {
+      return std::tie(a.effect, a.cause) < std::tie(b.effect, b.cause);
+    });
+    return std::move(pairs_);
+  }
+
+ private:
+  void Sort(std::size_t index) {
+    const event& record = events_[index].record;
+    if (record.kind == event_kind::kSessionOpened && record.number != 0) {
+      sessions_[record.number].push_back(index);
+    }
+    if (record.job_id.empty()) {
+      return;
+    }
+    job_events& job = jobs_[record.job_id];
+    if (record.task < 0) {
+      SortJobEvent(index, job);
+    } else {
+      SortTaskEvent(index, job.tasks[record.task]);
+    }
+  }
+
+  void SortJobEvent(std::size_t index, job_events& job) const {
+    switch (events_[index].record.kind) {
+      case event_kind::kJobRelayed:
+        job.relayed.push_back(index);
+        break;
+      case event_kind::kJobAccepted:
+        job.accepted.push_back(index);
+        break;
+      case event_kind::kJobCompleted:
+        job.completed.push_back(index);
+        break;
+      case event_kind::kCallAnswered:
+        job.answered.push_back(index);
+        break;
+      default:
+        break;
+    }
+  }
+
+  void SortTaskEvent(std::size_t index, task_events& task) const {
+    const bool agent = IsAgent(events_[index]);
+    switch (events_[index].record.kind) {
+      case event_kind::kTaskSent:
+        task.sent.push_back(index);
+        break;
+      case event_kind::kTaskStarted:
+        task.started.push_back(index);
+        break;
+      case event_kind::kTaskAnswered:
+        (agent ? task.answered_by_agent : task.answer_received).push_back(index);
+        break;
+      case event_kind::kTaskRefused:
+        (agent ? task.refused_by_agent : task.refusal_received).push_back(index);
+        break;
+      default:
+        break;
+    }
+  }
+
+  void PairJob(const job_events& job) {
+    for (const std::pair<const std::int64_t, task_events>& one : job.tasks) {
+      PairTask(one.second);
+    }
+    for (const std::size_t accepted : job.accepted) {
+      const event& record = events_[accepted].record;
+      if (process_ids_.count(record.peer) != 0) {
+        PairEarliest(job.relayed, accepted);
+      }
+    }
+    for (const std::size_t answered : job.answered) {
+      if (!events_[answered].record.error) {
+        PairEarliest(job.completed, answered);
+      }
+    }
+  }
+
+  void PairTask(const task_events& task) {
+    for (const std::size_t started : task.started) {
+      PairEarliest(task.sent, started);
+    }
+    for (const std::size_t received : task.answer_received) {
+      if (!IsLostTarget(events_[received].record)) {
+        PairEarliest(task.answered_by_agent, received);
+      }
+    }
+    for (const std::size_t received : task.refusal_received) {
+      PairEarliest(task.refused_by_agent, received);
+    }
+  }
+
+  void PairSessions() {
+    for (const std::pair<const std::uint64_t, index_list>& one : sessions_) {
+      const index_list& both = one.second;
+      if (both.size() != 2) {
+        continue;
+      }
+      const std::size_t agent = IsAgent(events_[both[0]]) ? both[0] : both[1];
+      const std::size_t entry = agent == both[0] ? both[1] : both[0];
+      if (IsAgent(events_[agent]) && !IsAgent(events_[entry]) &&
+          events_[entry].record.peer == events_[agent].process.id) {
+        pairs_.push_back({agent, entry});
+      }
+    }
+  }
+
+  /// Pairs @p effect with its earliest possible cause. The true cause is that one or a later one of the same process,
+  /// so the bound holds in either case. Possible causes at several processes leave no certain bound.
+  void PairEarliest(const index_list& causes, std::size_t effect) {
+    const std::size_t* earliest = nullptr;
+    for (const std::size_t& cause : causes) {
+      if (!MayCause(events_[cause], events_[effect])) {
+        continue;
+      }
+      if (earliest == nullptr) {
+        earliest = &cause;
+      } else if (!SameProcess(events_[*earliest], events_[cause])) {
+        return;
+      }
+    }
+    if (earliest != nullptr && !SameProcess(events_[*earliest], events_[effect])) {
+      pairs_.push_back({*earliest, effect});
+    }
+  }
+
+  bool MayCause(const recorded_event& cause, const recorded_event& effect) const {
+    return AttemptsAgree(cause.record, effect.record) && PeerAllows(cause.record, effect) &&
+           PeerAllows(effect.record, cause);
+  }
+
+  /// A peer that is not the id of a process (an address, a service) says nothing.
+  bool PeerAllows(const event& record, const recorded_event& other) const {
+    return record.peer == other.process.id || process_ids_.count(record.peer) == 0;
+  }
+
+  span<const recorded_event> events_;
+  std::set<std::string_view> process_ids_;
+  std::unordered_map<std::string_view, job_events> jobs_;
+  std::map<std::uint64_t, index_list> sessions_;
+  std::vector<causal_pair> pairs_;
+};
+
+}  // namespace
+
+std::vector<causal_pair> FindCausalPairs(span<const recorded_event> events) { return pair_finder(events).Find(); }
+
+}  // namespace bamboowing
--- /dev/null
+++ b/src/observe/timeline.cc
@@ -0,0 +1,250 @@
+#include "bamboowing/observe/timeline.h"
+
+#include <algorithm>
+#include <map>
+#include <queue>
+#include <set>
+#include <tuple>
+
+#include "bamboowing/observe/causal_pairs.h"
+#include "bamboowing/observe/clock_offsets.h"
+
+namespace bamboowing {
+namespace {
+
+using process_key = std::pair<std::string, incarnation>;
+
+process_key KeyOf(const recorded_event& one) { return {one.process.id, one.process.life}; }
+
+/// Brings the events of each process and incarnation into their recorded order. Numbered events are sorted by number,
+/// because the parts of a rotated log may be given in any order; a number that occurs twice is the same event.
+std::vector<recorded_event> InRecordedOrder(std::vector<recorded_event> events) {
+  std::map<process_key, std::vector<recorded_event>> logs;
+  for (recorded_event& one : events) {
+    logs[KeyOf(one)].push_back(std::move(one));
+  }
+  std::vector<recorded_event> result;
+  for (std::pair<const process_key, std::vector<recorded_event>>& log : logs) {
+    std::vector<recorded_event>& own = log.second;
+    const bool numbered =
+        std::all_of(own.begin(), own.end(), [](const recorded_event& one) { return one.record.sequence > 0; });
+    if (numbered) {
+      std::stable_sort(own.begin(), own.end(), [](const recorded_event& a, const recorded_event& b) {
+        return a.record.sequence < b.record.sequence;
+      });
+      own.erase(std::unique(own.begin(), own.end(),
+                            [](const recorded_event& a, const recorded_event& b) {
+                              return a.record.sequence == b.record.sequence;
+                            }),
+                own.end());
+    }
+    std::move(own.begin(), own.end(), std::back_inserter(result));
+  }
+  return result;
+}
+
+std::string NumberedLabel(const process_key& key, std::size_t life, bool several) {
+  return several ? key.first + "#" + std::to_string(life) : key.first;
+}
+
+/// Merges events that stand in recorded order, log after log.
+class merger {
+ public:
+  explicit merger(std::vector<recorded_event> events) : events_(std::move(events)), process_of_(events_.size()) {}
+
+  timeline Merge() {
+    ListProcesses();
+    pairs_ = FindCausalPairs(events_);
+    Solve();
+    Order();
+    Link();
+    return std::move(result_);
+  }
+
+ private:
+  void ListProcesses() {
+    std::map<std::string, std::size_t> lives;
+    for (std::size_t i = 0; i < events_.size(); ++i) {
+      if (i == 0 || KeyOf(events_[i]) != KeyOf(events_[i - 1])) {
+        ++lives[events_[i].process.id];
+        result_.processes.push_back({events_[i].process, {}, duration(0), std::nullopt});
+      }
+      process_of_[i] = result_.processes.size() - 1;
+    }
+    std::map<std::string, std::size_t> seen;
+    for (timeline_process& process : result_.processes) {
+      const process_identity& identity = process.identity;
+      const std::size_t life = ++seen[identity.id];
+      process.label = NumberedLabel({identity.id, identity.life}, life, lives[identity.id] > 1);
+    }
+  }
+
+  void Solve() {
+    std::vector<offset_bound> bounds;
+    for (const causal_pair& pair : pairs_) {
+      const duration limit = events_[pair.effect].record.at - events_[pair.cause].record.at;
+      bounds.push_back({process_of_[pair.cause], process_of_[pair.effect], limit});
+    }
+    const offset_solution solution = SolveOffsets(result_.processes.size(), bounds);
+    for (std::size_t i = 0; i < result_.processes.size(); ++i) {
+      result_.processes[i].offset = solution.offsets[i];
+      result_.processes[i].uncertainty = solution.uncertainty[i];
+    }
+    for (const offset_conflict& conflict : solution.conflicts) {
+      result_.contradictions.push_back(DescribeConflict(conflict));
+    }
+  }
+
+  std::string DescribeConflict(const offset_conflict& conflict) const {
+    std::string names;
+    for (const std::size_t clock : conflict.clocks) {
+      names += (names.empty() ? "" : ", ") + result_.processes[clock].label;
+    }
+    return "clocks of " + names + ": causes and effects contradict each other by " +
+           std::to_string(conflict.excess.count()) +
+           " us under constant offsets; a clock drifts, or an event was recorded late. Merge a shorter window.";
+  }
+
+  duration Time(std::size_t index) const {
+    return events_[index].record.at.time_since_epoch() + result_.processes[process_of_[index]].offset;
+  }
+
+  /// Takes the earliest event whose predecessors in its own log and among its causes were all taken. Equal times and
+  /// events that a process recorded out of the order of their times therefore keep their order too.
+  void Order() {
+    std::vector<std::vector<std::size_t>> after(events_.size());
+    std::vector<std::size_t> waiting(events_.size(), 0);
+    for (std::size_t i = 1; i < events_.size(); ++i) {
+      if (process_of_[i] == process_of_[i - 1]) {
+        after[i - 1].push_back(i);
+        ++waiting[i];
+      }
+    }
+    for (const causal_pair& pair : pairs_) {
+      after[pair.cause].push_back(pair.effect);
+      ++waiting[pair.effect];
+    }
+    Take(after, waiting);
+    TakeCyclic();
+    FillTimes();
+  }
+
+  void Take(const std::vector<std::vector<std::size_t>>& after, std::vector<std::size_t>& waiting) {
+    using item = std::pair<duration, std::size_t>;
+    std::priority_queue<item, std::vector<item>, std::greater<item>> ready;
+    for (std::size_t i = 0; i < events_.size(); ++i) {
+      if (waiting[i] == 0) {
+        ready.push({Time(i), i});
+      }
+    }
+    while (!ready.empty()) {
+      const std::size_t index = ready.top().second;
+      ready.pop();
+      order_.push_back(index);
+      for (const std::size_t next : after[index]) {
+        if (--waiting[next] == 0) {
+          ready.push({Time(next), next});
+        }
+      }
+    }
+  }
+
+  /// Events of a cycle of causes, which only contradicting logs have, follow in recorded order.
+  void TakeCyclic() {
+    if (order_.size() == events_.size()) {
+      return;
+    }
+    std::vector<bool> taken(events_.size(), false);
+    for (const std::size_t index : order_) {
+      taken[index] = true;
+    }
+    result_.contradictions.push_back(std::to_string(events_.size() - order_.size()) +
+                                     " events wait for each other in a cycle; they stand at the end.");
+    for (std::size_t i = 0; i < events_.size(); ++i) {
+      if (!taken[i]) {
+        order_.push_back(i);
+      }
+    }
+  }
+
+  void FillTimes() {
+    duration first = duration::max();
+    for (std::size_t i = 0; i < events_.size(); ++i) {
+      first = std::min(first, Time(i));
+    }
+    position_.resize(events_.size());
+    for (const std::size_t index : order_) {
+      position_[index] = result_.entries.size();
+      result_.entries.push_back({process_of_[index], Time(index) - first, events_[index].record});
+    }
+  }
+
+  void Link() {
+    for (const causal_pair& pair : pairs_) {
+      result_.links.push_back({position_[pair.cause], position_[pair.effect]});
+    }
+  }
+
+  std::vector<recorded_event> events_;
+  std::vector<std::size_t> process_of_;
+  std::vector<causal_pair> pairs_;
+  std::vector<std::size_t> order_;
+  std::vector<std::size_t> position_;
+  timeline result_;
+};
+
+template <typename Predicate>
+timeline Select(const timeline& all, Predicate wanted) {
+  timeline result;
+  result.processes = all.processes;
+  result.contradictions = all.contradictions;
+  std::vector<std::optional<std::size_t>> place(all.entries.size());
+  for (std::size_t i = 0; i < all.entries.size(); ++i) {
+    if (wanted(all.entries[i])) {
+      place[i] = result.entries.size();
+      result.entries.push_back(all.entries[i]);
+    }
+  }
+  for (const timeline_link& link : all.links) {
+    if (place[link.cause] && place[link.effect]) {
+      result.links.push_back({*place[link.cause], *place[link.effect]});
+    }
+  }
+  return result;
+}
+
+}  // namespace
+
+void AppendEventLog(std::string_view text, std::string_view source, event_collection& out) {
+  std::size_t number = 0;
+  while (!text.empty()) {
+    const std::size_t end = std::min(text.find('\n'), text.size());
+    const std::string_view line = text.substr(0, end);
+    text.remove_prefix(std::min(end + 1, text.size()));
+    ++number;
+    if (line.empty()) {
+      continue;
+    }
+    failure error;
+    std::optional<recorded_event> one = ParseEvent(line, error);
+    if (one) {
+      out.events.push_back(std::move(*one));
+    } else {
+      out.skipped.push_back({std::string(source), number, error.reason});
+    }
+  }
+}
+
+timeline MergeTimeline(std::vector<recorded_event> events) {
+  return merger(InRecordedOrder(std::move(events))).Merge();
+}
+
+timeline SelectJob(const timeline& all, std::string_view job_id) {
+  return Select(all, [job_id](const timeline_entry& entry) { return entry.record.job_id == job_id; });
+}
+
+timeline SelectWindow(const timeline& all, duration from, duration to) {
+  return Select(all, [from, to](const timeline_entry& entry) { return entry.at >= from && entry.at <= to; });
+}
+
+}  // namespace bamboowing
