Check the guarantees of the system over a merged time line

Cause: no test or tool could say from the event logs of a run whether the guarantees held.

Change: CheckInvariants names doubled starts, partial, repeated, foreign and missing answers, false refusals, reverted configurations and work on targets that leave, and counts what it checked and how many events the logs miss. An event gains `idempotent`, and the kind target_resumed ends a drain. Refusals by an agent now bound its clock too.

Conclusion: a refusal of a job counts as false when any task of that job started before it, even for another call with the same job id, because the caller may then order the work elsewhere.

--- a/include/bamboowing/base/event.h
+++ b/include/bamboowing/base/event.h
@@ -41,12 +41,13 @@
   kProcessReady,
   kProcessDraining,
   kProcessStopped,
-  kCallReceived,  ///< a caller's submission arrived; `number` is the call, `count` the number of tasks
-  kCallAnswered,  ///< its answer was sent; `count` is the number of results, `error` is set unless it is complete
+  kCallReceived,   ///< a caller's submission arrived; `number` is the call, `count` the number of tasks
+  kCallAnswered,   ///< its answer was sent; `count` is the number of results, `error` is set unless it is complete
+  kTargetResumed,  ///< a draining target receives work again
 };
 
 /// Number of event kinds.
-inline constexpr int kEventKindCount = static_cast<int>(event_kind::kCallAnswered) + 1;
+inline constexpr int kEventKindCount = static_cast<int>(event_kind::kTargetResumed) + 1;
 
 /// Returns the name of @p kind in event logs, for example "job_accepted".
 std::string_view EventName(event_kind kind);
@@ -69,6 +70,7 @@
   std::optional<error_kind> error;  ///< why the job, task or call was refused or failed
   std::optional<not_run> ran;       ///< what the refusal or failure says about execution
   std::uint64_t sequence = 0;       ///< position in the process's event log, from 1; 0 when the log has no numbers
+  bool idempotent = false;          ///< the work may start more than once: an idempotent request
 };
 
 }  // namespace bamboowing
--- a/include/bamboowing/observe/causal_pairs.h
+++ b/include/bamboowing/observe/causal_pairs.h
@@ -18,7 +18,7 @@
 
 /// Finds the pairs in @p events, in which events of one process and incarnation stand in their recorded order:
 ///
-/// - task_sent at an entry before task_started at the agent;
+/// - task_sent at an entry before task_started or task_refused at the agent;
 /// - task_answered at the agent before task_answered at an entry, unless the entry records the target as lost;
 /// - task_refused at an agent before task_refused at an entry;
 /// - session_opened with the same `number` other than 0, at an agent and then at the entry whose `peer` is that agent;
--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -10,7 +10,7 @@
     "job_recovered",  "task_sent",        "task_started",    "task_answered", "task_refused",   "target_announced",
     "target_ejected", "target_restored",  "target_draining", "target_left",   "session_opened", "session_closed",
     "shard_claimed",  "shard_released",   "epoch_raised",    "lease_renewed", "lease_lost",     "config_applied",
-    "process_ready",  "process_draining", "process_stopped", "call_received", "call_answered"};
+    "process_ready",  "process_draining", "process_stopped", "call_received", "call_answered",  "target_resumed"};
 
 }  // namespace
 
--- a/src/observe/causal_pairs.cc
+++ b/src/observe/causal_pairs.cc
@@ -145,6 +145,9 @@
     for (const std::size_t started : task.started) {
       PairEarliest(task.sent, started);
     }
+    for (const std::size_t refused : task.refused_by_agent) {
+      PairEarliest(task.sent, refused);
+    }
     for (const std::size_t received : task.answer_received) {
       if (!IsLostTarget(events_[received].record)) {
         PairEarliest(task.answered_by_agent, received);
--- /dev/null
+++ b/src/observe/check_leaving.cc
@@ -0,0 +1,122 @@
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+
+#include "invariant_context.h"
+
+namespace bamboowing::detail {
+namespace {
+
+/// Why a target is leaving, each with the first event that says so.
+struct leaving_state {
+  std::optional<std::size_t> left;                      ///< until the target announces itself again
+  std::optional<std::size_t> drained;                   ///< until the operators clear the flag
+  std::map<std::size_t, std::size_t> draining_process;  ///< for the rest of the life of that process
+
+  std::optional<std::size_t> Since(std::size_t process) const {
+    if (left) {
+      return left;
+    }
+    if (drained) {
+      return drained;
+    }
+    const std::map<std::size_t, std::size_t>::const_iterator found = draining_process.find(process);
+    return found == draining_process.end() ? std::nullopt : std::optional<std::size_t>(found->second);
+  }
+};
+
+void SetOnce(std::optional<std::size_t>& place, std::size_t index) {
+  if (!place) {
+    place = index;
+  }
+}
+
+class leaving_check {
+ public:
+  explicit leaving_check(check_context& context) : context_(context) {
+    for (const timeline_process& process : context.all.processes) {
+      if (process.identity.role == "agent") {
+        agents_.insert(process.identity.id);
+      }
+    }
+  }
+
+  void Run() {
+    for (std::size_t i = 0; i < context_.all.entries.size(); ++i) {
+      const std::optional<std::string> target = TargetOf(context_.At(i));
+      if (target) {
+        Apply(i, targets_[*target]);
+      }
+    }
+  }
+
+ private:
+  /// The agent that the event is about: the recording agent, or the agent that an entry names as peer.
+  std::optional<std::string> TargetOf(const timeline_entry& entry) const {
+    const process_identity& recorder = context_.all.processes[entry.process].identity;
+    if (recorder.role == "agent") {
+      return recorder.id;
+    }
+    return agents_.count(entry.record.peer) != 0 ? std::optional<std::string>(entry.record.peer) : std::nullopt;
+  }
+
+  void Apply(std::size_t index, leaving_state& state) {
+    const timeline_entry& entry = context_.At(index);
+    const bool own = context_.all.processes[entry.process].identity.role == "agent";
+    switch (entry.record.kind) {
+      case event_kind::kTargetLeft:
+        CountFirst(state, entry.process);
+        SetOnce(state.left, index);
+        break;
+      case event_kind::kTargetDraining:
+        CountFirst(state, entry.process);
+        SetOnce(state.drained, index);
+        break;
+      case event_kind::kProcessDraining:
+        if (own) {
+          CountFirst(state, entry.process);
+          state.draining_process.emplace(entry.process, index);
+        }
+        break;
+      case event_kind::kTargetAnnounced:
+        if (own) {
+          state.left.reset();
+        }
+        break;
+      case event_kind::kTargetResumed:
+        state.drained.reset();
+        break;
+      case event_kind::kTaskStarted:
+        CheckStart(index, state);
+        break;
+      default:
+        break;
+    }
+  }
+
+  void CountFirst(const leaving_state& state, std::size_t process) {
+    context_.report.leaving_targets += state.Since(process) ? 0 : 1;
+  }
+
+  void CheckStart(std::size_t index, const leaving_state& state) {
+    const timeline_entry& start = context_.At(index);
+    const std::optional<std::size_t> since = state.Since(start.process);
+    if (!since || start.at - context_.At(*since).at <= context_.settings.leaving_bound) {
+      return;
+    }
+    context_.Add(invariant::kLateStart, {*since, index},
+                 NameOfWork(start.record.job_id, start.record.task) + " started, " + context_.Place(index) +
+                     ", on a target that is leaving since " + context_.Place(*since));
+  }
+
+  check_context& context_;
+  std::set<std::string> agents_;
+  std::map<std::string, leaving_state> targets_;
+};
+
+}  // namespace
+
+void CheckLeavingTargets(check_context& context) { leaving_check(context).Run(); }
+
+}  // namespace bamboowing::detail
--- /dev/null
+++ b/src/observe/check_refusals.cc
@@ -0,0 +1,143 @@
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "invariant_context.h"
+
+namespace bamboowing::detail {
+namespace {
+
+/// Events of one job that matter for the truth of refusals, as indices in ascending order.
+struct job_history {
+  std::vector<std::size_t> starts;
+  std::vector<std::size_t> submissions;  ///< a call, a relay or an acceptance: a later start may belong to it
+  std::vector<std::size_t> calls;        ///< call_received
+  std::vector<std::size_t> answers;      ///< call_answered
+  std::vector<std::size_t> denials;      ///< statements that the job was not run
+  std::vector<std::size_t> refusals;     ///< task_refused
+  std::vector<std::size_t> sent;         ///< task_sent
+};
+
+bool IsAboutJob(event_kind kind) {
+  return kind == event_kind::kJobRefused || kind == event_kind::kJobFailed || kind == event_kind::kJobCancelled ||
+         kind == event_kind::kCallAnswered;
+}
+
+void Collect(std::size_t index, const event& record, job_history& job) {
+  switch (record.kind) {
+    case event_kind::kTaskStarted:
+      job.starts.push_back(index);
+      break;
+    case event_kind::kCallReceived:
+      job.calls.push_back(index);
+      job.submissions.push_back(index);
+      break;
+    case event_kind::kJobRelayed:
+    case event_kind::kJobAccepted:
+    case event_kind::kJobRecovered:
+      job.submissions.push_back(index);
+      break;
+    case event_kind::kCallAnswered:
+      job.answers.push_back(index);
+      break;
+    case event_kind::kTaskSent:
+      job.sent.push_back(index);
+      break;
+    case event_kind::kTaskRefused:
+      job.refusals.push_back(index);
+      break;
+    default:
+      break;
+  }
+  if (IsAboutJob(record.kind) && StatesNotRun(record)) {
+    job.denials.push_back(index);
+  }
+}
+
+bool SameCall(const timeline_entry& a, const timeline_entry& b) {
+  return a.process == b.process && a.record.number == b.record.number;
+}
+
+/// Number of calls for the job that wait for their answer at @p index, without the call that the event there answers.
+std::size_t OtherOpenCalls(const check_context& context, const job_history& job, std::size_t index) {
+  std::size_t open = 0;
+  for (const std::size_t call : job.calls) {
+    const bool answered = std::any_of(job.answers.begin(), job.answers.end(), [&](std::size_t answer) {
+      return answer <= index && SameCall(context.At(answer), context.At(call));
+    });
+    open += call < index && !answered ? 1 : 0;
+  }
+  const bool is_answer = context.At(index).record.kind == event_kind::kCallAnswered;
+  return is_answer || open == 0 ? open : open - 1;
+}
+
+bool AnyBetween(const std::vector<std::size_t>& sorted, std::size_t from, std::size_t to) {
+  const std::vector<std::size_t>::const_iterator next = std::upper_bound(sorted.begin(), sorted.end(), from);
+  return next != sorted.end() && *next < to;
+}
+
+/// A start before the denial makes it false. A start after it does too, unless another submission can have caused it.
+void CheckDenial(check_context& context, const job_history& job, std::size_t denial) {
+  for (const std::size_t start : job.starts) {
+    const bool other = AnyBetween(job.submissions, denial, start) || OtherOpenCalls(context, job, denial) > 0;
+    if (start > denial && other) {
+      continue;
+    }
+    const event& record = context.At(start).record;
+    context.Add(invariant::kFalseRefusal, {denial, start},
+                NameOfWork(record.job_id, -1) + ": reported as not run by " + context.Place(denial) + ", but task " +
+                    std::to_string(record.task) + " started, " + context.Place(start));
+    return;
+  }
+}
+
+/// Whether @p start is the start that @p refusal denies. Without attempts in both events, a start counts only at the
+/// refusing process, and only when the task was not sent again after the refusal.
+bool Denies(const check_context& context, const job_history& job, std::size_t refusal, std::size_t start) {
+  const timeline_entry& refused = context.At(refusal);
+  const timeline_entry& started = context.At(start);
+  if (refused.record.task != started.record.task) {
+    return false;
+  }
+  if (refused.record.attempt >= 0 && started.record.attempt >= 0) {
+    return refused.record.attempt == started.record.attempt;
+  }
+  return refused.process == started.process && !AnyBetween(job.sent, refusal, start);
+}
+
+void CheckTaskRefusal(check_context& context, const job_history& job, std::size_t refusal) {
+  for (const std::size_t start : job.starts) {
+    if (!Denies(context, job, refusal, start)) {
+      continue;
+    }
+    const event& record = context.At(start).record;
+    context.Add(invariant::kFalseRefusal, {refusal, start},
+                NameOfWork(record.job_id, record.task) + ": refused as not run by " + context.Place(refusal) +
+                    ", but it started, " + context.Place(start));
+    return;
+  }
+}
+
+}  // namespace
+
+void CheckRefusals(check_context& context) {
+  std::map<std::string, job_history> jobs;
+  for (std::size_t i = 0; i < context.all.entries.size(); ++i) {
+    const event& record = context.At(i).record;
+    if (!record.job_id.empty()) {
+      Collect(i, record, jobs[record.job_id]);
+    }
+  }
+  for (const std::pair<const std::string, job_history>& one : jobs) {
+    const job_history& job = one.second;
+    context.report.refusals += job.denials.size() + job.refusals.size();
+    for (const std::size_t denial : job.denials) {
+      CheckDenial(context, job, denial);
+    }
+    for (const std::size_t refusal : job.refusals) {
+      CheckTaskRefusal(context, job, refusal);
+    }
+  }
+}
+
+}  // namespace bamboowing::detail
--- a/src/observe/event_line.cc
+++ b/src/observe/event_line.cc
@@ -93,6 +93,18 @@
     out = instant(duration(value->get<std::int64_t>()));
   }
 
+  void Flag(const char* key, bool& out) {
+    const json* value = Find(key);
+    if (value == nullptr) {
+      return;
+    }
+    if (!value->is_boolean()) {
+      Reject(key, *value, "true or false");
+      return;
+    }
+    out = value->get<bool>();
+  }
+
   void Incarnation(const char* key, incarnation& out) {
     std::string text;
     RequiredText(key, text);
@@ -184,6 +196,9 @@
   PutText(line, "peer", record.peer);
   PutPositive(line, "number", record.number);
   PutIndex(line, "count", record.count);
+  if (record.idempotent) {
+    line["idempotent"] = true;
+  }
   if (record.error) {
     line["error"] = ErrorRow(*record.error).name;
   }
@@ -213,6 +228,7 @@
   reader.Text("peer", record.peer);
   reader.Number("number", record.number);
   reader.Index("count", record.count);
+  reader.Flag("idempotent", record.idempotent);
   ReadError(reader, record);
   ReadNotRun(reader, record);
   reader.Text("detail", record.detail);
--- a/tests/observe/event_line_test.cc
+++ b/tests/observe/event_line_test.cc
@@ -19,6 +19,7 @@
   record.error = error_kind::kStaleEpoch;
   record.ran = not_run::kYes;
   record.sequence = 9;
+  record.idempotent = true;
   return record;
 }
 
@@ -45,6 +46,7 @@
   EXPECT_EQ(read->record.error, sent.error);
   EXPECT_EQ(read->record.ran, sent.ran);
   EXPECT_EQ(read->record.sequence, sent.sequence);
+  EXPECT_EQ(read->record.idempotent, sent.idempotent);
 }
 
 // Guards against a kind whose name cannot be read back, and against empty fields in the line.
@@ -80,7 +82,8 @@
                                                        {"\"error\":\"stale_epoch\"", "\"error\":\"bad\""},
                                                        {"\"process\":\"entry-1\"", "\"process\":7"},
                                                        {"\"incarnation\":\"1844", "\"incarnation\":\"x1844"},
-                                                       {"\"sequence\":9", "\"sequence\":9.5"}};
+                                                       {"\"sequence\":9", "\"sequence\":9.5"},
+                                                       {"\"idempotent\":true", "\"idempotent\":1"}};
   for (const std::pair<std::string, std::string>& wrong : cases) {
     std::string line = good;
     const std::size_t place = line.find(wrong.first);
--- /dev/null
+++ b/tests/observe/invariants_test.cc
@@ -0,0 +1,224 @@
+#include "bamboowing/observe/invariants.h"
+
+#include <gtest/gtest.h>
+
+#include "timeline_builder.h"
+
+namespace bamboowing {
+namespace {
+
+using kind = event_kind;
+
+constexpr std::int64_t kSecond = 1'000'000;
+
+/// A run without faults: a refused and moved task, a relayed job, a drained and resumed target, a resubmission.
+log_builder GoodRun() {
+  log_builder log;
+  log.Process("entry-1", "entry", duration(40 * kSecond));
+  log.Process("entry-2", "entry");
+  log.Process("agent-1", "agent", duration(7 * kSecond));
+  log.Process("agent-2", "agent");
+  log.At(0, "entry-1", kind::kConfigApplied).number = 3;
+  log.At(1, "entry-2", kind::kConfigApplied).number = 2;
+  event& call = log.At(1000, "entry-1", kind::kCallReceived, "a");
+  call.number = 1;
+  call.count = 1;
+  log.At(1001, "entry-1", kind::kJobRelayed, "a").peer = "entry-2";
+  event& accepted = log.At(2000, "entry-2", kind::kJobAccepted, "a");
+  accepted.count = 1;
+  accepted.peer = "entry-1";
+  log.At(2001, "entry-2", kind::kTaskSent, "a", 0).attempt = 0;
+  event& refused = log.At(3000, "agent-1", kind::kTaskRefused, "a", 0);
+  refused.attempt = 0;
+  refused.error = error_kind::kNoSlot;
+  log.At(4000, "entry-2", kind::kTaskSent, "a", 0).attempt = 1;
+  log.At(5000, "agent-2", kind::kTaskStarted, "a", 0).attempt = 1;
+  log.At(6000, "agent-2", kind::kTaskAnswered, "a", 0).attempt = 1;
+  log.At(7000, "entry-2", kind::kTaskAnswered, "a", 0).attempt = 1;
+  log.At(7001, "entry-2", kind::kJobCompleted, "a").count = 1;
+  event& answer = log.At(8000, "entry-1", kind::kCallAnswered, "a");
+  answer.number = 1;
+  answer.count = 1;
+  log.At(9000, "agent-1", kind::kTargetDraining);
+  log.At(9000 + 20 * kSecond, "agent-1", kind::kTargetResumed);
+  log.At(9001 + 20 * kSecond, "agent-1", kind::kTaskStarted, "later", 0);
+  log.At(30 * kSecond, "entry-1", kind::kConfigApplied).number = 4;
+  event& second = log.At(31 * kSecond, "entry-1", kind::kCallReceived, "b");
+  second.number = 2;
+  second.count = 1;
+  event& overloaded = log.At(31 * kSecond + 5, "entry-1", kind::kCallAnswered, "b");
+  overloaded.number = 2;
+  overloaded.error = error_kind::kOverloaded;
+  event& third = log.At(32 * kSecond, "entry-1", kind::kCallReceived, "b");
+  third.number = 3;
+  third.count = 1;
+  log.At(32 * kSecond + 10, "agent-2", kind::kTaskStarted, "b", 0);
+  return log;
+}
+
+/// Checks that the run has exactly one violation, of @p rule, whose text contains @p part.
+void ExpectOnly(const log_builder& log, invariant rule, const std::string& part) {
+  const timeline merged = log.Merge();
+  const invariant_report report = CheckInvariants(merged);
+  ASSERT_EQ(report.violations.size(), 1U) << (report.violations.empty() ? "none" : report.violations.back().text);
+  EXPECT_EQ(report.violations[0].rule, rule) << report.violations[0].text;
+  EXPECT_NE(report.violations[0].text.find(part), std::string::npos) << report.violations[0].text;
+  EXPECT_FALSE(report.violations[0].entries.empty());
+}
+
+// Guards against false alarms, and against a checker that does not look at the events at all.
+TEST(Invariants, AcceptAGoodRunAndCountWhatWasChecked) {
+  const timeline merged = GoodRun().Merge();
+  const invariant_report report = CheckInvariants(merged);
+  EXPECT_TRUE(report.violations.empty()) << report.violations[0].text;
+  EXPECT_EQ(report.starts, 3U);
+  EXPECT_EQ(report.answers, 2U);
+  EXPECT_EQ(report.refusals, 2U);
+  EXPECT_EQ(report.configurations, 3U);
+  EXPECT_EQ(report.leaving_targets, 1U);
+  EXPECT_EQ(report.missing_events, 0U);
+}
+
+// Guards against a missed second start: at another target, or at the same one under a new attempt.
+TEST(Invariants, NameADoubledStart) {
+  log_builder log = GoodRun();
+  log.At(33 * kSecond, "agent-1", kind::kTaskStarted, "a", 0).attempt = 2;
+  ExpectOnly(log, invariant::kStartedTwice, "job a task 0 started 2 times");
+  log_builder same = GoodRun();
+  same.At(33 * kSecond, "agent-2", kind::kTaskStarted, "a", 0).attempt = 1;
+  ExpectOnly(same, invariant::kStartedTwice, "agent-2");
+}
+
+// Guards against an alarm for a retried request that the caller marked idempotent.
+TEST(Invariants, AllowSeveralStartsOfAnIdempotentRequest) {
+  log_builder log = GoodRun();
+  log.At(33 * kSecond, "agent-1", kind::kTaskStarted, "r", 0).idempotent = true;
+  log.At(34 * kSecond, "agent-2", kind::kTaskStarted, "r", 0).idempotent = true;
+  EXPECT_TRUE(CheckInvariants(log.Merge()).violations.empty());
+}
+
+// Guards against a missed partial answer, to the caller or in the record of the home.
+TEST(Invariants, NameAPartialAnswer) {
+  log_builder log = GoodRun();
+  event& call = log.At(33 * kSecond, "entry-1", kind::kCallReceived, "p");
+  call.number = 9;
+  call.count = 180;
+  event& answer = log.At(34 * kSecond, "entry-1", kind::kCallAnswered, "p");
+  answer.number = 9;
+  answer.count = 179;
+  ExpectOnly(log, invariant::kPartialAnswer, "179 results for 180 tasks");
+
+  log_builder home = GoodRun();
+  home.At(33 * kSecond, "entry-2", kind::kJobAccepted, "p").count = 3;
+  home.At(34 * kSecond, "entry-2", kind::kJobCompleted, "p").count = 2;
+  ExpectOnly(home, invariant::kPartialAnswer, "complete with 2 results for 3 tasks");
+
+  log_builder failed = GoodRun();
+  event& with_results = failed.At(34 * kSecond, "entry-1", kind::kCallAnswered, "p");
+  with_results.number = 9;
+  with_results.count = 2;
+  with_results.error = error_kind::kTargetFailed;
+  ExpectOnly(failed, invariant::kPartialAnswer, "failed, but with 2 results");
+}
+
+// Guards against a caller who gets two answers, somebody else's answer, or none.
+TEST(Invariants, NameAWrongNumberOfAnswers) {
+  log_builder twice = GoodRun();
+  event& again = twice.At(33 * kSecond, "entry-1", kind::kCallAnswered, "a");
+  again.number = 1;
+  again.count = 1;
+  ExpectOnly(twice, invariant::kAnsweredTwice, "call 1 for job a");
+
+  log_builder foreign = GoodRun();
+  foreign.At(33 * kSecond, "entry-2", kind::kCallReceived, "mine").number = 5;
+  event& other = foreign.At(34 * kSecond, "entry-2", kind::kCallAnswered, "other");
+  other.number = 5;
+  ExpectOnly(foreign, invariant::kForeignAnswer, "job mine");
+
+  log_builder none = GoodRun();
+  none.At(40 * kSecond, "entry-1", kind::kProcessStopped);
+  ExpectOnly(none, invariant::kNotAnswered, "call 3 for job b");
+}
+
+// Guards against a missed false refusal of a job: work started before the refusal, or after it without a new call.
+TEST(Invariants, NameAFalseRefusalOfAJob) {
+  log_builder before = GoodRun();
+  event& late = before.At(33 * kSecond, "entry-2", kind::kJobRefused, "a");
+  late.error = error_kind::kOverloaded;
+  ExpectOnly(before, invariant::kFalseRefusal, "job a: reported as not run by entry-2");
+
+  log_builder after = GoodRun();
+  event& refused = after.At(33 * kSecond, "entry-2", kind::kJobRefused, "c");
+  refused.error = error_kind::kTargetLost;
+  refused.ran = not_run::kYes;
+  after.At(34 * kSecond, "agent-1", kind::kTaskStarted, "c", 4);
+  ExpectOnly(after, invariant::kFalseRefusal, "task 4 started, agent-1");
+}
+
+// Guards against an alarm where the caller was told that the outcome is not known.
+TEST(Invariants, AllowAFailureThatDoesNotClaimNotRun) {
+  log_builder log = GoodRun();
+  event& failed = log.At(33 * kSecond, "entry-2", kind::kJobFailed, "a");
+  failed.error = error_kind::kOverloaded;
+  failed.ran = not_run::kUnknown;
+  EXPECT_TRUE(CheckInvariants(log.Merge()).violations.empty());
+}
+
+// Guards against a missed false refusal of a task, with and without attempts in the log.
+TEST(Invariants, NameAFalseRefusalOfATask) {
+  log_builder log = GoodRun();
+  log.At(33 * kSecond, "agent-2", kind::kTaskRefused, "a", 0).attempt = 1;
+  ExpectOnly(log, invariant::kFalseRefusal, "job a task 0: refused as not run by agent-2");
+
+  log_builder plain = GoodRun();
+  plain.At(33 * kSecond, "agent-2", kind::kTaskRefused, "d", 0);
+  plain.At(34 * kSecond, "agent-2", kind::kTaskStarted, "d", 0);
+  ExpectOnly(plain, invariant::kFalseRefusal, "job d task 0: refused as not run by agent-2");
+}
+
+// Guards against a missed reverted configuration; another process may be behind.
+TEST(Invariants, NameARevertedConfiguration) {
+  log_builder log = GoodRun();
+  log.At(33 * kSecond, "entry-2", kind::kConfigApplied).number = 3;
+  EXPECT_TRUE(CheckInvariants(log.Merge()).violations.empty());
+  log.At(34 * kSecond, "entry-1", kind::kConfigApplied).number = 3;
+  ExpectOnly(log, invariant::kConfigReverted, "applied configuration version 3 after version 4");
+}
+
+// Guards against missed late work, whoever recorded that the target leaves; work within the bound is allowed.
+TEST(Invariants, NameLateWork) {
+  for (const kind leaving : {kind::kTargetLeft, kind::kTargetDraining, kind::kProcessDraining}) {
+    log_builder log = GoodRun();
+    log.At(40 * kSecond, "agent-1", leaving);
+    log.At(45 * kSecond, "agent-1", kind::kTaskStarted, "in_time", 0);
+    EXPECT_TRUE(CheckInvariants(log.Merge()).violations.empty());
+    log.At(45 * kSecond + 1, "agent-1", kind::kTaskStarted, "late", 0);
+    ExpectOnly(log, invariant::kLateStart, "job late task 0 started, agent-1");
+  }
+  log_builder entry = GoodRun();
+  entry.At(40 * kSecond, "entry-1", kind::kTargetDraining).peer = "agent-2";
+  entry.At(46 * kSecond, "agent-2", kind::kTaskStarted, "late", 0);
+  ExpectOnly(entry, invariant::kLateStart, "agent-2");
+}
+
+// Guards against a target that is taken for leaving after it announced itself again.
+TEST(Invariants, AllowWorkAfterATargetReturns) {
+  log_builder log = GoodRun();
+  log.At(40 * kSecond, "agent-1", kind::kTargetLeft);
+  log.At(50 * kSecond, "agent-1", kind::kTargetAnnounced);
+  log.At(51 * kSecond, "agent-1", kind::kTaskStarted, "new", 0);
+  EXPECT_TRUE(CheckInvariants(log.Merge()).violations.empty());
+}
+
+// Guards against a clean report over a log that lost events.
+TEST(Invariants, CountMissingEvents) {
+  log_builder log;
+  log.Process("entry-1", "entry");
+  log.At(1, "entry-1", kind::kLeaseRenewed).sequence = 3;
+  log.At(2, "entry-1", kind::kLeaseRenewed).sequence = 4;
+  log.At(3, "entry-1", kind::kLeaseRenewed).sequence = 8;
+  EXPECT_EQ(CheckInvariants(log.Merge()).missing_events, 5U);
+}
+
+}  // namespace
+}  // namespace bamboowing
--- a/tests/observe/timeline_test.cc
+++ b/tests/observe/timeline_test.cc
@@ -135,6 +135,20 @@
   EXPECT_EQ(merged.processes[merged.entries[merged.links[1].cause].process].label, "entry-2");
 }
 
+// Guards against an agent whose clock stays unbounded because it refuses all it gets.
+TEST(Timeline, PairsRefusals) {
+  log_builder log;
+  log.Process("entry-1", "entry", duration(5'000'000));
+  log.Process("agent-1", "agent");
+  log.At(0, "entry-1", kind::kTaskSent, "a", 0).attempt = 3;
+  log.At(10, "agent-1", kind::kTaskRefused, "a", 0).attempt = 3;
+  log.At(20, "entry-1", kind::kTaskRefused, "a", 0).attempt = 3;
+  const timeline merged = log.Merge();
+  EXPECT_EQ(merged.links.size(), 2U);
+  EXPECT_EQ(merged.entries[1].at, duration(10));
+  EXPECT_EQ(merged.processes[merged.entries[1].process].label, "agent-1");
+}
+
 // Guards against relays and sessions that do not bound the clocks of entries.
 TEST(Timeline, PairsRelaysAndSessions) {
   log_builder log;
