Join the decisions, the network and the daemons into one path

Cause: a caller's job must travel from an entry over the home of its shard to agents beside minions, and its whole answer back.

--- /dev/null
+++ b/include/bamboowing/entry/agent_sessions.h
@@ -0,0 +1,89 @@
+/// @file
+/// The sessions of agents with this entry, and the batch that is being filled for each.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "bamboowing/entry/io.h"
+#include "bamboowing/message/batch.h"
+
+namespace bamboowing {
+
+/// One agent's session.
+struct agent_session {
+  session_id id = 0;
+  std::string agent;
+  incarnation life = 0;                       ///< 0 until the first batch
+  std::optional<target_announcement> target;  ///< newest announcement
+  shard_id shard;                             ///< shard of the target; empty service until it is announced
+  epoch highest_epoch = 0;                    ///< highest epoch that the agent reported
+  instant heard;                              ///< when the newest batch arrived
+  instant sent;                               ///< when the newest batch was sent
+  instant peer_clock;                         ///< agent's clock in the newest batch
+  instant confirmed;                          ///< our clock that the agent echoed last
+  config_version config = 0;
+  entry_batch pending;    ///< what the next batch will carry
+  bool excluded = false;  ///< the operators drain the target or forbid it to serve the service
+  bool closing = false;   ///< the session was silent for too long and is being closed
+  bool dirty = false;     ///< whether `pending` must be sent at the end of this iteration
+};
+
+/// Identity that this entry puts into headers.
+struct entry_identity {
+  std::string id;
+  incarnation life = 0;
+  std::string peers_address;
+  std::string failure_domain;
+};
+
+/// Holds all sessions. An agent has at most one; a newer session of the same agent replaces the older.
+class agent_sessions {
+ public:
+  explicit agent_sessions(entry_identity self) : self_(std::move(self)) {}
+
+  /// Adds a session. Returns the id of the older session of the same agent, which the caller closes.
+  std::optional<session_id> Open(session_id id, std::string agent, instant now);
+
+  /// Removes a session; returns the agent's id, or nullopt if the session is not the agent's present one.
+  std::optional<std::string> Close(session_id id);
+
+  /// Takes over header and announcement of a batch. Returns nullptr for an unknown session.
+  agent_session* OnBatch(session_id id, const agent_batch& batch, instant now);
+
+  agent_session* Find(session_id id);
+  agent_session* FindAgent(std::string_view agent);
+
+  /// Marks the session's pending batch as to be sent and returns it.
+  entry_batch& Outgoing(agent_session& session);
+
+  /// Appends a send action for each marked batch. @p epoch_of gives the epoch of a shard for the header.
+  void Flush(instant now, config_version config, const std::map<shard_id, epoch>& epochs,
+             std::vector<entry_action>& out);
+
+  /// Marks every session that has sent nothing for @p interval, so that Flush() sends a heartbeat.
+  void MarkIdle(instant now, duration interval, const std::map<shard_id, epoch>& homes, duration home_interval);
+
+  /// All sessions, by id.
+  const std::map<session_id, agent_session>& all() const { return sessions_; }
+  std::map<session_id, agent_session>& all() { return sessions_; }
+
+  /// Batches that carried no work, in each direction.
+  std::uint64_t heartbeats_sent() const { return heartbeats_sent_; }
+  std::uint64_t heartbeats_received() const { return heartbeats_received_; }
+
+  const entry_identity& self() const { return self_; }
+
+ private:
+  entry_identity self_;
+  std::map<session_id, agent_session> sessions_;
+  std::map<std::string, session_id, std::less<>> by_agent_;
+  std::uint64_t heartbeats_sent_ = 0;
+  std::uint64_t heartbeats_received_ = 0;
+};
+
+}  // namespace bamboowing
--- a/include/bamboowing/entry/job_table.h
+++ b/include/bamboowing/entry/job_table.h
@@ -30,6 +30,19 @@
   caller_reply reply;
 };
 
+/// A route that waits for the end of a job, and until when.
+struct routed_wait {
+  reply_route route;
+  instant until;
+};
+
+/// A job that must be passed on because this entry is no longer home of its shard.
+struct displaced_job {
+  job_spec job;
+  std::vector<routed_wait> waits;
+  instant accepted;
+};
+
 /// Bounds of a job_table.
 struct job_table_limits {
   duration retention = std::chrono::minutes(10);  ///< how long a finished job's answer is kept
@@ -56,6 +69,9 @@
   /// Adds an accepted job, with the route that waits for it.
   void Add(const job_spec& job, reply_route route, duration wait_limit, instant now);
 
+  /// Answers @p route with a refusal; the job is not added.
+  void Refuse(const std::string& job_id, reply_route route, failure why);
+
   /// Waits for or reports a job on behalf of a status call. Returns false if the job is unknown.
   bool Watch(std::string_view job_id, reply_route route, duration wait_limit, instant now);
 
@@ -65,6 +81,15 @@
   /// Ends an unfinished job as failed. Returns false if the job is unknown or has ended.
   bool Fail(std::string_view job_id, failure why, instant now);
 
+  /// Notes that a task of the job was sent to an agent.
+  void MarkStarted(std::string_view job_id);
+
+  /// What can be said about execution when the job fails now: kYes only if no task was ever sent to an agent.
+  not_run ExecutionStatement(std::string_view job_id) const;
+
+  /// Removes all jobs that have not ended, with their routes, and appends them to @p out. Nothing is answered.
+  void TakeOpen(std::vector<displaced_job>& out);
+
   /// Adds to the number of messages that the job caused.
   void CountMessages(std::string_view job_id, std::uint32_t messages);
 
@@ -97,10 +122,6 @@
   std::size_t retained_bytes() const { return retained_bytes_; }
 
  private:
-  struct waiter {
-    reply_route route;
-    instant until;
-  };
   struct job_record {
     job_spec spec;
     std::uint64_t fingerprint = 0;
@@ -112,7 +133,8 @@
     std::optional<failure> error;
     duration ideal{0};
     std::uint32_t messages = 0;
-    std::vector<waiter> waiters;
+    bool started = false;
+    std::vector<routed_wait> waiters;
     bool results_dropped = false;
     bool delivered = false;
   };
--- /dev/null
+++ b/include/bamboowing/entry/registration.h
@@ -0,0 +1,43 @@
+/// @file
+/// Keeps this entry's registration in the key-value service.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "bamboowing/entry/directory.h"
+#include "bamboowing/entry/entry_settings.h"
+#include "bamboowing/entry/io.h"
+
+namespace bamboowing {
+
+/// Writes `entries/ID` under a lease and renews the lease. An older registration of the same id, left by an earlier
+/// incarnation, is overwritten. While the store is down the calls are repeated at the renewal interval.
+class registration {
+ public:
+  explicit registration(const entry_settings& settings) : settings_(settings) {}
+
+  /// Handles the result of one of its calls. Returns false if the call is not one of them.
+  bool OnResult(std::uint64_t call, const store_result& result, instant now);
+
+  /// Appends the call that is due. @p next_id gives ids to calls.
+  void OnTick(instant now, std::uint64_t& next_id, std::vector<entry_action>& out);
+  instant next_wakeup() const { return due_; }
+
+  /// Ends the lease, and with it the registration.
+  void Revoke(std::uint64_t& next_id, std::vector<entry_action>& out);
+
+ private:
+  enum class step : std::uint8_t { kGrant, kRead, kWrite, kRenew, kEnded };
+
+  entry_settings settings_;
+  step step_ = step::kGrant;
+  std::uint64_t call_ = 0;  ///< call under way; 0 if none
+  instant sent_at_;
+  instant due_;
+  lease_id lease_ = 0;
+  store_version version_ = 0;
+};
+
+}  // namespace bamboowing
--- /dev/null
+++ b/include/bamboowing/service/store_duty.h
@@ -0,0 +1,33 @@
+/// @file
+/// The entry's duty for the key-value service.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string_view>
+
+#include "bamboowing/base/error.h"
+#include "bamboowing/entry/io.h"
+
+namespace bamboowing {
+
+/// Makes the calls that the decisions ask for and hands their results back. All keys get the prefix "bamboowing/".
+class store_duty {
+ public:
+  /// Receives results. Called from threads of the HTTP client's pool; must not wait long.
+  struct sinks {
+    std::function<void(std::uint64_t call, store_result result)> result;
+    std::function<void(std::uint64_t call, watch_result result)> watch;
+  };
+
+  /// @param address "IP:PORT" of the service. Opens no connection yet. Returns nullptr and fills @p why if the address
+  /// is malformed.
+  static std::unique_ptr<store_duty> Open(std::string_view address, sinks out, failure& why);
+
+  virtual ~store_duty() = default;
+
+  /// Makes one call; its result comes once, after at most a second beyond the wait of a watch.
+  virtual void Call(const call_store& what) = 0;
+};
+
+}  // namespace bamboowing
--- a/schema/wire.capnp
+++ b/schema/wire.capnp
@@ -77,6 +77,8 @@
   inventory @6 :List(HeldTask);
   inventoryOf @7 :UInt64;
   statusReply @8 :Bool;
+  shardService @9 :Text;
+  shardIndex @10 :UInt32;
 }
 
 struct TaskSpec {
--- /dev/null
+++ b/src/entry/agent_sessions.cc
@@ -0,0 +1,112 @@
+#include "bamboowing/entry/agent_sessions.h"
+
+#include <utility>
+
+namespace bamboowing {
+namespace {
+
+bool CarriesWork(const entry_batch& batch) { return !batch.starts.empty() || !batch.cancels.empty(); }
+
+bool CarriesWork(const agent_batch& batch) { return !batch.answers.empty() || !batch.refusals.empty(); }
+
+}  // namespace
+
+std::optional<session_id> agent_sessions::Open(session_id id, std::string agent, instant now) {
+  std::optional<session_id> replaced;
+  const std::map<std::string, session_id, std::less<>>::iterator older = by_agent_.find(agent);
+  if (older != by_agent_.end()) {
+    replaced = older->second;
+    sessions_.erase(older->second);
+  }
+  by_agent_[agent] = id;
+  agent_session& added = sessions_[id];
+  added.id = id;
+  added.agent = std::move(agent);
+  added.heard = now;
+  added.sent = now;
+  return replaced;
+}
+
+std::optional<std::string> agent_sessions::Close(session_id id) {
+  const std::map<session_id, agent_session>::iterator found = sessions_.find(id);
+  if (found == sessions_.end()) {
+    return std::nullopt;
+  }
+  std::string agent = std::move(found->second.agent);
+  sessions_.erase(found);
+  by_agent_.erase(agent);
+  return agent;
+}
+
+agent_session* agent_sessions::OnBatch(session_id id, const agent_batch& batch, instant now) {
+  agent_session* session = Find(id);
+  if (session == nullptr) {
+    return nullptr;
+  }
+  heartbeats_received_ += CarriesWork(batch) ? 0 : 1;
+  session->life = batch.header.life;
+  session->heard = now;
+  session->highest_epoch = std::max(session->highest_epoch, batch.header.shard_epoch);
+  session->config = batch.header.config;
+  session->peer_clock = std::max(session->peer_clock, batch.header.sent_at);
+  if (batch.header.echo_life == self_.life) {
+    session->confirmed = std::max(session->confirmed, batch.header.echo);
+  }
+  if (batch.target) {
+    session->target = batch.target;
+  }
+  return session;
+}
+
+agent_session* agent_sessions::Find(session_id id) {
+  const std::map<session_id, agent_session>::iterator found = sessions_.find(id);
+  return found == sessions_.end() ? nullptr : &found->second;
+}
+
+agent_session* agent_sessions::FindAgent(std::string_view agent) {
+  const std::map<std::string, session_id, std::less<>>::iterator found = by_agent_.find(agent);
+  return found == by_agent_.end() ? nullptr : Find(found->second);
+}
+
+entry_batch& agent_sessions::Outgoing(agent_session& session) {
+  session.dirty = true;
+  return session.pending;
+}
+
+void agent_sessions::Flush(instant now, config_version config, const std::map<shard_id, epoch>& epochs,
+                           std::vector<entry_action>& out) {
+  for (std::pair<const session_id, agent_session>& item : sessions_) {
+    agent_session& session = item.second;
+    if (!session.dirty) {
+      continue;
+    }
+    session.dirty = false;
+    session.sent = now;
+    entry_batch batch = std::exchange(session.pending, entry_batch());
+    heartbeats_sent_ += CarriesWork(batch) ? 0 : 1;
+    batch.shard = session.shard;
+    batch.draining = session.excluded;
+    batch.header.sender = self_.id;
+    batch.header.life = self_.life;
+    batch.header.sent_at = now;
+    batch.header.echo = session.peer_clock;
+    batch.header.echo_life = session.life;
+    batch.header.config = config;
+    const std::map<shard_id, epoch>::const_iterator known = epochs.find(session.shard);
+    batch.header.shard_epoch = known == epochs.end() ? 0 : known->second;
+    out.emplace_back(send_to_agent{session.id, std::move(batch)});
+  }
+}
+
+void agent_sessions::MarkIdle(instant now, duration interval, const std::map<shard_id, epoch>& homes,
+                              duration home_interval) {
+  for (std::pair<const session_id, agent_session>& item : sessions_) {
+    agent_session& session = item.second;
+    const duration limit = homes.count(session.shard) > 0 ? home_interval : interval;
+    if (now - session.sent >= limit) {
+      session.dirty = true;
+    }
+  }
+}
+
+}  // namespace bamboowing
--- /dev/null
+++ b/src/entry/directory.cc
@@ -0,0 +1,119 @@
+#include "bamboowing/entry/directory.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bamboowing {
+namespace {
+
+constexpr std::string_view kHolderSuffix = "/holder";
+
+bool StartsWith(std::string_view text, std::string_view prefix) { return text.substr(0, prefix.size()) == prefix; }
+
+/// Reads the shard from a key like "shards/SERVICE/N/holder".
+std::optional<shard_id> ShardOfHolderKey(std::string_view key) {
+  const std::size_t fixed = kShardsPrefix.size() + kHolderSuffix.size();
+  if (!StartsWith(key, kShardsPrefix) || key.size() <= fixed ||
+      key.substr(key.size() - kHolderSuffix.size()) != kHolderSuffix) {
+    return std::nullopt;
+  }
+  const std::string_view middle = key.substr(kShardsPrefix.size(), key.size() - fixed);
+  const std::size_t slash = middle.rfind('/');
+  if (slash == std::string_view::npos || slash + 1 == middle.size()) {
+    return std::nullopt;
+  }
+  const std::string index(middle.substr(slash + 1));
+  if (index.find_first_not_of("0123456789") != std::string::npos || index.size() > 6) {
+    return std::nullopt;
+  }
+  return shard_id{std::string(middle.substr(0, slash)), static_cast<std::uint32_t>(std::stoul(index))};
+}
+
+}  // namespace
+
+std::string RegistrationKey(std::string_view entry_id) { return std::string(kEntriesPrefix) + std::string(entry_id); }
+
+std::string FormatRegistration(const entry_identity& entry) {
+  nlohmann::ordered_json json;
+  json["id"] = entry.id;
+  json["life"] = entry.life;
+  json["peers_address"] = entry.peers_address;
+  json["failure_domain"] = entry.failure_domain;
+  return json.dump();
+}
+
+std::optional<entry_identity> ParseRegistration(std::string_view text) {
+  const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+  if (!json.is_object() || !json.contains("id") || !json["id"].is_string() || !json.contains("life") ||
+      !json["life"].is_number_unsigned() || !json.contains("peers_address") || !json["peers_address"].is_string()) {
+    return std::nullopt;
+  }
+  entry_identity entry;
+  entry.id = json["id"].get<std::string>();
+  entry.life = json["life"].get<std::uint64_t>();
+  entry.peers_address = json["peers_address"].get<std::string>();
+  if (json.contains("failure_domain") && json["failure_domain"].is_string()) {
+    entry.failure_domain = json["failure_domain"].get<std::string>();
+  }
+  return entry;
+}
+
+void directory::Apply(const watch_result& result) {
+  if (!result.answered) {
+    return;
+  }
+  if (result.complete) {
+    entries_.clear();
+    holders_.clear();
+  }
+  for (const std::string& key : result.deleted) {
+    Remove(key);
+  }
+  for (const store_item& item : result.items) {
+    ApplyItem(item);
+  }
+}
+
+std::optional<shard_holder> directory::Holder(const shard_id& shard) const {
+  const std::map<shard_id, shard_holder>::const_iterator found = holders_.find(shard);
+  if (found == holders_.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+void directory::ApplyItem(const store_item& item) {
+  if (item.key == kConfigKey) {
+    if (item.version > config_.version) {
+      config_ = item;
+    }
+    return;
+  }
+  if (StartsWith(item.key, kEntriesPrefix)) {
+    if (std::optional<entry_identity> entry = ParseRegistration(item.value); entry) {
+      entries_[entry->id] = std::move(*entry);
+    }
+    return;
+  }
+  if (const std::optional<shard_id> shard = ShardOfHolderKey(item.key); shard) {
+    failure why;
+    if (std::optional<shard_holder> holder = DecodeShardHolder(item.value, why); holder) {
+      holders_[*shard] = std::move(*holder);
+    }
+  }
+}
+
+void directory::Remove(std::string_view key) {
+  if (StartsWith(key, kEntriesPrefix)) {
+    const std::map<std::string, entry_identity, std::less<>>::iterator found =
+        entries_.find(key.substr(kEntriesPrefix.size()));
+    if (found != entries_.end()) {
+      entries_.erase(found);
+    }
+    return;
+  }
+  if (const std::optional<shard_id> shard = ShardOfHolderKey(key); shard) {
+    holders_.erase(*shard);
+  }
+}
+
+}  // namespace bamboowing
--- /dev/null
+++ b/src/entry/entry_core.cc
@@ -0,0 +1,612 @@
+#include "bamboowing/entry/entry_core.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+#include <variant>
+
+namespace bamboowing {
+namespace {
+
+template <typename Call>
+Call WithLocalId(Call call, store_call_id& local) {
+  local = call.call;
+  return call;
+}
+
+}  // namespace
+
+entry_core::entry_core(const entry_settings& settings, std::uint64_t seed, instant now)
+    : settings_(settings),
+      random_(seed),
+      sessions_(settings.self),
+      watcher_(settings),
+      registration_(settings),
+      router_(settings),
+      retry_due_(now) {}
+
+void entry_core::OnCall(call_id call, caller_request request, instant now) {
+  const reply_route route{false, call};
+  open_calls_.insert(call);
+  if (request.verb != caller_verb::kSubmit) {
+    LookUp(std::move(request), route, now);
+    return;
+  }
+  if (draining_) {
+    caller_reply reply;
+    reply.job_id = request.job.job_id;
+    reply.error = failure(error_kind::kDraining, "this entry is shutting down");
+    Reply(route, std::move(reply));
+    return;
+  }
+  if (request.job.job_id.empty()) {
+    char id[40];
+    std::snprintf(id, sizeof(id), "%016llx-%016llx", static_cast<unsigned long long>(settings_.self.life),
+                  static_cast<unsigned long long>(random_.Next()));
+    request.job.job_id = id;
+    request.job.generated_id = true;
+  }
+  Accept({std::move(request), route, now, now, false, "", 0}, now);
+}
+
+void entry_core::OnCallerGone(call_id call, instant) {
+  const reply_route route{false, call};
+  open_calls_.erase(call);
+  router_.Forget(route);
+  for (std::pair<const shard_id, std::unique_ptr<shard_home>>& item : shards_) {
+    item.second->Forget(route);
+  }
+}
+
+void entry_core::OnSessionOpened(session_id session, std::string agent, instant now) {
+  const std::optional<session_id> replaced = sessions_.Open(session, agent, now);
+  if (replaced) {
+    actions_.emplace_back(close_agent_session{*replaced});
+  }
+  RecordEvent(event_kind::kSessionOpened, now, std::move(agent), 0, "");
+}
+
+void entry_core::OnSessionClosed(session_id session, instant now) {
+  const std::optional<std::string> agent = sessions_.Close(session);
+  if (!agent) {
+    return;
+  }
+  RecordEvent(event_kind::kSessionClosed, now, *agent, 0, "");
+  for (std::pair<const shard_id, std::unique_ptr<shard_home>>& item : shards_) {
+    item.second->OnAgentDetached(*agent, now);
+  }
+}
+
+void entry_core::OnAgentBatch(session_id id, const agent_batch& batch, instant now) {
+  agent_session* session = sessions_.OnBatch(id, batch, now);
+  if (session == nullptr) {
+    return;
+  }
+  if (batch.header.config > config() && !watcher_.answered()) {
+    const std::set<std::string> homes = OtherHomes();
+    if (!homes.empty()) {
+      NoteConfigOfPeer(batch.header.config, *homes.begin());
+    }
+  }
+  AttachSession(*session, now);
+  const std::map<shard_id, std::unique_ptr<shard_home>>::iterator home = shards_.find(session->shard);
+  if (home != shards_.end()) {
+    home->second->OnAgentBatch(*session, batch, now);
+  }
+}
+
+void entry_core::OnRelayRequest(relay_id relay, relay_request request, instant now) {
+  const reply_route route{true, relay};
+  if (request.fetch_config) {
+    relay_reply reply;
+    reply.config = config();
+    reply.document = intent_.text();
+    actions_.emplace_back(answer_relay{relay, std::move(reply)});
+    return;
+  }
+  if (request.call.verb != caller_verb::kSubmit) {
+    if (!AnswerLocally(request.call, route, now)) {
+      ReplyNotHome(route);
+    }
+    return;
+  }
+  Accept({std::move(request.call), route, now, now, false, "", 0}, now);
+}
+
+void entry_core::OnRelayReply(relay_id relay, std::optional<relay_reply> reply, instant now) {
+  if (relay == config_fetch_) {
+    config_fetch_ = 0;
+    if (reply) {
+      ApplyConfig(reply->config, reply->document, now);
+    }
+    return;
+  }
+  if (std::optional<pending_lookup> lookup = lookups_.Take(relay); lookup) {
+    if (reply && !reply->not_home) {
+      Reply(lookup->route, std::move(reply->reply));
+      return;
+    }
+    lookup->unanswered = lookup->unanswered || !reply;
+    ContinueLookup(std::move(*lookup), now);
+    return;
+  }
+  std::optional<routed_call> call = router_.EndRelay(relay);
+  if (!call) {
+    return;
+  }
+  if (reply) {
+    NoteConfigOfPeer(reply->config, call->address);
+  }
+  if (reply && !reply->not_home) {
+    Reply(call->route, std::move(reply->reply));
+    return;
+  }
+  retry_due_ = std::max(retry_due_, now + settings_.call_retry);
+  router_.Add(std::move(*call));
+}
+
+void entry_core::OnStoreResult(std::uint64_t call, store_result result, instant now) {
+  if (registration_.OnResult(call, result, now) || config_writer_.OnResult(call, result, now, last_id_, actions_)) {
+    return;
+  }
+  const std::map<std::uint64_t, std::pair<shard_id, store_call_id>>::iterator found = store_calls_.find(call);
+  if (found == store_calls_.end()) {
+    return;
+  }
+  result.call = found->second.second;
+  const shard_id shard = found->second.first;
+  store_calls_.erase(found);
+  Shard(shard, now).OnStoreResult(result, now);
+}
+
+void entry_core::OnWatchResult(std::uint64_t call, const watch_result& result, instant now) {
+  if (!watcher_.OnResult(call, result, now)) {
+    return;
+  }
+  const std::size_t entries_before = directory_.entries().size();
+  directory_.Apply(result);
+  ApplyConfig(directory_.config().version, directory_.config().value, now);
+  if (directory_.entries().size() != entries_before || !result.deleted.empty()) {
+    for (std::pair<const session_id, agent_session>& item : sessions_.all()) {
+      TellEntries(item.second);
+    }
+  }
+  if (result.answered && (result.complete || !result.deleted.empty())) {
+    for (std::pair<const shard_id, std::unique_ptr<shard_home>>& item : shards_) {
+      if (!directory_.Holder(item.first)) {
+        item.second->OnShardChanged(now);
+      }
+    }
+  }
+  router_.Reroute(
+      [this](const routed_call& relayed) {
+        const std::optional<shard_holder> holder = directory_.Holder(ShardOfJob(relayed.request.job));
+        return !holder || holder->life == relayed.life;
+      },
+      actions_);
+}
+
+void entry_core::OnConfigWrite(call_id call, config_version base, std::string document, std::string write_id,
+                               instant now) {
+  config_writer_.Begin(call, base, std::move(document), std::move(write_id), now, last_id_, actions_);
+}
+
+void entry_core::OnDrain(instant now) {
+  if (draining_) {
+    return;
+  }
+  draining_ = true;
+  RecordEvent(event_kind::kProcessDraining, now, "", 0, "");
+  registration_.Revoke(last_id_, actions_);
+  for (std::pair<const shard_id, std::unique_ptr<shard_home>>& item : shards_) {
+    item.second->Release(now);
+  }
+}
+
+bool entry_core::drained() const {
+  const bool released = std::all_of(shards_.begin(), shards_.end(),
+                                    [](const std::pair<const shard_id, std::unique_ptr<shard_home>>& item) {
+                                      return item.second->owner().role() == owner_role::kStopped;
+                                    });
+  return draining_ && released && open_calls_.empty() && router_.relayed() == 0 && router_.waiting() == 0;
+}
+
+void entry_core::Advance(instant now) {
+  watcher_.OnTick(now, last_id_, actions_);
+  registration_.OnTick(now, last_id_, actions_);
+  config_writer_.OnTick(now, last_id_, actions_);
+  std::vector<config_write_result> written;
+  config_writer_.TakeResults(written);
+  for (config_write_result& result : written) {
+    actions_.emplace_back(std::move(result));
+  }
+  CloseSilentSessions(now);
+  Collect(now);
+  if (router_.waiting() > 0 && now >= retry_due_) {
+    PlaceWaiting(now);
+    Collect(now);
+  }
+  std::map<shard_id, epoch> epochs;
+  std::map<shard_id, epoch> homes;
+  for (const std::pair<const shard_id, std::unique_ptr<shard_home>>& item : shards_) {
+    epochs[item.first] = item.second->known_epoch();
+    if (item.second->is_home() || item.second->is_claiming()) {
+      homes[item.first] = item.second->known_epoch();
+    }
+  }
+  sessions_.MarkIdle(now, HeartbeatInterval(settings_.idle_heartbeat), homes,
+                     HeartbeatInterval(settings_.home_heartbeat));
+  sessions_.Flush(now, config(), epochs, actions_);
+}
+
+std::optional<instant> entry_core::next_wakeup() const {
+  instant next = std::min(watcher_.next_wakeup(), registration_.next_wakeup());
+  if (const std::optional<instant> due = config_writer_.next_wakeup(); due) {
+    next = std::min(next, *due);
+  }
+  const duration home_interval = HeartbeatInterval(settings_.home_heartbeat);
+  const duration idle_interval = HeartbeatInterval(settings_.idle_heartbeat);
+  for (const std::pair<const shard_id, std::unique_ptr<shard_home>>& item : shards_) {
+    if (const std::optional<instant> due = item.second->next_wakeup(); due) {
+      next = std::min(next, *due);
+    }
+  }
+  for (const std::pair<const session_id, agent_session>& item : sessions_.all()) {
+    const std::map<shard_id, std::unique_ptr<shard_home>>::const_iterator home = shards_.find(item.second.shard);
+    const bool own = home != shards_.end() && home->second->is_home();
+    next = std::min(next, item.second.sent + (own ? home_interval : idle_interval));
+  }
+  if (router_.waiting() > 0) {
+    next = std::min(next, retry_due_);
+  }
+  return next;
+}
+
+shard_id entry_core::ShardOfJob(const job_spec& job) const {
+  const std::uint64_t hash = XXH3_64bits(job.job_id.data(), job.job_id.size());
+  return {job.service, static_cast<std::uint32_t>(hash % intent_.ShardCount(job.service))};
+}
+
+shard_home& entry_core::Shard(const shard_id& shard, instant now) {
+  std::unique_ptr<shard_home>& home = shards_[shard];
+  if (!home) {
+    home = std::make_unique<shard_home>(shard, settings_, sessions_, random_.Next(), now);
+    home->SetTeams(intent_.TeamShares());
+    home->SetTaskTimeLimit(intent_.TaskTimeLimit(shard.service).value_or(settings_.task_time_limit));
+  }
+  return *home;
+}
+
+call_destination entry_core::Destination(const shard_id& shard, bool relayed, instant now) const {
+  const std::map<shard_id, std::unique_ptr<shard_home>>::const_iterator own = shards_.find(shard);
+  if (own != shards_.end() && own->second->can_accept(now)) {
+    return {call_destination::place::kLocal, "", 0};
+  }
+  if (own != shards_.end() && (own->second->is_home() || own->second->is_claiming())) {
+    return {call_destination::place::kWait, "", 0};
+  }
+  if (relayed) {
+    return {call_destination::place::kNotHere, "", 0};
+  }
+  const std::optional<shard_holder> holder = directory_.Holder(shard);
+  if (!holder || holder->addresses.empty() || holder->life == settings_.self.life) {
+    return {call_destination::place::kWait, "", 0};
+  }
+  return {call_destination::place::kEntry, holder->addresses.front(), holder->life};
+}
+
+std::set<std::string> entry_core::OtherHomes() const {
+  std::set<std::string> addresses;
+  for (const std::pair<const shard_id, shard_holder>& item : directory_.holders()) {
+    if (item.second.life != settings_.self.life && !item.second.addresses.empty()) {
+      addresses.insert(item.second.addresses.front());
+    }
+  }
+  return addresses;
+}
+
+void entry_core::Accept(routed_call call, instant now) {
+  const duration patience = std::min(call.request.job.deadline, settings_.home_wait_limit);
+  call.arrived = now;
+  call.give_up = now + patience;
+  if (std::optional<failure> refused = intent_.Refusal(call.request.job); refused) {
+    RefuseCall(call, std::move(*refused));
+    return;
+  }
+  Place(std::move(call), now);
+}
+
+void entry_core::Place(routed_call call, instant now) {
+  const call_destination to = Destination(ShardOfJob(call.request.job), call.route.relayed, now);
+  switch (to.where) {
+    case call_destination::place::kLocal: {
+      const duration elapsed = now - call.arrived;
+      call.request.job.deadline -= elapsed;
+      call.request.wait_limit = std::max(duration(0), call.request.wait_limit - elapsed);
+      if (call.sent) {
+        call.request.job.generated_id = false;
+        call.request.job.first_sent_ago = call.request.job.first_sent_ago.value_or(duration(0)) + elapsed;
+      }
+      Shard(ShardOfJob(call.request.job), now).Submit(call.request, call.route, now);
+      return;
+    }
+    case call_destination::place::kEntry: {
+      event relayed;
+      relayed.kind = event_kind::kJobRelayed;
+      relayed.at = now;
+      relayed.job_id = call.request.job.job_id;
+      relayed.peer = to.address;
+      actions_.emplace_back(record_entry_event{std::move(relayed)});
+      actions_.emplace_back(router_.Relay(std::move(call), to, ++last_id_, config(), now));
+      return;
+    }
+    case call_destination::place::kNotHere:
+      ReplyNotHome(call.route);
+      return;
+    case call_destination::place::kWait:
+      break;
+  }
+  if (now >= call.give_up) {
+    const bool accepted_before = call.sent;
+    failure why(error_kind::kNotReady, accepted_before ? not_run::kUnknown : not_run::kYes,
+                "no home of service " + call.request.job.service + " answered");
+    why.retry_after = std::chrono::seconds(1);
+    RefuseCall(call, std::move(why));
+    return;
+  }
+  retry_due_ = std::max(retry_due_, now + settings_.call_retry);
+  router_.Add(std::move(call));
+}
+
+void entry_core::LookUp(caller_request request, reply_route route, instant now) {
+  if (AnswerLocally(request, route, now)) {
+    return;
+  }
+  const std::set<std::string> homes = OtherHomes();
+  ContinueLookup({std::move(request), route, {homes.begin(), homes.end()}, false}, now);
+}
+
+void entry_core::ContinueLookup(pending_lookup lookup, instant) {
+  if (lookup.to_ask.empty()) {
+    caller_reply reply;
+    reply.job_id = lookup.request.job.job_id;
+    reply.error = lookup.unanswered ? failure(error_kind::kNotReady, not_run::kUnknown, "an entry did not answer")
+                                    : failure(error_kind::kNotFound, "no job has this id");
+    Reply(lookup.route, std::move(reply));
+    return;
+  }
+  relay_request request;
+  request.sender = settings_.self.id;
+  request.life = settings_.self.life;
+  request.config = config();
+  request.call = lookup.request;
+  const relay_id id = ++last_id_;
+  actions_.emplace_back(send_relay{id, std::move(lookup.to_ask.back()), std::move(request)});
+  lookup.to_ask.pop_back();
+  lookups_.Add(id, std::move(lookup));
+}
+
+bool entry_core::AnswerLocally(const caller_request& request, reply_route route, instant now) {
+  for (std::pair<const shard_id, std::unique_ptr<shard_home>>& item : shards_) {
+    const bool found = request.verb == caller_verb::kCancel
+                           ? item.second->Cancel(request.job.job_id, route, now)
+                           : item.second->Status(request.job.job_id, route, request.wait_limit, now);
+    if (found) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void entry_core::Reply(reply_route route, caller_reply reply) {
+  if (route.relayed) {
+    relay_reply out;
+    out.config = config();
+    out.reply = std::move(reply);
+    actions_.emplace_back(answer_relay{route.id, std::move(out)});
+    return;
+  }
+  if (open_calls_.erase(route.id) > 0) {
+    actions_.emplace_back(answer_call{route.id, std::move(reply)});
+  }
+}
+
+void entry_core::ReplyNotHome(reply_route route) {
+  relay_reply out;
+  out.config = config();
+  out.not_home = true;
+  actions_.emplace_back(answer_relay{route.id, std::move(out)});
+}
+
+void entry_core::RefuseCall(const routed_call& call, failure why) {
+  caller_reply reply;
+  reply.job_id = call.request.job.job_id;
+  reply.error = std::move(why);
+  Reply(call.route, std::move(reply));
+}
+
+void entry_core::PlaceWaiting(instant now) {
+  for (routed_call& call : router_.TakeWaiting()) {
+    Place(std::move(call), now);
+  }
+}
+
+void entry_core::Collect(instant now) {
+  for (std::pair<const shard_id, std::unique_ptr<shard_home>>& item : shards_) {
+    item.second->Advance(now);
+    CollectShard(*item.second, now);
+  }
+}
+
+void entry_core::CollectShard(shard_home& home, instant) {
+  std::vector<owner_action> store_calls;
+  home.TakeStoreCalls(store_calls);
+  for (const owner_action& action : store_calls) {
+    AppendStoreCall(home.shard(), action);
+  }
+  std::vector<event> events;
+  home.TakeEvents(events);
+  for (event& what : events) {
+    actions_.emplace_back(record_entry_event{std::move(what)});
+  }
+  std::vector<routed_reply> replies;
+  home.TakeReplies(replies);
+  for (routed_reply& reply : replies) {
+    Reply(reply.route, std::move(reply.reply));
+  }
+  std::vector<displaced_job> displaced;
+  home.TakeDisplaced(displaced);
+  for (displaced_job& job : displaced) {
+    Displace(std::move(job));
+  }
+}
+
+void entry_core::Displace(displaced_job job) {
+  for (const routed_wait& wait : job.waits) {
+    if (wait.route.relayed) {
+      ReplyNotHome(wait.route);
+      continue;
+    }
+    routed_call call;
+    call.request.job = job.job;
+    call.request.wait_limit = wait.until - job.accepted;
+    call.route = wait.route;
+    call.arrived = job.accepted;
+    call.give_up = wait.until;
+    call.sent = true;
+    router_.Add(std::move(call));
+  }
+}
+
+void entry_core::CloseSilentSessions(instant now) {
+  const duration idle_interval = HeartbeatInterval(settings_.idle_heartbeat);
+  const duration home_interval = HeartbeatInterval(settings_.home_heartbeat);
+  for (std::pair<const session_id, agent_session>& item : sessions_.all()) {
+    agent_session& session = item.second;
+    const std::map<shard_id, std::unique_ptr<shard_home>>::const_iterator home = shards_.find(session.shard);
+    const bool own = home != shards_.end() && home->second->is_home();
+    // With tasks in flight the home asks after query_after; an idle session may be silent for its heartbeat interval.
+    const bool busy = own && home->second->HasTasksAt(session.agent);
+    const duration idle_limit = own ? home_interval + settings_.close_after : 3 * idle_interval;
+    const duration limit = busy ? settings_.close_after : idle_limit;
+    if (!session.closing && now - session.heard >= limit) {
+      session.closing = true;
+      actions_.emplace_back(close_agent_session{item.first});
+    }
+  }
+}
+
+void entry_core::AttachSession(agent_session& session, instant now) {
+  if (!session.target || session.target->service.empty()) {
+    return;
+  }
+  const std::uint64_t hash = XXH3_64bits(session.agent.data(), session.agent.size());
+  const std::string& service = session.target->service;
+  const shard_id shard{service, static_cast<std::uint32_t>(hash % intent_.ShardCount(service))};
+  if (session.shard == shard) {
+    return;
+  }
+  const std::map<shard_id, std::unique_ptr<shard_home>>::iterator old = shards_.find(session.shard);
+  if (old != shards_.end()) {
+    old->second->OnAgentDetached(session.agent, now);
+  }
+  session.shard = shard;
+  session.excluded = intent_.IsExcluded(service, session.agent, session.target->failure_domain);
+  Shard(shard, now).OnAgentAttached(session, now);
+  TellEntries(session);
+}
+
+void entry_core::ApplyConfig(config_version version, std::string_view text, instant now) {
+  if (!intent_.Apply(version, text)) {
+    return;
+  }
+  RecordEvent(event_kind::kConfigApplied, now, "", version, "");
+  ApplyIntentToShards(now);
+}
+
+void entry_core::ApplyIntentToShards(instant now) {
+  for (std::pair<const shard_id, std::unique_ptr<shard_home>>& item : shards_) {
+    item.second->SetTeams(intent_.TeamShares());
+    item.second->SetTaskTimeLimit(intent_.TaskTimeLimit(item.first.service).value_or(settings_.task_time_limit));
+  }
+  for (std::pair<const session_id, agent_session>& item : sessions_.all()) {
+    agent_session& session = item.second;
+    if (!session.target) {
+      continue;
+    }
+    session.excluded = intent_.IsExcluded(session.target->service, session.agent, session.target->failure_domain);
+    sessions_.Outgoing(session);
+    const std::map<shard_id, std::unique_ptr<shard_home>>::iterator home = shards_.find(session.shard);
+    if (home != shards_.end()) {
+      home->second->SetExcluded(session.agent, session.excluded, now);
+    }
+  }
+}
+
+void entry_core::NoteConfigOfPeer(config_version version, const std::string& address) {
+  // While the store answers, the watch brings the document; asking peers too would only cost messages.
+  if (version <= config() || watcher_.answered() || config_fetch_ != 0 || address.empty()) {
+    return;
+  }
+  relay_request request;
+  request.sender = settings_.self.id;
+  request.life = settings_.self.life;
+  request.config = config();
+  request.fetch_config = true;
+  config_fetch_ = ++last_id_;
+  actions_.emplace_back(send_relay{config_fetch_, address, std::move(request)});
+}
+
+void entry_core::TellEntries(agent_session& session) {
+  std::vector<std::string> addresses;
+  for (const std::pair<const std::string, entry_identity>& item : directory_.entries()) {
+    addresses.push_back(item.second.peers_address);
+  }
+  if (addresses.empty()) {
+    return;
+  }
+  entry_batch& batch = sessions_.Outgoing(session);
+  batch.entries = std::move(addresses);
+  batch.heartbeat_interval = HeartbeatInterval(settings_.home_heartbeat);
+}
+
+void entry_core::RecordEvent(event_kind kind, instant now, std::string peer, std::uint64_t number, std::string detail) {
+  event what;
+  what.kind = kind;
+  what.at = now;
+  what.peer = std::move(peer);
+  what.number = number;
+  what.detail = std::move(detail);
+  actions_.emplace_back(record_entry_event{std::move(what)});
+}
+
+duration entry_core::HeartbeatInterval(duration shortest) const {
+  const std::uint64_t bytes = sessions_.all().size() * settings_.heartbeat_bytes;
+  const duration needed = duration(static_cast<std::int64_t>(bytes * 1'000'000 / settings_.heartbeat_bytes_per_second));
+  return std::clamp(needed, shortest, std::max(shortest, settings_.heartbeat_interval_max));
+}
+
+void entry_core::AppendStoreCall(const shard_id& shard, const owner_action& action) {
+  call_store call;
+  call.id = ++last_id_;
+  store_call_id local = 0;
+  if (const store_read* read = std::get_if<store_read>(&action); read != nullptr) {
+    call.call = WithLocalId(*read, local);
+  } else if (const store_swap* swap = std::get_if<store_swap>(&action); swap != nullptr) {
+    call.call = WithLocalId(*swap, local);
+  } else if (const lease_grant* grant = std::get_if<lease_grant>(&action); grant != nullptr) {
+    call.call = WithLocalId(*grant, local);
+  } else if (const lease_renew* renew = std::get_if<lease_renew>(&action); renew != nullptr) {
+    call.call = WithLocalId(*renew, local);
+  } else if (const lease_revoke* revoke = std::get_if<lease_revoke>(&action); revoke != nullptr) {
+    call.call = WithLocalId(*revoke, local);
+  } else {
+    return;
+  }
+  store_calls_[call.id] = {shard, local};
+  actions_.emplace_back(std::move(call));
+}
+
+}  // namespace bamboowing
--- a/src/entry/job_table.cc
+++ b/src/entry/job_table.cc
@@ -36,10 +36,8 @@
     return submission::kNew;
   }
   if (known->fingerprint != Fingerprint(job)) {
-    caller_reply reply;
-    reply.job_id = job.job_id;
-    reply.error = failure(error_kind::kConflict, "job id " + job.job_id + " belongs to a job with other content");
-    replies_.push_back({route, std::move(reply)});
+    Refuse(job.job_id, route,
+           failure(error_kind::kConflict, "job id " + job.job_id + " belongs to a job with other content"));
     return submission::kConflict;
   }
   WaitOrReply(*known, route, wait_limit, now);
@@ -56,6 +54,13 @@
   WaitOrReply(added, route, wait_limit, now);
 }
 
+void job_table::Refuse(const std::string& job_id, reply_route route, failure why) {
+  caller_reply reply;
+  reply.job_id = job_id;
+  reply.error = std::move(why);
+  replies_.push_back({route, std::move(reply)});
+}
+
 bool job_table::Watch(std::string_view job_id, reply_route route, duration wait_limit, instant now) {
   job_record* job = FindRecord(job_id);
   if (job == nullptr) {
@@ -101,6 +106,39 @@
   }
 }
 
+void job_table::MarkStarted(std::string_view job_id) {
+  if (job_record* job = FindRecord(job_id); job != nullptr) {
+    job->started = true;
+  }
+}
+
+not_run job_table::ExecutionStatement(std::string_view job_id) const {
+  const job_record* job = FindRecord(job_id);
+  if (job == nullptr) {
+    return not_run::kUnknown;
+  }
+  if (job->done > 0) {
+    return not_run::kNo;
+  }
+  return job->started ? not_run::kUnknown : not_run::kYes;
+}
+
+void job_table::TakeOpen(std::vector<displaced_job>& out) {
+  for (record_map::iterator it = jobs_.begin(); it != jobs_.end();) {
+    job_record& job = it->second;
+    if (job.state != job_state::kQueued && job.state != job_state::kRunning) {
+      ++it;
+      continue;
+    }
+    for (const routed_wait& w : job.waiters) {
+      routes_.erase({w.route.relayed, w.route.id});
+    }
+    out.push_back({std::move(job.spec), std::move(job.waiters), job.accepted});
+    --open_jobs_;
+    it = jobs_.erase(it);
+  }
+}
+
 bool job_table::IsOpen(std::string_view job_id) const { return OpenJob(job_id) != nullptr; }
 
 const job_spec* job_table::OpenJob(std::string_view job_id) const {
@@ -123,10 +161,10 @@
     return;
   }
   if (job_record* job = FindRecord(waiting->second); job != nullptr) {
-    std::vector<waiter>& waiters = job->waiters;
-    waiters.erase(
-        std::remove_if(waiters.begin(), waiters.end(), [route](const waiter& w) { return SameRoute(w.route, route); }),
-        waiters.end());
+    std::vector<routed_wait>& waiters = job->waiters;
+    waiters.erase(std::remove_if(waiters.begin(), waiters.end(),
+                                 [route](const routed_wait& w) { return SameRoute(w.route, route); }),
+                  waiters.end());
   }
   routes_.erase(waiting);
 }
@@ -138,8 +176,8 @@
     if (job == nullptr) {
       continue;
     }
-    std::vector<waiter> rest;
-    for (const waiter& w : job->waiters) {
+    std::vector<routed_wait> rest;
+    for (const routed_wait& w : job->waiters) {
       if (w.until <= now) {
         Queue(*job, w.route, now);
       } else {
@@ -223,9 +261,9 @@
   if (state == job_state::kFailed) {
     job.results.assign(job.results.size(), std::nullopt);
   }
-  std::vector<waiter> waiters;
+  std::vector<routed_wait> waiters;
   waiters.swap(job.waiters);
-  for (const waiter& w : waiters) {
+  for (const routed_wait& w : waiters) {
     Queue(job, w.route, now);
   }
   // Payloads are not needed after the end; only the fingerprint tells whether a resubmission is the same job.
--- /dev/null
+++ b/src/entry/registration.cc
@@ -0,0 +1,86 @@
+#include "bamboowing/entry/registration.h"
+
+#include <utility>
+
+namespace bamboowing {
+
+bool registration::OnResult(std::uint64_t call, const store_result& result, instant now) {
+  if (call == 0 || call != call_) {
+    return false;
+  }
+  call_ = 0;
+  if (result.outcome == store_outcome::kUnavailable) {
+    due_ = now + settings_.renew_interval;
+    return true;
+  }
+  due_ = now;
+  switch (step_) {
+    case step::kGrant:
+      lease_ = result.lease;
+      step_ = step::kRead;
+      break;
+    case step::kRead:
+      version_ = result.version;
+      step_ = step::kWrite;
+      break;
+    case step::kWrite:
+      step_ = result.outcome == store_outcome::kOk ? step::kRenew : step::kRead;
+      due_ = step_ == step::kRenew ? now + settings_.renew_interval : now;
+      if (result.outcome == store_outcome::kLeaseGone) {
+        step_ = step::kGrant;
+      }
+      break;
+    case step::kRenew:
+      step_ = result.outcome == store_outcome::kLeaseGone ? step::kGrant : step::kRenew;
+      due_ = step_ == step::kRenew ? sent_at_ + settings_.renew_interval : now;
+      break;
+    case step::kEnded:
+      break;
+  }
+  return true;
+}
+
+void registration::OnTick(instant now, std::uint64_t& next_id, std::vector<entry_action>& out) {
+  // A call without a result is taken as unanswered after the lease time, so that a lost result does not end renewal.
+  if (call_ != 0 && now - sent_at_ >= settings_.lease_time) {
+    call_ = 0;
+    due_ = now;
+  }
+  if (step_ == step::kEnded || call_ != 0 || now < due_) {
+    return;
+  }
+  const std::string key = RegistrationKey(settings_.self.id);
+  call_store call;
+  call.id = ++next_id;
+  call_ = call.id;
+  sent_at_ = now;
+  due_ = now + settings_.lease_time;
+  switch (step_) {
+    case step::kGrant:
+      call.call = lease_grant{0, settings_.lease_time};
+      break;
+    case step::kRead:
+      call.call = store_read{0, key};
+      break;
+    case step::kWrite:
+      call.call = store_swap{0, key, version_, FormatRegistration(settings_.self), lease_};
+      break;
+    case step::kRenew:
+      call.call = lease_renew{0, lease_};
+      break;
+    case step::kEnded:
+      return;
+  }
+  out.emplace_back(std::move(call));
+}
+
+void registration::Revoke(std::uint64_t& next_id, std::vector<entry_action>& out) {
+  if (lease_ != 0) {
+    out.emplace_back(call_store{++next_id, lease_revoke{0, lease_}});
+  }
+  step_ = step::kEnded;
+  call_ = 0;
+  due_ = instant::max();
+}
+
+}  // namespace bamboowing
--- a/src/service/entry_rpc.cc
+++ b/src/service/entry_rpc.cc
@@ -132,9 +132,10 @@
   }
 
   void Handle(answer_relay& answer) {
-    const std::map<relay_id, kj::Own<kj::PromiseFulfiller<relay_reply>>>::iterator found = incoming_.find(answer.relay);
+    const std::map<relay_id, kj::Own<kj::PromiseFulfiller<kj::Own<relay_reply>>>>::iterator found =
+        incoming_.find(answer.relay);
     if (found != incoming_.end()) {
-      found->second->fulfill(std::move(answer.reply));
+      found->second->fulfill(kj::heap<relay_reply>(std::move(answer.reply)));
       incoming_.erase(found);
     }
   }
@@ -152,8 +153,8 @@
     }
   }
 
-  kj::Promise<relay_reply> AcceptRelay(relay_request request) {
-    kj::PromiseFulfillerPair<relay_reply> pair = kj::newPromiseAndFulfiller<relay_reply>();
+  kj::Promise<kj::Own<relay_reply>> AcceptRelay(relay_request request) {
+    kj::PromiseFulfillerPair<kj::Own<relay_reply>> pair = kj::newPromiseAndFulfiller<kj::Own<relay_reply>>();
     const relay_id id = ++last_id_;
     incoming_.emplace(id, kj::mv(pair.fulfiller));
     listener_.OnRelayRequest(id, std::move(request));
@@ -262,7 +263,7 @@
   kj::Own<kj::ConnectionReceiver> receiver_;
   std::map<session_id, agent_session> sessions_;
   std::map<relay_id, outgoing_relay> relays_;
-  std::map<relay_id, kj::Own<kj::PromiseFulfiller<relay_reply>>> incoming_;
+  std::map<relay_id, kj::Own<kj::PromiseFulfiller<kj::Own<relay_reply>>>> incoming_;
   std::map<std::string, kj::Own<peer_connection>> peers_;
   std::map<std::uint64_t, kj::Own<connection>> connections_;
   kj::TaskSet tasks_;
@@ -288,8 +289,8 @@
   std::optional<relay_request> request = Read(context.getParams().getRequest());
   KJ_REQUIRE(request.has_value(), "relayed call with a value out of range");
   context.releaseParams();
-  return loop_.AcceptRelay(std::move(*request)).then([context](relay_reply&& reply) mutable {
-    Write(reply, context.getResults().initReply());
+  return loop_.AcceptRelay(std::move(*request)).then([context](kj::Own<relay_reply>&& reply) mutable {
+    Write(*reply, context.getResults().initReply());
   });
 }
 
--- a/src/wire/batch_codec.cc
+++ b/src/wire/batch_codec.cc
@@ -161,6 +161,8 @@
 
 void Write(const agent_batch& batch, rpc::AgentBatch::Builder out) {
   detail::WriteHeader(batch.header, out.initHeader());
+  out.setShardService(batch.shard.service);
+  out.setShardIndex(batch.shard.index);
   out.setHasTarget(batch.target.has_value());
   if (batch.target) {
     rpc::Announcement::Builder target = out.initTarget();
@@ -201,6 +203,7 @@
 std::optional<agent_batch> Read(rpc::AgentBatch::Reader in) {
   agent_batch batch;
   batch.header = detail::ReadHeader(in.getHeader());
+  batch.shard = {detail::ToString(in.getShardService()), in.getShardIndex()};
   if (in.getHasTarget()) {
     batch.target = detail::ReadTarget(in.getTarget());
   }
--- a/tests/wire/codec_test.cc
+++ b/tests/wire/codec_test.cc
@@ -56,6 +56,7 @@
 // Guards against a lost answer, refusal or inventory item.
 TEST(Codec, AgentBatchKeepsEveryField) {
   agent_batch batch;
+  batch.shard = {"seal-check", 4};
   batch.target = target_announcement{"seal-check", "galveston", 8, true};
   batch.busy_slots = 3;
   batch.answers.push_back({{"job", 1, 2}, task_status::kTimeLimit, "late", duration(77)});
@@ -65,6 +66,7 @@
   batch.status_reply = true;
   const std::optional<agent_batch> copy = RoundTrip<rpc::AgentBatch>(batch);
   ASSERT_TRUE(copy && copy->target);
+  EXPECT_EQ(copy->shard, batch.shard);
   EXPECT_EQ(copy->target->service, "seal-check");
   EXPECT_EQ(copy->target->failure_domain, "galveston");
   EXPECT_EQ(copy->target->slots, 8U);
