Add the stand-in for the key-value service

Cause: contract tests and system tests need the platform's key-value service with its faults.

Change: standin_kv keeps keys with versions, leases and watches, counts calls by kind, limits rates, and can be down, slow or lose answers of writes that took effect. Its logic is a library for tests in process.

--- /dev/null
+++ b/standins/kv_server.h
@@ -0,0 +1,104 @@
+/// @file
+/// HTTP service of the stand-in for the platform's key-value service.
+///
+/// Calls: `GET|PUT|DELETE /v1/kv/KEY`, `GET /v1/list`, `POST /v1/lease`, `POST /v1/lease/ID/renew`,
+/// `DELETE /v1/lease/ID`, `GET /v1/watch`, `GET /v1/stats`, `POST /v1/fault`. PUT and DELETE take `expected_version`,
+/// PUT takes `lease`. A watch answers at once when something changed after `after_revision`, otherwise at the next
+/// change or after `wait_ms`.
+#pragma once
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "bamboowing/platform/http_server.h"
+#include "standins/kv_state.h"
+#include "standins/timer_queue.h"
+
+namespace bamboowing::standin {
+
+/// Settings of the service.
+struct kv_options {
+  std::string address = "127.0.0.1:0";
+  double reads_per_second = 0;   ///< 0 means no limit
+  double writes_per_second = 0;  ///< 0 means no limit
+};
+
+/// What the service does wrong, set by `POST /v1/fault`.
+enum class kv_fault : std::uint8_t {
+  kNone,
+  kDown,        ///< every call is answered with 503 and has no effect
+  kSlow,        ///< every call takes effect after `delay_ms`
+  kLoseAnswer,  ///< writes take effect and are answered with 502 and an empty body
+};
+
+/// Calls per second with a burst of one second.
+class rate_limit {
+ public:
+  explicit rate_limit(double per_second) : per_second_(per_second), tokens_(per_second) {}
+  bool Take(instant now);
+
+ private:
+  const double per_second_;
+  double tokens_;
+  instant last_;
+};
+
+/// The running service.
+class kv_server {
+ public:
+  /// Returns null and fills @p why when the address can't be used.
+  static std::unique_ptr<kv_server> Open(const kv_options& options, failure& why);
+
+  kv_server(const kv_server&) = delete;
+  kv_server& operator=(const kv_server&) = delete;
+  ~kv_server();
+
+  int port() const { return server_->port(); }
+
+  /// Answers all pending watches and stops.
+  void Close();
+
+ private:
+  struct watch {
+    std::string prefix;
+    std::uint64_t after = 0;
+    http_server::responder answer;
+  };
+
+  explicit kv_server(const kv_options& options);
+  void Take(const http_request& request, const http_server::responder& answer);
+  void Serve(const http_request& request, const http_server::responder& answer);
+  http_response Run(const http_request& request);
+  http_response Key(const http_request& request);
+  http_response Put(const http_request& request, const std::string& key);
+  http_response Lease(const http_request& request);
+  http_response LeaseById(const http_request& request);
+  http_response SetFault(const http_request& request);
+  void Watch(const http_request& request, const http_server::responder& answer);
+  void EndWatch(std::uint64_t id);
+  void AfterChange();
+  void ScheduleExpiry();
+  kv_fault TakeFault(bool write);
+  nlohmann::json Changes(const std::string& prefix, std::uint64_t after) const;
+
+  std::mutex mutex_;
+  kv_state state_;
+  rate_limit reads_;
+  rate_limit writes_;
+  std::map<std::string, std::uint64_t> calls_;
+  std::map<std::uint64_t, watch> watches_;
+  std::uint64_t last_watch_ = 0;
+  kv_fault fault_ = kv_fault::kNone;
+  std::uint64_t fault_count_ = 0;  // calls that still get the fault; 0 means all
+  duration delay_{0};
+  bool closing_ = false;
+  std::unique_ptr<http_server> server_;
+  timer_queue timers_;
+};
+
+}  // namespace bamboowing::standin
--- /dev/null
+++ b/standins/kv_state.cc
@@ -0,0 +1,108 @@
+#include "standins/kv_state.h"
+
+#include <algorithm>
+
+namespace bamboowing::standin {
+namespace {
+
+bool StartsWith(std::string_view text, std::string_view prefix) { return text.substr(0, prefix.size()) == prefix; }
+
+}  // namespace
+
+std::optional<kv_item> kv_state::Get(std::string_view key) const {
+  const std::map<std::string, kv_item, std::less<>>::const_iterator found = items_.find(key);
+  return found == items_.end() ? std::nullopt : std::optional<kv_item>(found->second);
+}
+
+kv_change kv_state::Put(kv_item item, std::optional<std::uint64_t> expected) {
+  const std::optional<kv_item> present = Get(item.key);
+  const std::uint64_t version = present ? present->version : 0;
+  if (expected && *expected != version) {
+    return {false, present};
+  }
+  item.version = ++revision_;
+  deleted_.erase(item.key);
+  items_[item.key] = item;
+  return {true, item};
+}
+
+kv_change kv_state::Delete(std::string_view key, std::optional<std::uint64_t> expected) {
+  const std::optional<kv_item> present = Get(key);
+  if (!present || (expected && *expected != present->version)) {
+    return {false, present};
+  }
+  deleted_[present->key] = ++revision_;
+  items_.erase(present->key);
+  return {true, std::nullopt};
+}
+
+std::vector<kv_item> kv_state::List(std::string_view prefix, std::uint64_t revision) const {
+  std::vector<kv_item> found;
+  for (auto at = items_.lower_bound(prefix); at != items_.end() && StartsWith(at->first, prefix); ++at) {
+    if (at->second.version > revision) {
+      found.push_back(at->second);
+    }
+  }
+  return found;
+}
+
+std::vector<std::string> kv_state::Deleted(std::string_view prefix, std::uint64_t revision) const {
+  std::vector<std::string> found;
+  for (auto at = deleted_.lower_bound(prefix); at != deleted_.end() && StartsWith(at->first, prefix); ++at) {
+    if (at->second > revision) {
+      found.push_back(at->first);
+    }
+  }
+  return found;
+}
+
+std::uint64_t kv_state::Grant(duration time_to_live, instant now) {
+  leases_[++last_lease_] = {time_to_live, now + time_to_live};
+  return last_lease_;
+}
+
+bool kv_state::Renew(std::uint64_t lease, instant now) {
+  Expire(now);
+  const std::map<std::uint64_t, lease_record>::iterator found = leases_.find(lease);
+  if (found == leases_.end()) {
+    return false;
+  }
+  found->second.expires = now + found->second.time_to_live;
+  return true;
+}
+
+void kv_state::Revoke(std::uint64_t lease) {
+  leases_.erase(lease);
+  std::vector<std::string> keys;
+  for (const std::pair<const std::string, kv_item>& item : items_) {
+    if (item.second.lease == lease) {
+      keys.push_back(item.first);
+    }
+  }
+  for (const std::string& key : keys) {
+    Delete(key, std::nullopt);
+  }
+}
+
+bool kv_state::Expire(instant now) {
+  std::vector<std::uint64_t> expired;
+  for (const std::pair<const std::uint64_t, lease_record>& lease : leases_) {
+    if (lease.second.expires <= now) {
+      expired.push_back(lease.first);
+    }
+  }
+  for (const std::uint64_t lease : expired) {
+    Revoke(lease);
+  }
+  return !expired.empty();
+}
+
+std::optional<instant> kv_state::NextExpiry() const {
+  std::optional<instant> next;
+  for (const std::pair<const std::uint64_t, lease_record>& lease : leases_) {
+    next = next ? std::min(*next, lease.second.expires) : lease.second.expires;
+  }
+  return next;
+}
+
+}  // namespace bamboowing::standin
--- /dev/null
+++ b/standins/program.h
@@ -0,0 +1,26 @@
+/// @file
+/// What the programs of all stand-ins have in common.
+#pragma once
+
+#include <cxxopts.hpp>
+#include <functional>
+#include <string>
+
+namespace bamboowing::standin {
+
+/// Prints "ready PORT" on standard output and waits for SIGTERM or SIGINT. BlockStopSignals() must have been called
+/// before any thread was started.
+void AnnounceReadyAndWait(int port);
+
+/// Keeps the signals that stop the program for AnnounceReadyAndWait().
+void BlockStopSignals();
+
+/// Adds --port and --help, parses, and calls @p run with the result. Returns the exit code: 0, or 2 for unknown
+/// options.
+int RunProgram(cxxopts::Options& options, int argc, char** argv,
+               const std::function<int(const cxxopts::ParseResult&)>& run);
+
+/// The address on the loopback interface from --port.
+std::string ListenAddress(const cxxopts::ParseResult& parsed);
+
+}  // namespace bamboowing::standin
