Use slots that become usable after a target was added

A home adds a target with no usable slots and raises them after the inventory; the dispatcher took the first number as the limit set by health. A second cause of lost sessions: standby entries told agents the home's heartbeat interval, so agents took them as silent. Ruled out: wire codec, claims (targets showed as serving). Change: the health limit follows the slots unless the target is restricted; standby sessions get the idle interval.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -37,7 +37,11 @@
 void dispatcher::SetUsableSlots(std::string_view target, std::uint32_t slots, instant /*now*/) {
   const target_index index = targets_.Find(target);
   if (index != kNoTarget) {
-    targets_.at(index).slots = std::min(slots, settings_.max_slots_per_target);
+    target_state& state = targets_.at(index);
+    // `allowed` is below the number of slots only while the target is ejected or returns in steps.
+    const bool restricted = state.allowed < state.slots;
+    state.slots = std::min(slots, settings_.max_slots_per_target);
+    state.allowed = restricted ? std::min(state.allowed, state.slots) : state.slots;
     targets_.Update(index);
   }
 }
--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -569,7 +569,7 @@
   }
   entry_batch& batch = sessions_.Outgoing(session);
   batch.entries = std::move(addresses);
-  batch.heartbeat_interval = HeartbeatInterval(settings_.home_heartbeat);
+  batch.heartbeat_interval = HeartbeatInterval(settings_.idle_heartbeat);
 }
 
 void entry_core::RecordEvent(event_kind kind, instant now, std::string peer, std::uint64_t number, std::string detail) {
