--- a/include/bamboowing/ownership/owner_actions.h
+++ b/include/bamboowing/ownership/owner_actions.h
@@ -122,10 +122,11 @@
   duration clock_margin = std::chrono::milliseconds(200);
   duration poll_interval = std::chrono::seconds(1);  ///< reads of the holder by entries that are not home
   duration store_timeout = std::chrono::seconds(1);  ///< a call without answer counts as unavailable
-  /// The time-out grows up to this while calls time out, so that a slow store is still usable.
-  duration store_timeout_max = std::chrono::seconds(8);
+  /// The time-out grows up to this while calls time out, so that a slow store is still usable. A store slower than this
+  /// cannot keep a lease of `lease_time`; a longer time-out only delays the first call after an outage.
+  duration store_timeout_max = std::chrono::milliseconds(2500);
   duration store_backoff_min = std::chrono::milliseconds(100);
-  duration store_backoff_max = std::chrono::seconds(2);
+  duration store_backoff_max = std::chrono::seconds(1);
   duration claim_interval = std::chrono::milliseconds(500);   ///< a claim without acknowledgement is repeated
   duration record_interval = std::chrono::milliseconds(100);  ///< shortest time between changes of the agents' list
   duration recovery_window = std::chrono::seconds(120);       ///< how long a missing agent keeps its place
--- a/src/ownership/owner_store.cc
+++ b/src/ownership/owner_store.cc
@@ -90,8 +90,15 @@
 
 void shard_owner::HandleHolderRead(const store_result& result, instant now) {
   if (result.outcome != store_outcome::kOk) {
+    store_failed_ = true;
     return RetryStep(store_step::kReadHolder, now);
   }
+  if (store_failed_) {
+    // An outage ends every lease. The home goes on by majority and renews within one interval after the outage; without
+    // this wait, each outage would move most shards.
+    claim_after_ = now + 2 * settings_.renew_interval;
+    store_failed_ = false;
+  }
   holder_.reset();
   if (result.value.has_value()) {
     failure reason;
@@ -113,6 +120,11 @@
       return RetryStep(store_step::kReadHolder, now);
     }
     found = *decoded;
+    if (now < claim_after_ && !found.released) {
+      next_step_ = store_step::kReadHolder;
+      next_step_due_ = claim_after_;
+      return;
+    }
   }
   record_ = found;
   record_version_ = result.value.has_value() ? result.version : 0;
