Add the operators' console and its test in headless Chromium

Cause: operators need forms for the intent document, with the errors beside their fields, and a lost race must keep their edits. Change: console/ builds its forms from the schema that the server gives, shows the document and its difference as it grows, and writes it under the version it was based on. A lost race shows both versions and offers to combine them; a lost answer is settled by the write id. tests/console serves the page from memory and drives it in four scenarios, each from a new server.

--- /dev/null
+++ b/console/elements.js
@@ -0,0 +1,33 @@
+// Makes elements of the page.
+
+let lastId = 0;
+
+export function newId() {
+  lastId += 1;
+  return `e${lastId}`;
+}
+
+/** Makes an element; properties are set as attributes, but `text`, `on...` handlers and booleans are set directly. */
+export function make(tag, properties = {}, children = []) {
+  const element = document.createElement(tag);
+  for (const [name, value] of Object.entries(properties)) {
+    if (name === 'text') {
+      element.textContent = value;
+    } else if (name.startsWith('on')) {
+      element.addEventListener(name.slice(2), value);
+    } else if (typeof value === 'boolean') {
+      element[name] = value;
+    } else if (value !== undefined) {
+      element.setAttribute(name, value);
+    }
+  }
+  element.append(...children);
+  return element;
+}
+
+export const byId = (id) => document.getElementById(id);
+
+/** The slot for the errors of the value at a path. */
+export function errorSlot(id) {
+  return make('p', { id, class: 'error' });
+}
--- /dev/null
+++ b/console/main.js
@@ -0,0 +1,211 @@
+// The page's state and the steps of the operator: sign in, edit, check, save, submit.
+
+import * as api from './api.js';
+import { showChanges } from './changes.js';
+import { showConflict } from './conflict.js';
+import { byId } from './elements.js';
+import { buildForm } from './form.js';
+import { countText, showProblems } from './problems.js';
+import { newValue, withoutDefaults } from './schema.js';
+import { toYaml } from './yaml.js';
+
+/** Delay of the check after the last key. It keeps one check from running for each key of a word. */
+const checkDelayMs = 200;
+
+const state = {
+  schema: null,
+  base: { version: 0, document: null }, // the version in force that the edits started from
+  draft: null,
+  writeId: '', // of a write whose outcome is not known; empty otherwise
+  changeCount: 0,
+  checkNumber: 0, // of the latest check; answers of earlier ones are dropped
+  checkTimer: 0,
+  busy: false,
+};
+
+function setStatus(text, failed = false) {
+  byId('status').textContent = text;
+  byId('status').classList.toggle('failed', failed);
+}
+
+const draftText = () => toYaml(withoutDefaults(state.schema, state.draft));
+
+/** randomUUID() exists only on secure origins, and an operator may reach the entry over plain HTTP. */
+function newWriteId() {
+  const words = crypto.getRandomValues(new Uint32Array(4));
+  return [...words].map((word) => word.toString(16).padStart(8, '0')).join('-');
+}
+
+async function compare(normalized) {
+  if (!state.base.document) {
+    byId('changes').textContent = 'No document is in force yet.';
+    state.changeCount = 1;
+    return;
+  }
+  const changes = await api.difference(state.base.document, normalized);
+  state.changeCount = changes.length;
+  showChanges(byId('changes'), changes);
+}
+
+/** Checks the draft on the server. Returns the normalized document, or null when there are errors. */
+async function check() {
+  clearTimeout(state.checkTimer);
+  state.checkNumber += 1;
+  const number = state.checkNumber;
+  byId('document').textContent = draftText();
+  const report = await api.validate(draftText());
+  if (number !== state.checkNumber) {
+    return null;
+  }
+  showProblems(byId('form'), report);
+  if (report.normalized === null) {
+    byId('changes').textContent = 'Shown when the document has no errors.';
+    setStatus(`The document has ${countText(report.errors.length, 'error')}.`, true);
+    return null;
+  }
+  await compare(report.normalized);
+  if (number === state.checkNumber) {
+    setStatus(`The document is valid: ${countText(state.changeCount, 'change')} to version ${state.base.version}.`);
+  }
+  return report.normalized;
+}
+
+function fail(error) {
+  if (error.status === 401) {
+    byId('sign-in').hidden = false;
+    byId('sign-in-error').textContent = 'The token is not valid. Your edits are kept.';
+    byId('token').focus();
+  }
+  setStatus(error.message, true);
+}
+
+function changed() {
+  state.writeId = '';
+  byId('document').textContent = draftText();
+  clearTimeout(state.checkTimer);
+  state.checkTimer = setTimeout(() => check().catch(fail), checkDelayMs);
+}
+
+function showBase(base) {
+  state.base = base;
+  byId('version').textContent = base.document ? `Version ${base.version} in force` : 'No document in force';
+  byId('changes-title').textContent = `Changes to version ${base.version}`;
+}
+
+/** Goes on with a draft on top of a version. */
+async function edit(base, draft) {
+  showBase(base);
+  draft.write_id = ''; // that of the version the draft was made from; each write gets its own
+  state.draft = draft;
+  state.writeId = '';
+  buildForm(byId('form'), state.schema, draft, changed);
+  await check();
+}
+
+async function open(event) {
+  event.preventDefault();
+  api.setToken(byId('token').value);
+  try {
+    const [schema, config] = await Promise.all([api.fetchSchema(), api.fetchConfig()]);
+    state.schema = schema;
+    byId('sign-in').hidden = true;
+    byId('sign-in-error').textContent = '';
+    byId('token').value = '';
+    byId('editor').hidden = false;
+    if (state.draft === null) {
+      await edit(config, structuredClone(config.document) ?? newValue(schema));
+    } else {
+      await check();
+    }
+  } catch (error) {
+    byId('sign-in-error').textContent =
+      error.status === 401 ? 'The token is not valid.' : `The configuration could not be read: ${error.message}.`;
+  }
+}
+
+async function written(version, normalized) {
+  showBase({ version, document: normalized });
+  state.writeId = '';
+  await check();
+  setStatus(`Version ${version} is written.${state.changeCount > 0 ? ' Later edits are not part of it.' : ''}`);
+}
+
+/** Finds out by the write id whether a write whose answer was lost took effect. */
+async function settle(error, writeId) {
+  const config = await api.fetchConfig().catch(() => null);
+  if (config?.document?.write_id === writeId) {
+    await written(config.version, config.document);
+    return;
+  }
+  setStatus(`${error.message}. It is not known whether the write takes effect. Submit again: ` +
+    'the same write is never applied twice.', true);
+}
+
+async function refused(error, writeId, normalized) {
+  const { current } = error.body;
+  if (current.document?.write_id === writeId) {
+    await written(current.version, current.document);
+    return;
+  }
+  setStatus(`Not written: version ${current.version} is in force.`, true);
+  await showConflict(state, current, normalized, (draft) => edit(current, draft).catch(fail));
+}
+
+async function send() {
+  const normalized = await check();
+  if (normalized === null) {
+    byId('problem-list').querySelector('button')?.focus();
+    return;
+  }
+  const writeId = state.writeId || newWriteId();
+  state.writeId = writeId;
+  const text = toYaml({ write_id: writeId, ...withoutDefaults(state.schema, state.draft) });
+  try {
+    const answer = await api.write(text, state.base.version);
+    await written(answer.version, { ...normalized, write_id: writeId });
+  } catch (error) {
+    if (error.status === 409) {
+      await refused(error, writeId, normalized);
+    } else if (error.status === 0 || error.status >= 500) {
+      await settle(error, writeId);
+    } else {
+      fail(error);
+    }
+  }
+}
+
+async function submit() {
+  if (state.busy) {
+    return;
+  }
+  state.busy = true;
+  byId('submit').disabled = true;
+  try {
+    await send();
+  } catch (error) {
+    fail(error);
+  } finally {
+    state.busy = false;
+    byId('submit').disabled = false;
+  }
+}
+
+function save() {
+  const url = URL.createObjectURL(new Blob([draftText()], { type: 'application/yaml' }));
+  const link = document.createElement('a');
+  link.href = url;
+  link.download = `intent-after-version-${state.base.version}.yaml`;
+  link.click();
+  URL.revokeObjectURL(url);
+}
+
+byId('sign-in').addEventListener('submit', open);
+byId('form').addEventListener('submit', (event) => event.preventDefault());
+byId('save').addEventListener('click', save);
+byId('submit').addEventListener('click', submit);
+window.addEventListener('beforeunload', (event) => {
+  if (state.changeCount > 0) {
+    event.preventDefault();
+  }
+});
+byId('token').focus();
--- /dev/null
+++ b/console/yaml.js
@@ -0,0 +1,45 @@
+// Writes the document as YAML. Every scalar that is not plainly a word is written as in JSON, which YAML includes.
+
+const plainWord = /^[A-Za-z][A-Za-z0-9_-]*$/;
+const reserved = /^(null|true|false|yes|no|on|off|y|n)$/i;
+
+function scalar(value) {
+  if (typeof value === 'string' && plainWord.test(value) && !reserved.test(value)) {
+    return value;
+  }
+  return JSON.stringify(value);
+}
+
+function isFlat(value) {
+  return typeof value !== 'object' || value === null || Object.keys(value).length === 0;
+}
+
+function flat(value) {
+  if (Array.isArray(value)) {
+    return '[]';
+  }
+  return typeof value === 'object' && value !== null ? '{}' : scalar(value);
+}
+
+function lines(value, indent) {
+  const pad = ' '.repeat(indent);
+  if (Array.isArray(value)) {
+    return value.flatMap((item) => {
+      if (isFlat(item)) {
+        return [`${pad}- ${flat(item)}`];
+      }
+      const [first, ...rest] = lines(item, indent + 2);
+      return [`${pad}- ${first.trimStart()}`, ...rest];
+    });
+  }
+  return Object.entries(value).flatMap(([key, member]) => {
+    if (isFlat(member)) {
+      return [`${pad}${key}: ${flat(member)}`];
+    }
+    return [`${pad}${key}:`, ...lines(member, indent + 2)];
+  });
+}
+
+export function toYaml(value) {
+  return `${lines(value, 0).join('\n')}\n`;
+}
--- a/include/bamboowing/intent/operator_api.h
+++ b/include/bamboowing/intent/operator_api.h
@@ -20,7 +20,7 @@
   std::string body;
 };
 
-/// Returns a file of the console by the path of its URL (`/console/`, `/console/main.js`); nullopt for other paths. The
+/// Returns a file of the console by the path of its URL (`/console`, `/console/main.js`); nullopt for other paths. The
 /// files hold nothing secret and are served without a token.
 std::optional<operator_answer> ConsoleFile(std::string_view path);
 
--- a/src/intent/operator_api.cc
+++ b/src/intent/operator_api.cc
@@ -14,6 +14,7 @@
 
 using nlohmann::json;
 
+constexpr std::string_view kConsolePage = "/console";
 constexpr std::string_view kConsolePrefix = "/console/";
 
 std::string Dump(const json& value) { return value.dump(-1, ' ', false, json::error_handler_t::replace); }
@@ -95,6 +96,9 @@
 }  // namespace
 
 std::optional<operator_answer> ConsoleFile(std::string_view path) {
+  if (path == kConsolePage) {
+    return ConsoleFile(kConsolePrefix);
+  }
   if (path.substr(0, kConsolePrefix.size()) != kConsolePrefix) {
     return std::nullopt;
   }
--- /dev/null
+++ b/tests/console/console_server.cc
@@ -0,0 +1,149 @@
+// Serves the console and the operators' calls from an in-memory document, for the browser test. Prints its port and
+// ends when its standard input is closed.
+#include <fstream>
+#include <iostream>
+#include <mutex>
+#include <sstream>
+#include <string>
+#include <utility>
+
+#include "bamboowing/base/error.h"
+#include "bamboowing/intent/operator_api.h"
+#include "bamboowing/platform/http_server.h"
+
+namespace {
+
+using bamboowing::config_version;
+using bamboowing::error_kind;
+using bamboowing::ErrorResponse;
+using bamboowing::failure;
+using bamboowing::http_request;
+using bamboowing::http_response;
+using bamboowing::intent_report;
+using bamboowing::operator_answer;
+
+constexpr const char* kAuthorization = "Bearer test-token";
+constexpr const char* kFirstDocument = R"(
+failure_domains: [Hobart, Launceston, Burnie, Queenstown]
+services:
+  - name: line-analysis
+    targets: {failure_domains: [Hobart, Launceston, Burnie]}
+    task_time_limit_ms: 10000
+    deadline_max_ms: 60000
+  - {name: report-index, teams: [back-office]}
+teams:
+  - {name: control-room, priority: 5, weight: 4}
+  - {name: field-crews, priority: 3, weight: 2, quota_percent: 40}
+  - {name: back-office, quota_waiting_tasks: 50000}
+)";
+
+http_response FromAnswer(const operator_answer& answer) {
+  http_response response;
+  response.status = answer.status;
+  response.content_type = answer.content_type;
+  response.body = answer.body;
+  return response;
+}
+
+/// The document in force, changed by compare-and-swap as in the key-value service.
+class config_state {
+ public:
+  config_state() : report_(bamboowing::CheckIntent(kFirstDocument)) {}
+
+  operator_answer Get() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return bamboowing::ConfigAnswer(version_, &*report_.document);
+  }
+
+  operator_answer Put(const std::string& text, config_version base) {
+    intent_report report = bamboowing::CheckIntent(text);
+    if (!report.document) {
+      return bamboowing::InvalidAnswer(report);
+    }
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (base != version_) {
+      return bamboowing::ConflictAnswer(base, version_, &*report_.document);
+    }
+    report_ = std::move(report);
+    return bamboowing::WriteAnswer(++version_);
+  }
+
+ private:
+  std::mutex mutex_;
+  config_version version_ = 1;
+  intent_report report_;
+};
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+/// Returns the page with the test's script in it when the query has `test`.
+http_response Page(const operator_answer& file, const http_request& request) {
+  http_response response = FromAnswer(file);
+  const std::size_t end = response.body.rfind("</body>");
+  if (request.query.count("test") != 0 && end != std::string::npos) {
+    response.body.insert(end, "<script type=\"module\" src=\"/test/drive.js\"></script>\n");
+  }
+  return response;
+}
+
+http_response OperatorCall(config_state& state, const http_request& request) {
+  if (request.authorization != kAuthorization) {
+    return ErrorResponse(failure(error_kind::kUnauthorized, "the token is not valid"));
+  }
+  const std::optional<operator_answer> answer =
+      bamboowing::AnswerOperatorCall(request.method, request.path, request.body);
+  if (answer) {
+    return FromAnswer(*answer);
+  }
+  if (request.path == "/operator/v1/config" && request.method == "GET") {
+    return FromAnswer(state.Get());
+  }
+  if (request.path == "/operator/v1/config" && request.method == "PUT") {
+    return FromAnswer(state.Put(request.body, std::stoull(request.query.at("base_version"))));
+  }
+  return ErrorResponse(failure(error_kind::kNotFound, "no such call"));
+}
+
+http_response Answer(config_state& state, const std::string& test_directory, const http_request& request) {
+  if (request.path == "/test/drive.js" || request.path == "/test/phone.html") {
+    http_response response;
+    response.content_type = request.path == "/test/drive.js" ? "text/javascript" : "text/html";
+    response.body = ReadFile(test_directory + request.path.substr(std::string("/test").size()));
+    return response;
+  }
+  const std::optional<operator_answer> file = bamboowing::ConsoleFile(request.path);
+  return file ? Page(*file, request) : OperatorCall(state, request);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  if (argc != 2) {
+    std::cerr << "usage: console_server DIRECTORY_OF_TEST_SCRIPTS\n";
+    return 2;
+  }
+  const std::string test_directory = argv[1];
+  config_state state;
+  failure why;
+  const std::unique_ptr<bamboowing::http_server> server = bamboowing::http_server::Open(
+      "127.0.0.1:0",
+      [&state, &test_directory](const http_request& request, const bamboowing::http_server::responder& respond) {
+        respond(Answer(state, test_directory, request));
+      },
+      bamboowing::http_limits{}, why);
+  if (server == nullptr) {
+    std::cerr << why.reason << "\n";
+    return 1;
+  }
+  std::cout << server->port() << std::endl;
+  std::string line;
+  while (std::getline(std::cin, line)) {
+  }
+  server->Close();
+  return 0;
+}
--- /dev/null
+++ b/tests/console/drive.js
@@ -0,0 +1,208 @@
+// Drives the console as an operator does and writes the outcome into the element test-result. The scenario is the
+// query's `test`; with `stop` the scenario ends after the step of that name, for a screenshot.
+
+const query = new URLSearchParams(location.search);
+const waitLimitMs = 5000;
+
+const find = (selector) => document.querySelector(selector);
+const text = (selector) => find(selector).textContent;
+
+/** Waits until the condition holds; checks after each change of the page. */
+function until(what, condition) {
+  return new Promise((resolve, reject) => {
+    const finish = (settle, value) => {
+      observer.disconnect();
+      clearTimeout(timer);
+      settle(value);
+    };
+    const observer = new MutationObserver(() => condition() && finish(resolve));
+    const timer = setTimeout(() => finish(reject, new Error(`waited in vain: ${what}; status "${text('#status')}"`)),
+      waitLimitMs);
+    observer.observe(document.body, { subtree: true, childList: true, attributes: true, characterData: true });
+    if (condition()) {
+      finish(resolve);
+    }
+  });
+}
+
+function expect(what, found, expected) {
+  if (JSON.stringify(found) !== JSON.stringify(expected)) {
+    throw new Error(`${what}: found ${JSON.stringify(found)}, expected ${JSON.stringify(expected)}`);
+  }
+}
+
+function type(selector, value) {
+  const input = find(selector);
+  input.focus();
+  input.value = value;
+  input.dispatchEvent(new Event('input', { bubbles: true }));
+  input.dispatchEvent(new Event('change', { bubbles: true }));
+}
+
+const click = (selector) => find(selector).click();
+const fieldOf = (path) => `[data-path="${path}"]`;
+const isValid = (changes) => () => text('#status').startsWith(`The document is valid: ${changes}`);
+
+async function call(method, path, body) {
+  const response = await fetch(`/operator/v1/${path}`, { method, body, headers: { Authorization: 'Bearer test-token' } });
+  return response.json();
+}
+
+/** Writes a change as another operator, past the page. */
+async function writeAsOther(change) {
+  const { version, document: content } = await call('GET', 'config');
+  change(content);
+  content.write_id = 'other-operator';
+  return call('PUT', `config?base_version=${version}`, JSON.stringify(content));
+}
+
+async function signIn() {
+  type('#token', 'test-token');
+  click('#sign-in button');
+  await until('the form', () => !find('#editor').hidden && isValid('no changes')());
+}
+
+function step(name) {
+  if (query.get('stop') === name) {
+    throw new Error('stopped');
+  }
+}
+
+// Guards against a console that opens without a valid token, or keeps the token where a later page can read it.
+async function signInTest() {
+  type('#token', 'wrong');
+  click('#sign-in button');
+  await until('the refusal', () => text('#sign-in-error') === 'The token is not valid.');
+  expect('editor hidden', find('#editor').hidden, true);
+  await signIn();
+  expect('token in the page', find('#token').value, '');
+  expect('stored values', [localStorage.length, sessionStorage.length, document.cookie], [0, 0, '']);
+}
+
+// Guards against forms that lose an edit, show no error beside its field, or write a document that differs from the
+// one shown.
+async function editTest() {
+  await signIn();
+  click('[data-path="teams"] > .buttons button');
+  await until('the error of the empty name', () => text(fieldOf('teams[3].name')).includes('Found ""'));
+  type(`${fieldOf('teams[3].name')} input`, 'storm-desk');
+  type(`${fieldOf('teams[3].quota_percent')} input`, '5.5');
+  type(`${fieldOf('services[0].shards')} input`, 'many');
+  await until('the error of the shards', () => text(fieldOf('services[0].shards')).includes('an integer from 1 to 1024'));
+  const shards = find(`${fieldOf('services[0].shards')} input`);
+  expect('aria-invalid', shards.getAttribute('aria-invalid'), 'true');
+  expect('number of problems', document.querySelectorAll('#problem-list li').length, 1);
+  step('error');
+  click('#submit');
+  await until('the focus on the problem', () => document.activeElement === find('#problem-list button'));
+  click('#problem-list button');
+  expect('focus on the field', document.activeElement === shards, true);
+  type(`${fieldOf('services[0].shards')} input`, '4');
+  type(`${fieldOf('teams[1].quota_percent')} input`, '95');
+  await until('the rule between fields', () => text(fieldOf('teams')).includes('quotas of 105.5 %'));
+  type(`${fieldOf('teams[1].quota_percent')} input`, '');
+  click('[data-path="drains.targets"] button');
+  type(`${fieldOf('drains.targets[0]')} input`, 'minion-7');
+  click(`${fieldOf('services[1].idempotent_default')} input`);
+  await until('the changes', isValid('5 changes'));
+  step('edited');
+  expect('changes', [...document.querySelectorAll('#changes [data-change]')].map((row) => row.dataset.change), [
+    'drains.targets[minion-7]', 'services[line-analysis].shards', 'services[report-index].idempotent_default',
+    'teams[field-crews].quota_percent', 'teams[storm-desk]',
+  ]);
+  const shown = text('#document');
+  expect('team as shown', shown.includes('  - name: storm-desk\n    quota_percent: 5.5\n'), true);
+  click('#submit');
+  await until('the write', () => text('#status') === 'Version 2 is written.');
+  const { document: written } = await call('GET', 'config');
+  const { normalized } = await call('POST', 'config/validate', shown);
+  expect('document in force', { ...written, write_id: '' }, normalized);
+  expect('write id', /^[0-9a-f-]{35}$/.test(written.write_id), true);
+}
+
+// Guards against a lost race that overwrites the other operator's change or drops the edits of this one.
+async function conflictTest() {
+  await signIn();
+  type(`${fieldOf('teams[0].weight')} input`, '7');
+  type(`${fieldOf('services[0].shards')} input`, '2');
+  await until('the edit', isValid('2 changes'));
+  const other = await writeAsOther((content) => {
+    content.teams[0].weight = 9;
+    content.limits.tasks_per_job = 100;
+    content.drains.agents.push('agent-3');
+  });
+  click('#submit');
+  await until('the conflict', () => !find('#conflict').hidden);
+  expect('title', text('#conflict-title'), `Version ${other.version} was written by someone else`);
+  const rows = [...document.querySelectorAll('#conflict-changes [data-change]')];
+  expect('rows', rows.map((row) => [row.className, ...[...row.cells].map((cell) => cell.textContent)]), [
+    ['one', 'drains.agents[agent-3]', 'none', '"agent-3"', 'none'],
+    ['one', 'limits.tasks_per_job', '180', '100', '180'],
+    ['one', 'services[line-analysis].shards', '1', '1', '2'],
+    ['both', 'teams[control-room].weightchanged by both', '4', '9', '7'],
+  ]);
+  expect('edits kept', find(`${fieldOf('teams[0].weight')} input`).value, '7');
+  expect('both versions', [text('#conflict-theirs').includes('weight: 9'), text('#conflict-mine').includes('weight: 7')],
+    [true, true]);
+  step('conflict');
+  click('#combine');
+  await until('the combined draft', isValid('2 changes'));
+  click('#submit');
+  await until('the write', () => text('#status') === `Version ${other.version + 1} is written.`);
+  const { document: written } = await call('GET', 'config');
+  expect('combined', [written.teams[0].weight, written.services[0].shards, written.limits.tasks_per_job,
+    written.drains.agents], [7, 2, 100, ['agent-3']]);
+}
+
+// Guards against a write that is applied twice, or reported as failed, because its answer was lost.
+async function lostAnswerTest() {
+  await signIn();
+  type(`${fieldOf('limits.tasks_per_job')} input`, '90');
+  await until('the edit', isValid('1 change'));
+  const { version } = await call('GET', 'config');
+  const realFetch = window.fetch;
+  window.fetch = async (url, options) => {
+    const answer = await realFetch(url, options);
+    if (options?.method === 'PUT') {
+      throw new TypeError('connection lost');
+    }
+    return answer;
+  };
+  click('#submit');
+  await until('the write that was found', () => text('#status') === `Version ${version + 1} is written.`);
+  expect('version', (await call('GET', 'config')).version, version + 1);
+  window.fetch = async (url, options) => {
+    if (options?.method === 'PUT') {
+      throw new TypeError('connection refused');
+    }
+    return realFetch(url, options);
+  };
+  type(`${fieldOf('limits.tasks_per_job')} input`, '80');
+  await until('the second edit', isValid('1 change'));
+  click('#submit');
+  await until('the unknown outcome', () =>
+    text('#status').includes('It is not known whether') && !find('#submit').disabled);
+  window.fetch = realFetch;
+  click('#submit');
+  await until('the second write', () => text('#status') === `Version ${version + 2} is written.`);
+}
+
+const scenarios = { sign_in: signInTest, edit: editTest, conflict: conflictTest, lost_answer: lostAnswerTest };
+
+async function run() {
+  let result = 'passed';
+  try {
+    await scenarios[query.get('test')]();
+  } catch (error) {
+    result = error.message;
+  }
+  if (query.has('stop')) {
+    return;
+  }
+  const element = document.createElement('pre');
+  element.id = 'test-result';
+  element.textContent = `RESULT ${query.get('test')}: ${result}`;
+  document.body.append(element);
+}
+
+run();
