Make the console fit a phone and test it at 390 px

Cause: screenshots at 390 px showed the list of errors below the whole form, empty error slots that took space, and card summaries without units. A fifth scenario loads the page in a frame of 390 px, because the browser's window cannot be that narrow, and checks for sideways scrolling and for controls without a name. Shares without a fraction are written as integers.

--- a/console/form.js
+++ b/console/form.js
@@ -39,7 +39,7 @@
   const shown = Object.entries(schema.properties)
     .filter(([key, property]) => key !== 'name' && item[key] !== undefined && item[key] !== property.default &&
       typeof item[key] !== 'object')
-    .map(([key, property]) => `${property.title.toLowerCase()} ${item[key]}`);
+    .map(([key, property]) => `${property.title.toLowerCase()} ${item[key]} ${property.unit ?? ''}`.trim());
   return shown.length > 0 ? ` – ${shown.join(', ')}` : '';
 }
 
--- a/src/intent/codec.cc
+++ b/src/intent/codec.cc
@@ -11,6 +11,12 @@
 
 std::int64_t InMilliseconds(duration value) { return duration_cast<milliseconds>(value).count(); }
 
+/// A share without a fraction is written as an integer, as an operator would write it.
+json Number(double value) {
+  const std::int64_t whole = static_cast<std::int64_t>(value);
+  return static_cast<double>(whole) == value ? json(whole) : json(value);
+}
+
 template <typename T>
 std::optional<T> Optional(const json& map, const char* key) {
   return map.contains(key) ? std::optional<T>(map[key].get<T>()) : std::nullopt;
@@ -54,7 +60,7 @@
 json EncodeTeam(const team_intent& team) {
   json value = {{"name", team.name}, {"priority", team.priority}, {"weight", team.weight}};
   if (team.quota_percent) {
-    value["quota_percent"] = *team.quota_percent;
+    value["quota_percent"] = Number(*team.quota_percent);
   }
   if (team.quota_waiting_tasks) {
     value["quota_waiting_tasks"] = *team.quota_waiting_tasks;
@@ -122,7 +128,7 @@
   for (const team_intent& team : document.teams) {
     teams.push_back(EncodeTeam(team));
   }
-  const json retry_budget = {{"share_percent", document.retry_budget.share_percent},
+  const json retry_budget = {{"share_percent", Number(document.retry_budget.share_percent)},
                              {"attempts_max", document.retry_budget.attempts_max}};
   return {{"write_id", document.write_id},
           {"failure_domains", document.failure_domains},
--- a/tests/console/drive.js
+++ b/tests/console/drive.js
@@ -187,7 +187,29 @@
   await until('the second write', () => text('#status') === `Version ${version + 2} is written.`);
 }
 
-const scenarios = { sign_in: signInTest, edit: editTest, conflict: conflictTest, lost_answer: lostAnswerTest };
+// Guards against a page that a phone must scroll sideways, and controls without a name for a screen reader.
+async function phoneTest() {
+  await signIn();
+  click('[data-path="drains.agents"] button');
+  type(`${fieldOf('drains.agents[0]')} input`, 'agent-'.padEnd(100, 'x'));
+  type(`${fieldOf('limits.tasks_per_job')} input`, '181');
+  for (const card of document.querySelectorAll('details')) {
+    card.open = true;
+  }
+  await until('the error', () => !find('#problems').hidden);
+  expect('width of the window', window.innerWidth, 390);
+  const page = document.documentElement;
+  expect('part of the page beside the window', page.scrollWidth - page.clientWidth, 0);
+  const order = find('#problems').getBoundingClientRect().top < find('#form').getBoundingClientRect().top;
+  expect('problems above the form', order, true);
+  const isNamed = (item) => item.textContent || item.ariaLabel || item.labels?.[0]?.textContent;
+  const unnamed = [...document.querySelectorAll('input, button, summary')].filter((item) => !isNamed(item));
+  expect('controls without a name', unnamed.map((item) => item.outerHTML), []);
+}
+
+const scenarios = {
+  sign_in: signInTest, edit: editTest, conflict: conflictTest, lost_answer: lostAnswerTest, phone: phoneTest,
+};
 
 async function run() {
   let result = 'passed';
@@ -199,10 +221,10 @@
   if (query.has('stop')) {
     return;
   }
-  const element = document.createElement('pre');
+  const element = window.top.document.createElement('pre');
   element.id = 'test-result';
   element.textContent = `RESULT ${query.get('test')}: ${result}`;
-  document.body.append(element);
+  window.top.document.body.append(element);
 }
 
 run();
--- a/tests/intent/difference_test.cc
+++ b/tests/intent/difference_test.cc
@@ -35,7 +35,7 @@
             "drains.targets[m-3]: added \"m-3\"\n"
             "limits.body_bytes: 1048576 -> 2048\n"
             "services[b].shards: 2 -> 4\n"
-            "teams[t].quota_percent: removed 5.0\n"
+            "teams[t].quota_percent: removed 5\n"
             "teams[u]: removed {\"name\":\"u\",\"priority\":0,\"weight\":1}\n"
             "teams[v]: added {\"name\":\"v\",\"priority\":0,\"weight\":3}\n");
 }
