Add bamboowingctl

Cause: callers and operators had no tool; docs/cli.md, docs/errors.md and docs/metrics.md did not exist.

Change: job submit, status and cancel; config validate, diff, apply and show; target list and drain; instance list; timeline; metrics; top; completion bash. Exit codes 0 to 12 are one table. A submission without an answer is sent again with the same job id; a configuration change without an answer is recognised by its write id. Tables and help in docs/ are generated from the code, and a test compares them.

Conclusion: the commands follow the interface of design section 11 and the operators' calls; they have not run against a daemon yet.

--- /dev/null
+++ b/tests/ctl/operator_test.cc
@@ -0,0 +1,144 @@
+#include "bamboowing/platform/http_server.h"
+#include "tool_fixture.h"
+
+namespace bamboowing::ctl {
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kTargets = R"({"targets":[
+  {"id":"m2","service":"lines","failure_domain":"Burnie","slots":8,"in_flight":3,"state":"healthy","speed":1.5},
+  {"id":"m1","service":"lines","failure_domain":"Hobart","slots":8,"in_flight":0,"state":"ejected","speed":0.5},
+  {"id":"m3","service":"seals","failure_domain":"Hobart","slots":4,"in_flight":4,"state":"draining","speed":1}]})";
+constexpr const char* kInstances = R"({"instances":[
+  {"id":"a1","role":"agent","incarnation":"7","address":"127.0.0.1:7","failure_domain":"Hobart","config_version":4,
+   "home_of":[],"ready":true},
+  {"id":"e1","role":"entry","incarnation":"8","address":"127.0.0.1:8","failure_domain":"Hobart","config_version":4,
+   "home_of":["lines/0","seals/0"],"ready":false}]})";
+constexpr const char* kMetrics =
+    "# HELP x y\n# TYPE bamboowing_queue_depth_tasks gauge\nbamboowing_queue_depth_tasks{shard=\"a\\\"b/0\"} 12\n"
+    "bamboowing_config_version 4\nbamboowing_messages_wasted_total{cause=\"late\"} 2\nbad line {\n";
+
+class operator_test : public tool_test {
+ protected:
+  operator_test() {
+    script_ = [](const http_request& request, failure& /*why*/) {
+      if (request.path == "/operator/v1/targets") {
+        return Reply(200, kTargets);
+      }
+      return request.path == "/metrics" ? Reply(200, kMetrics) : Reply(200, kInstances);
+    };
+  }
+};
+
+// Guards against a call without the token, or with the line end of its file.
+TEST_F(operator_test, SendsTheTokenOfTheFile) {
+  EXPECT_EQ(Run({"target", "list"}), 0) << Err();
+  EXPECT_EQ(requests_.at(0).authorization, "Bearer secret");
+  EXPECT_EQ(address_, "127.0.0.1:2");
+  EXPECT_EQ(Run({"target", "list", "--token-file", File("empty", " \n")}), 3);
+  env_.variables.erase("BAMBOOWINGCTL_TOKEN_FILE");
+  EXPECT_EQ(Run({"target", "list"}), 2);
+  EXPECT_NE(Err().find("next: Pass --token-file FILE"), std::string::npos) << Err();
+  EXPECT_EQ(requests_.size(), 1U);
+}
+
+// Guards against columns that do not line up, colours in a pipe or against NO_COLOR, and a selection that is ignored.
+TEST_F(operator_test, ListsTargetsAsATable) {
+  EXPECT_EQ(Run({"target", "list", "--service", "lines"}), 0);
+  EXPECT_EQ(Out(),
+            "TARGET  SERVICE  FAILURE DOMAIN  SLOTS  IN FLIGHT  SPEED  STATE\n"
+            "m1      lines    Hobart              8          0   0.50  ejected\n"
+            "m2      lines    Burnie              8          3   1.50  healthy\n");
+  env_.out_is_terminal = true;
+  EXPECT_EQ(Run({"target", "list"}), 0);
+  EXPECT_NE(Out().find("\x1b[31mejected\x1b[0m"), std::string::npos);
+  env_.variables["NO_COLOR"] = "1";
+  EXPECT_EQ(Run({"target", "list"}), 0);
+  EXPECT_EQ(Out().find('\x1b'), std::string::npos);
+  EXPECT_EQ(Run({"target", "list", "--state", "ejected", "--output", "json"}), 0);
+  EXPECT_EQ(json::parse(Out()).at("targets").size(), 1U);
+}
+
+// Guards against entries hidden below agents, and against a process that is not ready looking well.
+TEST_F(operator_test, ListsInstances) {
+  EXPECT_EQ(Run({"instance", "list"}), 0);
+  EXPECT_LT(Out().find("e1"), Out().find("a1")) << Out();
+  EXPECT_NE(Out().find("lines/0, seals/0  no"), std::string::npos) << Out();
+}
+
+// Guards against a drain that is reported done while tasks still run.
+TEST_F(operator_test, WaitsForADrain) {
+  int looks = 0;
+  script_ = [&](const http_request& request, failure& /*why*/) {
+    if (request.method == "POST") {
+      return Reply(200, "{}");
+    }
+    const std::string busy = ++looks < 4 ? "2" : "0";
+    return Reply(200, R"({"targets":[{"id":"m1","in_flight":)" + busy + R"(,"state":"draining"}]})");
+  };
+  EXPECT_EQ(Run({"target", "drain", "m1", "--wait"}), 0) << Err();
+  EXPECT_EQ(json::parse(requests_.at(0).body).at("target"), "m1");
+  EXPECT_EQ(looks, 4);
+  EXPECT_EQ(Out(), "m1: drained\n");
+  looks = -1000;
+  EXPECT_EQ(Run({"target", "drain", "m1", "--wait", "--wait-limit", "3"}), 12);
+  EXPECT_NE(Err().find("still runs 2 tasks"), std::string::npos) << Err();
+}
+
+// Guards against labels with escaped characters and against lines that cannot be read.
+TEST_F(operator_test, ShowsMetrics) {
+  EXPECT_EQ(Run({"metrics", "--name", "queue"}), 0);
+  EXPECT_NE(Out().find("shard a\"b/0     12\n"), std::string::npos) << Out();
+  EXPECT_EQ(Run({"metrics", "--output", "json"}), 0);
+  const json list = json::parse(Out());
+  ASSERT_EQ(list.size(), 3U);
+  EXPECT_EQ(list[0].at("labels").at("shard"), "a\"b/0");
+  EXPECT_EQ(Run({"metrics", "--raw"}), 0);
+  EXPECT_EQ(Out(), kMetrics);
+  EXPECT_EQ(Run({"metrics", "--explain", "no_such"}), 9);
+}
+
+// Guards against rates that are not per second, and against a screen that is cleared in a pipe.
+TEST_F(operator_test, TopShowsLoadAndRates) {
+  EXPECT_EQ(Run({"top", "--count", "2", "--interval", "4"}), 0) << Err();
+  EXPECT_EQ(now_, instant(std::chrono::seconds(4)));
+  EXPECT_NE(Out().find("queue 12 tasks"), std::string::npos) << Out();
+  EXPECT_NE(Out().find("lines          2           1     16          3   18%"), std::string::npos) << Out();
+  EXPECT_NE(Out().find("jobs/s 0"), std::string::npos) << Out();
+  EXPECT_EQ(Out().find('\x1b'), std::string::npos);
+  EXPECT_EQ(Run({"top", "--output", "json"}), 0);
+  EXPECT_EQ(json::parse(Out()).at("targets").size(), 3U);
+}
+
+// Guards against answers of the wrong shape that end the tool with an exception.
+TEST_F(operator_test, ReportsAnAnswerOfTheWrongShape) {
+  for (const char* body : {"[]", "{}", "{\"targets\":7}", "null"}) {
+    script_ = [&](const http_request& /*request*/, failure& /*why*/) { return Reply(200, body); };
+    EXPECT_EQ(Run({"target", "list"}), 1) << body;
+  }
+  script_ = [](const http_request& /*request*/, failure& /*why*/) {
+    return Reply(401, R"({"kind":"unauthorized","reason":"bad token","not_run":"yes"})");
+  };
+  EXPECT_EQ(Run({"instance", "list"}), 8);
+}
+
+// Guards against a client that works with the scripted server only.
+TEST_F(operator_test, WorksOverARealConnection) {
+  failure why;
+  const std::unique_ptr<http_server> server = http_server::Open(
+      "127.0.0.1:0",
+      [](http_request request, http_server::responder respond) {
+        respond(request.authorization == "Bearer secret" ? Reply(200, kTargets) : Reply(401, "{}"));
+      },
+      {}, why);
+  ASSERT_NE(server, nullptr) << why.reason;
+  env_.connect = [](std::string_view address, failure& error) { return http_client::Open(address, error); };
+  const std::string address = "127.0.0.1:" + std::to_string(server->port());
+  EXPECT_EQ(Run({"target", "list", "--operator", address, "--timeout", "5"}), 0) << Err();
+  EXPECT_NE(Out().find("m3"), std::string::npos);
+  server->Close();
+}
+
+}  // namespace
+}  // namespace bamboowing::ctl
--- /dev/null
+++ b/tools/ctl/completion.cc
@@ -0,0 +1,124 @@
+#include <set>
+#include <sstream>
+
+#include "ctl/command.h"
+
+namespace bamboowing::ctl {
+namespace {
+
+std::string FirstWord(std::string_view name) { return std::string(name.substr(0, name.find(' '))); }
+
+std::string SecondWord(std::string_view name) {
+  const std::size_t space = name.find(' ');
+  return space == std::string_view::npos ? std::string() : std::string(name.substr(space + 1));
+}
+
+/// The long options of a command, each with the leading dashes.
+std::string LongOptions(const command& one) {
+  const cxxopts::Options options = OptionsOf(one);
+  std::string words;
+  for (const std::string& group : options.groups()) {
+    if (group == "Hidden") {
+      continue;
+    }
+    for (const cxxopts::HelpOptionDetails& option : options.group_help(group).options) {
+      for (const std::string& name : option.l) {
+        words += (words.empty() ? "--" : " --") + name;
+      }
+    }
+  }
+  return words;
+}
+
+std::string FirstWords() {
+  std::set<std::string> words;
+  for (const command& one : Commands()) {
+    words.insert(FirstWord(one.name));
+  }
+  std::string text;
+  for (const std::string& word : words) {
+    text += word + " ";
+  }
+  return text + "--help --version";
+}
+
+std::string SecondWords(const std::string& first) {
+  std::string text;
+  for (const command& one : Commands()) {
+    if (FirstWord(one.name) == first && !SecondWord(one.name).empty()) {
+      text += (text.empty() ? "" : " ") + SecondWord(one.name);
+    }
+  }
+  return text;
+}
+
+void WriteGroups(std::ostringstream& out) {
+  std::set<std::string> done;
+  for (const command& one : Commands()) {
+    const std::string first = FirstWord(one.name);
+    const std::string words = SecondWords(first);
+    if (!words.empty() && done.insert(first).second) {
+      out << "    " << first << ") words=\"" << words << "\" ;;\n";
+    }
+  }
+}
+
+void WriteCommands(std::ostringstream& out) {
+  for (const command& one : Commands()) {
+    const std::string key = FirstWord(one.name) + (SecondWord(one.name).empty() ? "" : "-" + SecondWord(one.name));
+    const bool file = one.operand == "FILE";
+    out << "    " << key << ") words=\"" << LongOptions(one) << (one.values.empty() ? "" : " ") << one.values
+        << "\"; files=" << (file ? 1 : 0) << " ;;\n";
+  }
+}
+
+std::string BashScript() {
+  std::ostringstream out;
+  out << "# bash completion for bamboowingctl\n"
+         "_bamboowingctl() {\n"
+         "  local current=\"${COMP_WORDS[COMP_CWORD]}\" previous=\"${COMP_WORDS[COMP_CWORD-1]}\"\n"
+         "  local words=\"\" files=0 key=\"${COMP_WORDS[1]}\"\n"
+         "  COMPREPLY=()\n"
+         "  case \"$previous\" in\n"
+         "    --token-file|--base|--chrome|--html) COMPREPLY=($(compgen -f -- \"$current\")); return ;;\n"
+         "    --output) COMPREPLY=($(compgen -W \"table json\" -- \"$current\")); return ;;\n"
+         "  esac\n"
+         "  if [ \"$COMP_CWORD\" -eq 1 ]; then\n"
+         "    COMPREPLY=($(compgen -W \""
+      << FirstWords()
+      << "\" -- \"$current\"))\n"
+         "    return\n"
+         "  fi\n"
+         "  case \"${COMP_WORDS[1]}\" in\n";
+  WriteGroups(out);
+  out << "  esac\n"
+         "  if [ -n \"$words\" ] && [ \"$COMP_CWORD\" -eq 2 ]; then\n"
+         "    COMPREPLY=($(compgen -W \"$words\" -- \"$current\"))\n"
+         "    return\n"
+         "  fi\n"
+         "  [ -n \"$words\" ] && key=\"${COMP_WORDS[1]}-${COMP_WORDS[2]}\"\n"
+         "  case \"$key\" in\n";
+  WriteCommands(out);
+  out << "    *) words=\"\" ;;\n"
+         "  esac\n"
+         "  COMPREPLY=($(compgen -W \"$words\" -- \"$current\"))\n"
+         "  if [ \"$files\" -eq 1 ]; then\n"
+         "    COMPREPLY+=($(compgen -f -- \"$current\"))\n"
+         "  fi\n"
+         "}\n"
+         "complete -o filenames -F _bamboowingctl bamboowingctl\n";
+  return out.str();
+}
+
+}  // namespace
+
+exit_code RunCompletion(invocation& call) {
+  const std::string shell = call.List(kOperand).front();
+  if (shell != "bash") {
+    return call.print().Fail(UsageFailure("no completion for '" + shell + "'", "Use: bamboowingctl completion bash."));
+  }
+  call.env().out << BashScript();
+  return exit_code::kOk;
+}
+
+}  // namespace bamboowing::ctl
--- /dev/null
+++ b/tools/ctl/fleet.cc
@@ -0,0 +1,136 @@
+#include "ctl/fleet.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <tuple>
+
+namespace bamboowing::ctl {
+namespace {
+
+using nlohmann::json;
+
+template <typename T>
+T Field(const json& row, const char* key, T otherwise) {
+  const json::const_iterator found = row.find(key);
+  if (found == row.end()) {
+    return otherwise;
+  }
+  try {
+    return found->get<T>();
+  } catch (const json::exception&) {
+    return otherwise;
+  }
+}
+
+/// Calls @p path and returns the array @p key of the answer's object.
+std::optional<json> FetchList(api_client& server, const char* path, const char* key, json& body, failure& why) {
+  std::optional<json_answer> answer = server.Call(MakeRequest("GET", path), why);
+  if (!answer) {
+    return std::nullopt;
+  }
+  body = std::move(answer->body);
+  const json list = body.is_object() ? body.value(key, json()) : json();
+  if (!list.is_array()) {
+    why = failure(error_kind::kInternal, "the server's answer has no list '" + std::string(key) + "'");
+    return std::nullopt;
+  }
+  return list;
+}
+
+target_row ReadTarget(const json& row) {
+  target_row result;
+  result.id = Field<std::string>(row, "id", "");
+  result.service = Field<std::string>(row, "service", "");
+  result.failure_domain = Field<std::string>(row, "failure_domain", "");
+  result.slots = Field<std::int64_t>(row, "slots", 0);
+  result.in_flight = Field<std::int64_t>(row, "in_flight", 0);
+  result.state = Field<std::string>(row, "state", "");
+  result.speed = Field<double>(row, "speed", 0);
+  return result;
+}
+
+instance_row ReadInstance(const json& row) {
+  instance_row result;
+  result.id = Field<std::string>(row, "id", "");
+  result.role = Field<std::string>(row, "role", "");
+  result.address = Field<std::string>(row, "address", "");
+  result.failure_domain = Field<std::string>(row, "failure_domain", "");
+  result.config_version = Field<std::int64_t>(row, "config_version", 0);
+  result.home_of = Field<std::vector<std::string>>(row, "home_of", {});
+  result.ready = Field<bool>(row, "ready", false);
+  return result;
+}
+
+/// States other than these mean that the target receives no work for a reason that needs attention.
+tone ToneOfState(const std::string& state) {
+  if (state == "healthy" || state == "active" || state == "ready") {
+    return tone::kGood;
+  }
+  return state == "draining" || state == "leaving" || state == "probing" ? tone::kWarning : tone::kBad;
+}
+
+std::string Fixed(double value) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.2f", value);
+  return text;
+}
+
+std::string Joined(const std::vector<std::string>& parts) {
+  std::string text;
+  for (const std::string& part : parts) {
+    text += (text.empty() ? "" : ", ") + part;
+  }
+  return text.empty() ? "-" : text;
+}
+
+}  // namespace
+
+std::optional<target_answer> FetchTargets(api_client& server, failure& why) {
+  target_answer answer;
+  const std::optional<json> list = FetchList(server, "/operator/v1/targets", "targets", answer.body, why);
+  if (!list) {
+    return std::nullopt;
+  }
+  for (const json& row : *list) {
+    answer.rows.push_back(ReadTarget(row));
+  }
+  std::sort(answer.rows.begin(), answer.rows.end(), [](const target_row& a, const target_row& b) {
+    return std::tie(a.service, a.id) < std::tie(b.service, b.id);
+  });
+  return answer;
+}
+
+std::optional<instance_answer> FetchInstances(api_client& server, failure& why) {
+  instance_answer answer;
+  const std::optional<json> list = FetchList(server, "/operator/v1/instances", "instances", answer.body, why);
+  if (!list) {
+    return std::nullopt;
+  }
+  for (const json& row : *list) {
+    answer.rows.push_back(ReadInstance(row));
+  }
+  std::sort(answer.rows.begin(), answer.rows.end(), [](const instance_row& a, const instance_row& b) {
+    return std::tie(b.role, a.id) < std::tie(a.role, b.id);
+  });
+  return answer;
+}
+
+table TargetTable(const std::vector<target_row>& rows) {
+  table result{{"TARGET", "SERVICE", "FAILURE DOMAIN", "SLOTS", "IN FLIGHT", "SPEED", "STATE"}, {}};
+  for (const target_row& row : rows) {
+    result.rows.push_back({row.id, row.service, row.failure_domain, std::to_string(row.slots),
+                           std::to_string(row.in_flight), Fixed(row.speed), cell(row.state, ToneOfState(row.state))});
+  }
+  return result;
+}
+
+table InstanceTable(const std::vector<instance_row>& rows) {
+  table result{{"INSTANCE", "ROLE", "ADDRESS", "FAILURE DOMAIN", "CONFIG", "HOME OF", "READY"}, {}};
+  for (const instance_row& row : rows) {
+    result.rows.push_back({row.id, row.role, row.address, row.failure_domain, std::to_string(row.config_version),
+                           Joined(row.home_of), cell(row.ready ? "yes" : "no", row.ready ? tone::kGood : tone::kBad)});
+  }
+  return result;
+}
+
+}  // namespace bamboowing::ctl
--- /dev/null
+++ b/tools/ctl/fleet.h
@@ -0,0 +1,56 @@
+/// @file
+/// Targets and instances as the operators' interface reports them.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "ctl/api.h"
+
+namespace bamboowing::ctl {
+
+/// One target.
+struct target_row {
+  std::string id;
+  std::string service;
+  std::string failure_domain;
+  std::int64_t slots = 0;
+  std::int64_t in_flight = 0;
+  std::string state;
+  double speed = 0;
+};
+
+/// One process.
+struct instance_row {
+  std::string id;
+  std::string role;
+  std::string address;
+  std::string failure_domain;
+  std::int64_t config_version = 0;
+  std::vector<std::string> home_of;
+  bool ready = false;
+};
+
+/// The answer of the server, as received and as rows.
+struct target_answer {
+  nlohmann::json body;
+  std::vector<target_row> rows;
+};
+struct instance_answer {
+  nlohmann::json body;
+  std::vector<instance_row> rows;
+};
+
+/// Fetches the targets. Returns nullopt and fills @p why when the call fails.
+std::optional<target_answer> FetchTargets(api_client& server, failure& why);
+
+/// Fetches the instances. Returns nullopt and fills @p why when the call fails.
+std::optional<instance_answer> FetchInstances(api_client& server, failure& why);
+
+/// The rows as tables.
+table TargetTable(const std::vector<target_row>& rows);
+table InstanceTable(const std::vector<instance_row>& rows);
+
+}  // namespace bamboowing::ctl
--- /dev/null
+++ b/tools/ctl/main.cc
@@ -0,0 +1,58 @@
+#include <unistd.h>
+
+#include <chrono>
+#include <cstdio>
+#include <exception>
+#include <iostream>
+#include <random>
+#include <thread>
+
+#include "ctl/command.h"
+
+namespace bamboowing::ctl {
+namespace {
+
+std::map<std::string, std::string> Variables() {
+  std::map<std::string, std::string> variables;
+  for (char** one = environ; *one != nullptr; ++one) {
+    const std::string text(*one);
+    const std::size_t equals = text.find('=');
+    if (equals != std::string::npos) {
+      variables[text.substr(0, equals)] = text.substr(equals + 1);
+    }
+  }
+  return variables;
+}
+
+std::string RandomId() {
+  std::random_device source;
+  char text[40];
+  std::snprintf(text, sizeof text, "ctl-%08x%08x%08x", source(), source(), source());
+  return text;
+}
+
+exit_code Run(int argc, char** argv) {
+  tool_environment env(std::cout, std::cerr, std::cin);
+  env.out_is_terminal = isatty(STDOUT_FILENO) != 0;
+  env.err_is_terminal = isatty(STDERR_FILENO) != 0;
+  env.variables = Variables();
+  env.connect = [](std::string_view address, failure& why) { return http_client::Open(address, why); };
+  env.now = [] { return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now()); };
+  env.sleep = [](duration length) { std::this_thread::sleep_for(length); };
+  env.random_id = RandomId;
+  const exit_code code = RunTool(std::vector<std::string>(argv + 1, argv + argc), env);
+  std::cout.flush();
+  return code;
+}
+
+}  // namespace
+}  // namespace bamboowing::ctl
+
+int main(int argc, char** argv) {
+  try {
+    return static_cast<int>(bamboowing::ctl::Run(argc, argv));
+  } catch (const std::exception& defect) {
+    std::fprintf(stderr, "error: %s\n", defect.what());
+    return static_cast<int>(bamboowing::ctl::exit_code::kInternal);
+  }
+}
--- /dev/null
+++ b/tools/ctl/reference.h
@@ -0,0 +1,18 @@
+/// @file
+/// The parts of the pages under docs/ that follow from tables in the code.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace bamboowing::ctl {
+
+/// Returns the generated part of a page: "cli", "errors" or "metrics"; nullopt for another name.
+std::optional<std::string> ReferenceText(std::string_view page);
+
+/// Replaces the text between the markers `<!-- begin PAGE -->` and `<!-- end PAGE -->` of @p text. Returns nullopt when
+/// the markers are missing.
+std::optional<std::string> WithReference(std::string_view text, std::string_view page);
+
+}  // namespace bamboowing::ctl
