--- a/include/bamboowing/agent/agent_core.h
+++ b/include/bamboowing/agent/agent_core.h
@@ -31,6 +31,10 @@
 /// - On a fresh session with the home, the agent first reports what it holds. From then on it refuses starts that were
 ///   sent before the home had this report, so the home may take a task missing in the report as not started.
 ///
+/// An entry must send something on each session at least every heartbeat interval, and every 500 ms while tasks of it
+/// run here; else the agent takes the session for silent and replaces it. The agent confirms each batch of the home at
+/// once, so an entry must not answer a mere confirmation.
+///
 /// Memory: the bounds of task_ledger, `session_table::kMaxSessions` sessions, kMaxRefused remembered refusals, and the
 /// actions that were not yet cleared.
 class agent_core {
@@ -90,6 +94,7 @@
 
   agent_batch& Outgoing(entry_session& session, instant now);
   entry_session* HomeSession();
+  home_view Home() const;
   bool leaving() const;
   target_announcement Announcement() const;
   void Announce(instant now);
@@ -100,8 +105,8 @@
   bool AcceptHeader(entry_session& session, const entry_batch& batch, instant now);
   bool MoveToShard(const entry_batch& batch, instant now);
   void RaiseEpoch(epoch value, instant now);
-  void NoteHome(entry_session& session, const entry_batch& batch, instant now);
   void Acknowledge(entry_session& session, const entry_batch& batch, instant now);
+  void NoteReport(const agent_batch& report);
   void ReportHeld(entry_session& session, instant now);
   void ApplyIntent(const entry_batch& batch, instant now);
   void Start(entry_session& session, const entry_batch& batch, const start_task& start, instant now);
--- a/include/bamboowing/agent/agent_settings.h
+++ b/include/bamboowing/agent/agent_settings.h
@@ -32,12 +32,13 @@
 
   duration heartbeat_interval = std::chrono::milliseconds(500);  ///< longest pause in sending to the home
   duration idle_heartbeat_interval = std::chrono::seconds(5);    ///< longest pause in sending to other entries
-  duration silence_limit = std::chrono::seconds(2);              ///< the home's session is replaced after this silence
+  duration silence_limit = std::chrono::seconds(2);              ///< no session is replaced before this silence
   duration connect_timeout = std::chrono::seconds(2);            ///< an attempt to connect is given up after this time
   duration backoff_min = std::chrono::milliseconds(100);         ///< first pause between attempts to connect
   duration backoff_max = std::chrono::seconds(5);                ///< longest pause between attempts to connect
-  duration target_timeout = std::chrono::seconds(10);            ///< a target that stops announcing itself has left
-  duration drain_linger = std::chrono::seconds(5);               ///< wait for releases after the last answer
+  /// A target that stops announcing itself has left. Targets announce themselves every second or two.
+  duration target_timeout = std::chrono::seconds(5);
+  duration drain_linger = std::chrono::seconds(5);  ///< wait for releases after the last answer
 };
 
 /// Send @p batch on the session with @p peer.
--- a/include/bamboowing/agent/session_table.h
+++ b/include/bamboowing/agent/session_table.h
@@ -21,13 +21,19 @@
   kOpen,
 };
 
+/// What the sessions need to know of the home.
+struct home_view {
+  std::string_view address;  ///< empty if there is none
+  bool busy = false;         ///< tasks run, so that silence must be found soon
+};
+
 /// One entry that the agent knows.
 struct entry_session {
   std::string address;
   session_state state = session_state::kWaiting;
   instant due;
   duration backoff{0};
-  duration heartbeat{0};  ///< longest pause in sending when the entry is not home
+  duration heartbeat{0};  ///< longest pause in sending that the entry asked for; 0: the settings decide
   instant last_sent;
   instant last_received;
   incarnation entry_life = 0;  ///< incarnation of the entry in this session; 0 until a batch arrived
@@ -51,7 +57,7 @@
   /// Adds unknown addresses, and forgets unconnected ones that are neither seeds nor in @p addresses.
   void Learn(span<const std::string> addresses, instant now);
 
-  /// Marks a session open with nothing received in it yet. Returns nullptr for an unknown address.
+  /// Marks a session open with nothing received in it yet. Returns nullptr unless an attempt to connect is under way.
   entry_session* Opened(std::string_view address, instant now);
 
   /// Marks a session closed and plans the next attempt. Returns whether it had been open.
@@ -62,20 +68,20 @@
   void Received(entry_session& session, const batch_header& header, instant now);
 
   /// Connects where an attempt is due, gives up attempts that take too long, and replaces silent sessions. Appends the
-  /// actions to @p out. @p home is the address of the home, empty if there is none.
-  void Tick(instant now, std::string_view home, std::vector<agent_action>& out);
+  /// actions to @p out.
+  void Tick(instant now, const home_view& home, std::vector<agent_action>& out);
 
   /// When Tick() has something to do or a heartbeat is due.
-  std::optional<instant> next_wakeup(std::string_view home) const;
+  std::optional<instant> next_wakeup(const home_view& home) const;
 
   /// When the agent must send something on an open session.
-  instant HeartbeatDue(const entry_session& session, std::string_view home) const;
+  instant HeartbeatDue(const entry_session& session, const home_view& home) const;
 
   std::map<std::string, entry_session, std::less<>>& all() { return sessions_; }
 
  private:
-  instant SilenceEnds(const entry_session& session, std::string_view home) const;
-  duration IntervalOf(const entry_session& session, std::string_view home) const;
+  instant SilenceEnds(const entry_session& session, const home_view& home) const;
+  duration IntervalOf(const entry_session& session, const home_view& home) const;
   void Add(const std::string& address, bool seed, instant now);
   void PlanAttempt(entry_session& session, instant now);
 
--- a/include/bamboowing/agent/task_ledger.h
+++ b/include/bamboowing/agent/task_ledger.h
@@ -26,6 +26,7 @@
 /// What is known of one started task.
 struct task_record {
   std::uint32_t task = 0;
+  std::uint32_t started = 0;  ///< attempt under which it was started
   std::uint32_t attempt = 0;  ///< newest attempt under which an entry asked for the task
   held_state state = held_state::kRunning;
   bool released = false;  ///< the job was delivered; the answer of a running task is not retained
@@ -65,8 +66,8 @@
   /// Lists all started tasks; those without an answer only if @p with_released.
   std::vector<held_task> Inventory(bool with_released) const;
 
-  /// The retained answers of one job.
-  std::vector<task_answer> AnswersOf(const std::string& job_id) const;
+  /// The records of one job; empty if none of its tasks was started here.
+  std::vector<task_record> RecordsOf(const std::string& job_id) const;
 
   bool full() const { return records_ >= limits_.records; }
   std::size_t running() const { return running_; }
--- a/src/agent/agent_batch.cc
+++ b/src/agent/agent_batch.cc
@@ -11,6 +11,9 @@
 // `authority_timeout`; until then the home may still have starts under way.
 constexpr int kShardChangeTimeouts = 5;
 
+// A batch of the home is confirmed at once unless something was sent within this part of `authority_timeout`.
+constexpr int kConfirmationsPerTimeout = 4;
+
 }  // namespace
 
 void agent_core::OnBatch(std::string_view address, const entry_batch& batch, instant now) {
@@ -35,7 +38,9 @@
     }
     return;
   }
-  NoteHome(*session, batch, now);
+  if (batch.claim) {
+    Acknowledge(*session, batch, now);
+  }
   for (const std::string& job_id : batch.released_jobs) {
     ledger_.Release(job_id);
   }
@@ -51,12 +56,16 @@
   if (batch.status_query) {
     ReportHeld(*session, now);
   }
+  // The home may need the confirmation to keep its authority, and a fresh clock of ours for its next start.
+  if (session->last_sent + settings_.authority_timeout / kConfirmationsPerTimeout <= now) {
+    Outgoing(*session, now);
+  }
   CheckDrained(now);
 }
 
-// Returns whether the sender speaks for the agent's shard with the highest epoch.
+// Returns whether the sender is home of the agent's shard with the highest epoch.
 bool agent_core::AcceptHeader(entry_session& session, const entry_batch& batch, instant now) {
-  if (!MoveToShard(batch, now)) {
+  if (!MoveToShard(batch, now) || batch.header.shard_epoch == 0) {
     return false;
   }
   if (batch.header.shard_epoch < highest_) {
@@ -66,7 +75,15 @@
     }
     return false;
   }
-  RaiseEpoch(batch.header.shard_epoch, now);
+  // Other entries may know of an epoch that was announced and never claimed, so only the home itself raises it.
+  if (batch.claim || !batch.starts.empty()) {
+    RaiseEpoch(batch.header.shard_epoch, now);
+    home_ = home_entry{session.address, batch.header.sender, batch.header.life};
+  }
+  if (!home_.has_value() || home_->id != batch.header.sender || home_->life != batch.header.life) {
+    return false;
+  }
+  home_heard_ = now;
   return true;
 }
 
@@ -100,29 +117,17 @@
   Record(event_kind::kEpochRaised, now, nullptr, {}, highest_, {});
 }
 
-// Only the home of the highest epoch claims the shard or starts tasks; other entries merely know the epoch.
-void agent_core::NoteHome(entry_session& session, const entry_batch& batch, instant now) {
-  if (batch.header.shard_epoch == 0) {
-    return;
-  }
-  if (batch.claim || !batch.starts.empty()) {
-    home_ = home_entry{session.address, batch.header.sender, batch.header.life};
-  }
-  if (home_.has_value() && home_->life == batch.header.life) {
-    home_heard_ = now;
-  }
-  if (batch.claim) {
-    Acknowledge(session, batch, now);
-  }
-}
-
 void agent_core::Acknowledge(entry_session& session, const entry_batch& batch, instant now) {
   agent_batch& reply = Outgoing(session, now);
   reply.inventory = ledger_.Inventory(true);
   reply.inventory_of = batch.header.shard_epoch;
-  // The home fetches the retained answers that it wants.
+  NoteReport(reply);
+}
+
+// The home fetches the retained answers that it lacks once it has a report; they count as sent with the report.
+void agent_core::NoteReport(const agent_batch& report) {
   answer_unsent_ = false;
-  answer_sent_ = reply.header.sent_at;
+  answer_sent_ = report.header.sent_at;
 }
 
 void agent_core::ReportHeld(entry_session& session, instant now) {
@@ -131,6 +136,7 @@
     reply.inventory = ledger_.Inventory(false);
   }
   reply.status_reply = true;
+  NoteReport(reply);
 }
 
 void agent_core::ApplyIntent(const entry_batch& batch, instant now) {
@@ -172,6 +178,9 @@
   if (leaving()) {
     return error_kind::kDraining;
   }
+  if (target_->service != batch.shard.service) {
+    return error_kind::kNoTarget;
+  }
   if (ledger_.running() >= target_->slots || ledger_.full()) {
     return error_kind::kNoSlot;
   }
@@ -179,7 +188,8 @@
 }
 
 bool agent_core::EchoIsStale(const batch_header& header, instant fence, instant now) const {
-  return header.echo_life != settings_.life || header.echo < fence || header.echo + settings_.authority_timeout < now;
+  const bool foreign = header.echo_life != settings_.life || header.echo > clock_sent_;
+  return foreign || header.echo < fence || header.echo + settings_.authority_timeout < now;
 }
 
 void agent_core::Refuse(entry_session& session, const task_key& key, error_kind kind, instant now) {
@@ -205,8 +215,8 @@
   if (state == held_state::kAnswered) {
     SendAnswer(session, *record.answer, now);
   } else if (state == held_state::kReleased) {
-    Outgoing(session, now)
-        .answers.push_back({key, task_status::kLost, "the task ran and its answer is no longer retained", duration(0)});
+    SendAnswer(session, {key, task_status::kLost, "the task ran and its answer is no longer retained", duration(0)},
+               now);
   }
 }
 
@@ -221,15 +231,17 @@
   if (record == nullptr) {
     Refuse(session, key, error_kind::kCancelled, now);
   } else if (record->state == held_state::kRunning) {
-    actions_.emplace_back(stop_task{{key.job_id, key.task, record->attempt}});
+    actions_.emplace_back(stop_task{{key.job_id, key.task, record->started}});
   } else {
     AnswerAgain(session, key, *record, now);
   }
 }
 
 void agent_core::Fetch(entry_session& session, const std::string& job_id, instant now) {
-  for (const task_answer& answer : ledger_.AnswersOf(job_id)) {
-    SendAnswer(session, answer, now);
+  // Copies, since answering again may change the records.
+  const std::vector<task_record> records = ledger_.RecordsOf(job_id);
+  for (const task_record& record : records) {
+    AnswerAgain(session, {job_id, record.task, record.attempt}, record, now);
   }
 }
 
--- a/src/agent/agent_core.cc
+++ b/src/agent/agent_core.cc
@@ -36,6 +36,7 @@
 void agent_core::OnSessionOpened(std::string_view address, instant now) {
   entry_session* session = sessions_.Opened(address, now);
   if (session == nullptr) {
+    // The attempt was given up before it succeeded.
     actions_.emplace_back(close_session{std::string(address)});
     return;
   }
@@ -44,6 +45,8 @@
   AnnounceOn(*session, now);
   if (home_.has_value() && home_->address == address) {
     ReportHeld(*session, now);
+    session->fence = clock_sent_;
+    last_change_ = now;
   }
 }
 
@@ -83,14 +86,13 @@
   ledger_.Expire(now);
   ExpireRefusals(now);
   CheckTarget(now);
-  sessions_.Tick(now, home_.has_value() ? std::string_view(home_->address) : std::string_view(), actions_);
+  sessions_.Tick(now, Home(), actions_);
   SendHeartbeats(now);
   CheckDrained(now);
 }
 
 std::optional<instant> agent_core::next_wakeup() const {
-  std::optional<instant> next =
-      sessions_.next_wakeup(home_.has_value() ? std::string_view(home_->address) : std::string_view());
+  std::optional<instant> next = sessions_.next_wakeup(Home());
   const auto earlier = [&next](instant at) { next = next.has_value() ? std::min(*next, at) : at; };
   const std::optional<instant> expiry = ledger_.next_expiry();
   if (expiry.has_value()) {
@@ -151,6 +153,10 @@
   return batch;
 }
 
+home_view agent_core::Home() const {
+  return home_.has_value() ? home_view{home_->address, ledger_.running() > 0} : home_view{};
+}
+
 entry_session* agent_core::HomeSession() {
   if (!home_.has_value()) {
     return nullptr;
@@ -183,7 +189,7 @@
 }
 
 void agent_core::SendHeartbeats(instant now) {
-  const std::string home = home_.has_value() ? home_->address : std::string();
+  const home_view home = Home();
   for (auto& [address, session] : sessions_.all()) {
     if (session.state == session_state::kOpen && sessions_.HeartbeatDue(session, home) <= now) {
       Outgoing(session, now);
--- a/src/agent/session_table.cc
+++ b/src/agent/session_table.cc
@@ -5,7 +5,7 @@
 namespace bamboowing {
 namespace {
 
-// A session that is not the home's is silent when this many heartbeats of the entry are missing.
+// A session is silent when this many heartbeats of the entry are missing, and not before `silence_limit`.
 constexpr int kMissedHeartbeats = 3;
 
 }  // namespace
@@ -30,7 +30,6 @@
   session.address = address;
   session.seed = seed;
   session.backoff = settings_.backoff_min;
-  session.heartbeat = settings_.idle_heartbeat_interval;
   // The jitter spreads the first connections of agents that start together.
   session.due = now + duration(random_.Below(static_cast<std::uint64_t>(settings_.backoff_min.count())));
   sessions_.emplace(address, session);
@@ -56,7 +55,7 @@
 
 entry_session* session_table::Opened(std::string_view address, instant now) {
   entry_session* session = Find(address);
-  if (session == nullptr) {
+  if (session == nullptr || session->state != session_state::kConnecting) {
     return nullptr;
   }
   session->state = session_state::kOpen;
@@ -88,22 +87,27 @@
   session.backoff = settings_.backoff_min;
 }
 
-duration session_table::IntervalOf(const entry_session& session, std::string_view home) const {
-  return session.address == home ? settings_.heartbeat_interval : session.heartbeat;
+duration session_table::IntervalOf(const entry_session& session, const home_view& home) const {
+  const bool is_home = session.address == home.address;
+  if (is_home && home.busy) {
+    return settings_.heartbeat_interval;
+  }
+  if (session.heartbeat > duration(0)) {
+    return session.heartbeat;
+  }
+  return is_home ? settings_.heartbeat_interval : settings_.idle_heartbeat_interval;
 }
 
-instant session_table::HeartbeatDue(const entry_session& session, std::string_view home) const {
+instant session_table::HeartbeatDue(const entry_session& session, const home_view& home) const {
   return session.last_sent + IntervalOf(session, home);
 }
 
-instant session_table::SilenceEnds(const entry_session& session, std::string_view home) const {
-  const duration limit = session.address == home
-                             ? settings_.silence_limit
-                             : std::max(settings_.silence_limit, session.heartbeat * kMissedHeartbeats);
-  return session.last_received + limit;
+instant session_table::SilenceEnds(const entry_session& session, const home_view& home) const {
+  const duration missed = IntervalOf(session, home) * kMissedHeartbeats;
+  return session.last_received + std::max(settings_.silence_limit, missed);
 }
 
-void session_table::Tick(instant now, std::string_view home, std::vector<agent_action>& out) {
+void session_table::Tick(instant now, const home_view& home, std::vector<agent_action>& out) {
   for (auto& [address, session] : sessions_) {
     if (session.state == session_state::kWaiting && session.due <= now) {
       session.state = session_state::kConnecting;
@@ -120,7 +124,7 @@
   }
 }
 
-std::optional<instant> session_table::next_wakeup(std::string_view home) const {
+std::optional<instant> session_table::next_wakeup(const home_view& home) const {
   std::optional<instant> next;
   for (const auto& [address, session] : sessions_) {
     instant due = session.due;
--- a/src/agent/task_ledger.cc
+++ b/src/agent/task_ledger.cc
@@ -39,6 +39,7 @@
 void task_ledger::Start(const task_key& key) {
   task_record record;
   record.task = key.task;
+  record.started = key.attempt;
   record.attempt = key.attempt;
   jobs_[key.job_id].push_back(record);
   ++records_;
@@ -127,18 +128,9 @@
   return held;
 }
 
-std::vector<task_answer> task_ledger::AnswersOf(const std::string& job_id) const {
-  std::vector<task_answer> answers;
+std::vector<task_record> task_ledger::RecordsOf(const std::string& job_id) const {
   const job_map::const_iterator job = jobs_.find(job_id);
-  if (job == jobs_.end()) {
-    return answers;
-  }
-  for (const task_record& record : job->second) {
-    if (record.answer.has_value()) {
-      answers.push_back(*record.answer);
-    }
-  }
-  return answers;
+  return job == jobs_.end() ? std::vector<task_record>{} : job->second;
 }
 
 void task_ledger::DropAnswer(task_record& record) {
