Let slow targets take young jobs, measure the cost of a decision

Change: targets slower than 0.6 of the mean take the youngest of the first eight jobs for which they are good enough. decision_cost (google-benchmark).

--- /dev/null
+++ b/benchmark/decision_cost.cc
@@ -0,0 +1,116 @@
+// Cost of a decision: one answer, one start, and one job admitted for every job that ends, in steady state.
+#include <benchmark/benchmark.h>
+
+#include <chrono>
+#include <cmath>
+#include <deque>
+
+#include "bamboowing/base/random.h"
+#include "bamboowing/dispatch/dispatcher.h"
+
+namespace bamboowing {
+namespace {
+
+constexpr std::uint32_t kSlots = 8;
+constexpr std::uint32_t kTeams = 52;  // design section 1
+
+// Keeps a dispatcher at a constant number of waiting tasks with all slots busy.
+class steady_state {
+ public:
+  steady_state(std::uint32_t targets, std::uint32_t waiting, std::uint32_t tasks_per_job)
+      : dispatcher_(Settings(), 1), random_(7), tasks_per_job_(tasks_per_job) {
+    for (std::uint32_t i = 0; i < targets; ++i) {
+      dispatcher_.AddTarget("target-" + std::to_string(i), kSlots, now_);
+    }
+    while (dispatcher_.counts().waiting < waiting + targets * kSlots) {
+      AdmitJob();
+    }
+    StartAll();
+    // The first answers teach the speeds, so that the targets are spread over the classes of speed.
+    for (std::uint32_t i = 0; i < 4 * targets * kSlots; ++i) {
+      Step();
+    }
+  }
+
+  // One answer, the starts that it allows, and new work in place of the started work.
+  void Step() {
+    const assignment done = running_.front();
+    running_.pop_front();
+    now_ += duration(100);
+    task_answer answer;
+    answer.key = done.key;
+    answer.run_time = duration(static_cast<std::int64_t>(50e3 * std::exp(3 * random_.Unit())));
+    dispatcher_.OnAnswered(answer, done.target, now_);
+    started_ += StartAll();
+    for (; started_ >= tasks_per_job_; started_ -= tasks_per_job_) {
+      AdmitJob();
+    }
+  }
+
+  std::uint32_t waiting() const { return dispatcher_.counts().waiting; }
+
+ private:
+  static dispatch_settings Settings() {
+    dispatch_settings settings;
+    settings.max_waiting_tasks = 4'000'000;
+    return settings;
+  }
+
+  void AdmitJob() {
+    job_spec job;
+    job.job_id = "job-" + std::to_string(next_job_++);
+    job.team = "team-" + std::to_string(random_.Below(kTeams));
+    // Long enough for a queue of a million tasks on few targets.
+    job.deadline = std::chrono::hours(10'000);
+    job.tasks.resize(tasks_per_job_);
+    for (task_spec& task : job.tasks) {
+      task.declared = duration(static_cast<std::int64_t>(50e3 * std::exp(3 * random_.Unit())));
+    }
+    if (dispatcher_.Admit(job, now_).has_value()) {
+      std::abort();
+    }
+  }
+
+  std::uint32_t StartAll() {
+    starts_.clear();
+    dispatcher_.NextStarts(now_, starts_);
+    running_.insert(running_.end(), starts_.begin(), starts_.end());
+    return static_cast<std::uint32_t>(starts_.size());
+  }
+
+  dispatcher dispatcher_;
+  seeded_random random_;
+  std::uint32_t tasks_per_job_;
+  instant now_ = instant(std::chrono::hours(1));
+  std::uint64_t next_job_ = 0;
+  std::uint32_t started_ = 0;
+  std::deque<assignment> running_;
+  std::vector<assignment> starts_;
+};
+
+void StartOneTask(benchmark::State& state) {
+  steady_state steady(static_cast<std::uint32_t>(state.range(0)), static_cast<std::uint32_t>(state.range(1)),
+                      static_cast<std::uint32_t>(state.range(2)));
+  for (auto _ : state) {
+    steady.Step();
+  }
+  state.counters["waiting"] = steady.waiting();
+}
+
+// Targets, waiting tasks, tasks in a job.
+BENCHMARK(StartOneTask)
+    ->ArgNames({"targets", "waiting", "tasks_per_job"})
+    ->Args({10, 1'000, 34})
+    ->Args({10, 100'000, 34})
+    ->Args({10, 1'000'000, 34})
+    ->Args({100, 100'000, 34})
+    ->Args({1'000, 100'000, 34})
+    ->Args({3'100, 100'000, 34})
+    ->Args({3'100, 1'000'000, 34})
+    ->Args({48, 100'000, 1})
+    ->Args({3'100, 900'000, 1});
+
+}  // namespace
+}  // namespace bamboowing
+
+BENCHMARK_MAIN();
--- a/benchmark/policy_bench/overrides.cc
+++ b/benchmark/policy_bench/overrides.cc
@@ -18,6 +18,8 @@
       {"deadline_share", [](dispatch_settings& s, double v) { s.order.deadline_share = v; }},
       {"hold_back", [](dispatch_settings& s, double v) { s.order.hold_back = v; }},
       {"risk_share", [](dispatch_settings& s, double v) { s.order.risk_share = v; }},
+      {"slow_speed", [](dispatch_settings& s, double v) { s.order.slow_speed = v; }},
+      {"slow_choice", [](dispatch_settings& s, double v) { s.order.slow_choice = static_cast<int>(v); }},
       {"hold_limit", [](dispatch_settings& s, double v) { s.order.hold_limit = Micros(v); }},
       {"burst_credit", [](dispatch_settings& s, double v) { s.share.burst_credit = Micros(v); }},
       {"longest_debt", [](dispatch_settings& s, double v) { s.share.longest_debt = Micros(v); }},
--- a/include/bamboowing/dispatch/settings.h
+++ b/include/bamboowing/dispatch/settings.h
@@ -33,6 +33,11 @@
   /// Standard deviations of the estimate that are added to a task's expected work where it is compared with the rest of
   /// its job: for the longest task first, and for holding back.
   double risk_share = 0.5;
+  /// A target slower than this multiple of the mean takes the youngest of several jobs for which it is good enough: an
+  /// unexpectedly long task there delays a job that has not waited yet least.
+  double slow_speed = 0.6;
+  /// Number of jobs among which a slow target chooses.
+  int slow_choice = 8;
   /// A held task starts on any free target when no task ended for this long, in case the faster targets hang.
   duration hold_limit{250'000};
 };
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -14,19 +14,27 @@
 std::optional<placement> placement_rule::Choose(const job_queue& queue, const free_slot& slot, instant now) {
   queue.BeginOrder(steps_);
   double work_before_us = 0;
+  std::optional<placement> youngest;
+  const int wanted = slot.speed < settings_.slow_speed ? settings_.slow_choice : 1;
+  int found = 0;
   for (int i = 0; i < kJobsConsidered; ++i) {
     const std::optional<job_index> index = queue.NextInOrder(steps_, now);
     if (!index) {
-      return std::nullopt;
+      return youngest;
     }
     const queued_job& job = queue.job(*index);
     const std::optional<std::size_t> position = TaskFor(job, slot, work_before_us, now);
     if (position) {
-      return placement{*index, *position};
+      if (!youngest || job.arrival > queue.job(youngest->job).arrival) {
+        youngest = placement{*index, *position};
+      }
+      if (++found >= wanted) {
+        return youngest;
+      }
     }
     work_before_us += job.waiting_work_us;
   }
-  return std::nullopt;
+  return youngest;
 }
 
 std::optional<std::size_t> placement_rule::TaskFor(const queued_job& job, const free_slot& slot, double work_before_us,
