--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -37,7 +37,11 @@
 void dispatcher::SetUsableSlots(std::string_view target, std::uint32_t slots, instant /*now*/) {
   const target_index index = targets_.Find(target);
   if (index != kNoTarget) {
-    targets_.at(index).slots = std::min(slots, settings_.max_slots_per_target);
+    target_state& state = targets_.at(index);
+    // `allowed` is below the number of slots only while the target is ejected or returns in steps.
+    const bool restricted = state.allowed < state.slots;
+    state.slots = std::min(slots, settings_.max_slots_per_target);
+    state.allowed = restricted ? std::min(state.allowed, state.slots) : state.slots;
     targets_.Update(index);
   }
 }
@@ -114,9 +118,11 @@
     }
     queued_task& task = result.tasks[index];
     task.declaration = run_time_estimator::DeclarationClass(job.tasks[index]);
-    task.work_us = static_cast<float>(estimator_.Estimate(result.team, task.declaration));
+    const work_estimate estimate = estimator_.Estimate(result.team, task.declaration);
+    task.work_us = static_cast<float>(estimate.mean_us);
+    task.risk_us = static_cast<float>(estimate.mean_us + settings_.order.risk_share * estimate.deviation_us);
     task.place = task_place::kWaiting;
-    result.longest_us = std::max(result.longest_us, static_cast<double>(task.work_us));
+    result.longest_us = std::max(result.longest_us, static_cast<double>(task.risk_us));
     result.first_work_us += task.work_us;
   }
   return result;
