Add the key-value store interface and its HTTP adapter

Cause: entries reach the platform's key-value service only through an abstract interface, and a lost answer must not be taken for a write that was not done.

Change: key_value_store with typed results. A refused connection, a rate limit and a refusal by the service are certainly not written; 5xx, time-outs and broken connections are unknown.

--- /dev/null
+++ b/src/platform/key_value_store.cc
@@ -0,0 +1,191 @@
+#include "bamboowing/platform/key_value_store.h"
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+
+#include "bamboowing/platform/http_client.h"
+
+namespace bamboowing {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+constexpr int kTooLarge = 413;
+constexpr int kTooManyRequests = 429;
+
+constexpr int kBadRequest = 400;
+
+std::string Milliseconds(duration time) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
+// An answer other than the expected ones. Only a refusal by the service itself proves that nothing was written; 5xx can
+// come from anything between here and the service.
+failure UnexpectedAnswer(const http_response& response) {
+  const std::string reason = "the key-value service answered " + std::to_string(response.status);
+  failure why(error_kind::kStoreUnavailable, not_run::kUnknown, reason);
+  if (response.status == kTooManyRequests) {
+    why = failure(error_kind::kOverloaded, not_run::kYes, reason);
+  } else if (response.status == kTooLarge) {
+    why = failure(error_kind::kTooLarge, not_run::kYes, reason);
+  } else if (response.status == kNotFound) {
+    why = failure(error_kind::kNotFound, not_run::kYes, reason);
+  } else if (response.status == kBadRequest) {
+    why = failure(error_kind::kInternal, not_run::kYes, reason);
+  }
+  why.retry_after = response.retry_after;
+  return why;
+}
+
+key_value ItemFrom(const nlohmann::json& item) {
+  return {item.at("key").get<std::string>(), item.at("value").get<std::string>(),
+          item.at("version").get<key_version>()};
+}
+
+std::vector<key_value> ItemsFrom(const nlohmann::json& body) {
+  std::vector<key_value> items;
+  for (const nlohmann::json& item : body.at("items")) {
+    items.push_back(ItemFrom(item));
+  }
+  return items;
+}
+
+// The parsers give nullopt for a status that they don't expect, and throw for a body that is not as published.
+std::optional<get_result> ParseGet(int status, const nlohmann::json& body) {
+  if (status == kNotFound) {
+    return get_result();
+  }
+  return status == kOk ? std::optional<get_result>(get_result{ItemFrom(body)}) : std::nullopt;
+}
+
+std::optional<put_result> ParsePut(int status, const nlohmann::json& body) {
+  if (status != kOk && status != kConflict) {
+    return std::nullopt;
+  }
+  return put_result{status == kOk, body.at("version").get<key_version>(), body.value("value", std::string())};
+}
+
+std::optional<put_result> ParseDelete(int status, const nlohmann::json& body) {
+  return status == kNotFound ? put_result() : ParsePut(status, body);
+}
+
+std::optional<list_result> ParseList(int status, const nlohmann::json& body) {
+  if (status != kOk) {
+    return std::nullopt;
+  }
+  return list_result{body.at("revision").get<std::uint64_t>(), ItemsFrom(body)};
+}
+
+std::optional<watch_result> ParseWatch(int status, const nlohmann::json& body) {
+  if (status != kOk) {
+    return std::nullopt;
+  }
+  return watch_result{body.at("revision").get<std::uint64_t>(), ItemsFrom(body),
+                      body.at("deleted").get<std::vector<std::string>>()};
+}
+
+std::optional<key_value_store::lease_result> ParseLease(int status, const nlohmann::json& body) {
+  if (status != kOk) {
+    return std::nullopt;
+  }
+  return key_value_store::lease_result{body.at("lease").get<lease_id>()};
+}
+
+template <typename Result>
+using parser = std::optional<Result> (*)(int, const nlohmann::json&);
+
+template <typename Result>
+std::optional<Result> Interpret(const http_response& response, parser<Result> parse, failure& why) {
+  why = UnexpectedAnswer(response);
+  try {
+    return parse(response.status, nlohmann::json::parse(response.body));
+  } catch (const nlohmann::json::exception& error) {
+    // A cut answer says nothing about the write.
+    why =
+        failure(error_kind::kStoreUnavailable, response.status == kTooManyRequests ? not_run::kYes : not_run::kUnknown,
+                std::string("unreadable answer of the key-value service: ") + error.what());
+    return std::nullopt;
+  }
+}
+
+class http_key_value_store : public key_value_store {
+ public:
+  http_key_value_store(std::unique_ptr<http_client> client, duration timeout)
+      : client_(std::move(client)), timeout_(timeout) {}
+
+  void Get(const std::string& key, callback<get_result> done) override {
+    Call<get_result>({"GET", "/v1/kv/" + key, {}, "", ""}, timeout_, ParseGet, std::move(done));
+  }
+
+  void Put(const put_request& put, callback<put_result> done) override {
+    http_request request{"PUT", "/v1/kv/" + put.key, {{"expected_version", std::to_string(put.expected)}}, "", ""};
+    if (put.lease != 0) {
+      request.query["lease"] = std::to_string(put.lease);
+    }
+    request.body = nlohmann::json{{"value", put.value}}.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    Call<put_result>(request, timeout_, ParsePut, std::move(done));
+  }
+
+  void Delete(const std::string& key, key_version expected, callback<put_result> done) override {
+    Call<put_result>({"DELETE", "/v1/kv/" + key, {{"expected_version", std::to_string(expected)}}, "", ""}, timeout_,
+                     ParseDelete, std::move(done));
+  }
+
+  void List(const std::string& prefix, callback<list_result> done) override {
+    Call<list_result>({"GET", "/v1/list", {{"prefix", prefix}}, "", ""}, timeout_, ParseList, std::move(done));
+  }
+
+  void Watch(const std::string& prefix, std::uint64_t after_revision, duration wait,
+             callback<watch_result> done) override {
+    http_request request{"GET", "/v1/watch", {{"prefix", prefix}}, "", ""};
+    request.query["after_revision"] = std::to_string(after_revision);
+    request.query["wait_ms"] = Milliseconds(wait);
+    Call<watch_result>(request, wait + timeout_, ParseWatch, std::move(done));
+  }
+
+  void LeaseGrant(duration time_to_live, callback<lease_result> done) override {
+    Call<lease_result>({"POST", "/v1/lease", {{"ttl_ms", Milliseconds(time_to_live)}}, "", ""}, timeout_, ParseLease,
+                       std::move(done));
+  }
+
+  void LeaseRenew(lease_id lease, callback<lease_result> done) override {
+    Call<lease_result>({"POST", "/v1/lease/" + std::to_string(lease) + "/renew", {}, "", ""}, timeout_, ParseLease,
+                       std::move(done));
+  }
+
+  void LeaseRevoke(lease_id lease, callback<lease_result> done) override {
+    Call<lease_result>({"DELETE", "/v1/lease/" + std::to_string(lease), {}, "", ""}, timeout_, ParseLease,
+                       std::move(done));
+  }
+
+ private:
+  template <typename Result>
+  void Call(const http_request& request, duration timeout, parser<Result> parse, callback<Result> done) {
+    client_->SendAsync(request, timeout,
+                       [parse, done = std::move(done)](const std::optional<http_response>& response, failure why) {
+                         std::optional<Result> result;
+                         if (response) {
+                           result = Interpret<Result>(*response, parse, why);
+                         } else {
+                           why.kind = error_kind::kStoreUnavailable;
+                         }
+                         done(std::move(result), std::move(why));
+                       });
+  }
+
+  const std::unique_ptr<http_client> client_;
+  const duration timeout_;
+};
+
+}  // namespace
+
+std::unique_ptr<key_value_store> OpenHttpKeyValueStore(std::string_view address, duration timeout, failure& why) {
+  std::unique_ptr<http_client> client = http_client::Open(address, why);
+  if (!client) {
+    return nullptr;
+  }
+  return std::make_unique<http_key_value_store>(std::move(client), timeout);
+}
+
+}  // namespace bamboowing
--- a/standins/kv_server.cc
+++ b/standins/kv_server.cc
@@ -53,7 +53,7 @@
     return true;
   }
   const double elapsed = std::chrono::duration<double>(now - last_).count();
-  tokens_ = std::min(per_second_, tokens_ + elapsed * per_second_);
+  tokens_ = std::min(burst_, tokens_ + elapsed * per_second_);
   last_ = now;
   if (tokens_ < 1) {
     return false;
--- a/standins/kv_server.h
+++ b/standins/kv_server.h
@@ -7,6 +7,7 @@
 /// change or after `wait_ms`.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <list>
 #include <map>
@@ -36,14 +37,16 @@
   kLoseAnswer,  ///< writes take effect and are answered with 502 and an empty body
 };
 
-/// Calls per second with a burst of one second.
+/// Calls per second with a burst of one second, but at least of one call.
 class rate_limit {
  public:
-  explicit rate_limit(double per_second) : per_second_(per_second), tokens_(per_second) {}
+  explicit rate_limit(double per_second)
+      : per_second_(per_second), burst_(std::max(1.0, per_second)), tokens_(burst_) {}
   bool Take(instant now);
 
  private:
   const double per_second_;
+  const double burst_;
   double tokens_;
   instant last_;
 };
