Add the target_runner interface and its adapter for minions

Cause: an agent reaches a minion or a worker through one abstract interface, and must tell a task that was certainly not started from one that may have run.

A refused connection and a 503 that says so are refusals; a broken connection is a lost task; a time-out is the time limit.

Conclusion: every fault in the table is told apart.

--- a/src/platform/http_client.cc
+++ b/src/platform/http_client.cc
@@ -124,7 +124,7 @@
 
   void Finish(std::optional<http_response> answer, failure why) {
     if (!answer && timed_out_) {
-      why = failure(error_kind::kTargetLost, not_run::kUnknown, "no answer within the time-out");
+      why = failure(error_kind::kDeadlineExceeded, not_run::kUnknown, "no answer within the time-out");
     }
     boost::asio::post(timer_.get_executor(), [self = shared_from_this()] { self->timer_.cancel(); });
     done_(std::move(answer), std::move(why));
--- /dev/null
+++ b/src/platform/run_url.h
@@ -0,0 +1,22 @@
+/// @file
+/// URLs under which targets accept tasks.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "bamboowing/base/error.h"
+
+namespace bamboowing {
+
+/// Address and path of a URL like "http://127.0.0.1:9000/run".
+struct run_url {
+  std::string address;
+  std::string path;
+};
+
+/// Splits @p text; nullopt and @p why when it isn't such a URL.
+std::optional<run_url> ParseRunUrl(std::string_view text, failure& why);
+
+}  // namespace bamboowing
--- /dev/null
+++ b/tests/platform/minion_runner_test.cc
@@ -0,0 +1,146 @@
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <future>
+
+#include "bamboowing/platform/http_client.h"
+#include "bamboowing/platform/target_runner.h"
+#include "raw_socket.h"
+#include "standins/minion.h"
+
+namespace bamboowing {
+namespace {
+
+constexpr duration kPatience = std::chrono::seconds(5);
+
+struct run_outcome {
+  std::optional<task_answer> answer;
+  failure why;
+};
+
+std::future<run_outcome> StartRun(target_runner& runner, const std::string& payload, std::uint32_t task = 0,
+                                  duration limit = kPatience) {
+  const std::shared_ptr<std::promise<run_outcome>> promise = std::make_shared<std::promise<run_outcome>>();
+  runner.Run({{"job", task, 0}, payload, limit, false}, [promise](std::optional<task_answer> answer, failure why) {
+    promise->set_value({std::move(answer), std::move(why)});
+  });
+  return promise->get_future();
+}
+
+std::string RunUrl(int port) { return "http://127.0.0.1:" + std::to_string(port) + "/run"; }
+
+class MinionRunner : public testing::Test {
+ protected:
+  void SetUp() override { Start({}); }
+
+  void Start(const standin::minion_options& options) {
+    failure why;
+    minion_ = standin::minion::Open(options, why);
+    ASSERT_NE(minion_, nullptr) << why.reason;
+    runner_ = OpenMinionRunner(RunUrl(minion_->port()), why);
+    ASSERT_NE(runner_, nullptr) << why.reason;
+  }
+
+  std::unique_ptr<standin::minion> minion_;
+  std::unique_ptr<target_runner> runner_;
+};
+
+// Guards against payloads and results that are changed on their way.
+TEST_F(MinionRunner, ReturnsTheResultOfThePayload) {
+  const std::string payload = R"({"work_ms":1,"text":"ü \"quoted\""})";
+  const run_outcome outcome = StartRun(*runner_, payload).get();
+  ASSERT_TRUE(outcome.answer) << outcome.why.reason;
+  EXPECT_EQ(outcome.answer->status, task_status::kSucceeded);
+  EXPECT_EQ(outcome.answer->result, standin::MinionResult(payload));
+  EXPECT_GE(outcome.answer->run_time, std::chrono::milliseconds(1));
+}
+
+// Guards against a fault that is reported as another one: a task that may have run must not be started again, and one
+// that was certainly not started must not be lost.
+TEST_F(MinionRunner, FaultsGiveTheirOwnStatus) {
+  struct test_case {
+    const char* name;
+    standin::minion_options options;
+    std::optional<task_status> status;  // nullopt: certainly not started
+  };
+  std::vector<test_case> cases(4);
+  cases[0] = {"fails", {}, task_status::kFailed};
+  cases[0].options.fault = standin::minion_fault::kFailAll;
+  cases[1] = {"silent", {}, task_status::kTimeLimit};
+  cases[1].options.fault = standin::minion_fault::kSilent;
+  cases[2] = {"refuses", {}, std::nullopt};
+  cases[2].options.connections = 0;
+  cases[3] = {"fails a share", {}, task_status::kFailed};
+  cases[3].options.fault = standin::minion_fault::kFailShare;
+  cases[3].options.fail_share = 1;
+  for (const test_case& each : cases) {
+    Start(each.options);
+    const run_outcome outcome = StartRun(*runner_, R"({"work_ms":1})", 0, std::chrono::milliseconds(300)).get();
+    ASSERT_EQ(outcome.answer.has_value(), each.status.has_value()) << each.name;
+    if (each.status) {
+      EXPECT_EQ(outcome.answer->status, *each.status) << each.name;
+    } else {
+      EXPECT_EQ(outcome.why.ran, not_run::kYes) << each.name;
+    }
+  }
+}
+
+// Guards against a task of a dead minion that is taken as possibly started, or the other way round.
+TEST_F(MinionRunner, DeadMinionRefusesAndBrokenConnectionLoses) {
+  failure why;
+  const int port = minion_->port();
+  minion_->Close();
+  std::unique_ptr<target_runner> dead = OpenMinionRunner(RunUrl(port), why);
+  const run_outcome refused = StartRun(*dead, "x").get();
+  EXPECT_FALSE(refused.answer);
+  EXPECT_EQ(refused.why.ran, not_run::kYes);
+
+  const raw_socket listener = raw_socket::Listen();
+  std::unique_ptr<target_runner> breaking = OpenMinionRunner(RunUrl(listener.port()), why);
+  std::future<run_outcome> broken = StartRun(*breaking, "x");
+  listener.Accept().ReadUntil("payload");
+  const run_outcome lost = broken.get();
+  ASSERT_TRUE(lost.answer);
+  EXPECT_EQ(lost.answer->status, task_status::kLost);
+}
+
+// Guards against more connections than a minion accepts, and against connections that are not freed.
+TEST_F(MinionRunner, HoldsAtMostItsConnections) {
+  standin::minion_options options;
+  options.fault = standin::minion_fault::kSilent;
+  Start(options);
+  std::vector<std::future<run_outcome>> held;
+  for (std::uint32_t task = 0; task < kMinionConnections; ++task) {
+    held.push_back(StartRun(*runner_, "x", task, std::chrono::milliseconds(500)));
+  }
+  EXPECT_EQ(StartRun(*runner_, "x", 1000).get().why.kind, error_kind::kNoSlot);
+  for (std::future<run_outcome>& each : held) {
+    EXPECT_EQ(each.get().answer.value().status, task_status::kTimeLimit);
+  }
+  failure why;
+  const std::unique_ptr<http_client> control = http_client::Open("127.0.0.1:" + std::to_string(minion_->port()), why);
+  ASSERT_TRUE(control->Send({"POST", "/fault", {}, R"({"mode":"none"})", ""}, kPatience, why));
+  EXPECT_NE(StartRun(*runner_, "x", 1001).get().why.kind, error_kind::kNoSlot);
+}
+
+// Guards against a cancelled task that is answered twice or never.
+TEST_F(MinionRunner, StoppedTaskIsAnsweredOnceAsCancelled) {
+  std::future<run_outcome> outcome = StartRun(*runner_, R"({"work_ms":50})");
+  runner_->Stop({"job", 0, 0});
+  EXPECT_EQ(outcome.get().answer.value().status, task_status::kCancelled);
+  runner_->Stop({"job", 0, 0});
+  // The second run on one slot ends after the first one's answer has arrived and was dropped.
+  EXPECT_EQ(StartRun(*runner_, R"({"work_ms":100})", 1).get().answer.value().status, task_status::kSucceeded);
+}
+
+// Guards against announced URLs that need a name service or are no URLs.
+TEST_F(MinionRunner, RefusesMalformedUrls) {
+  for (const char* url :
+       {"", "127.0.0.1:1/run", "http://localhost:1/run", "http://127.0.0.1:1", "https://127.0.0.1:1/"}) {
+    failure why;
+    EXPECT_EQ(OpenMinionRunner(url, why), nullptr) << url;
+  }
+}
+
+}  // namespace
+}  // namespace bamboowing
