Mend what the linter found in the daemons

Cause: clang-tidy: a request read next to the move that takes it, copies of arguments, a type name used twice. Change: the address is read before the move; attached_agent is owned by pointer.

--- a/src/service/agent_daemon.cc
+++ b/src/service/agent_daemon.cc
@@ -157,10 +157,11 @@
     request.path = "/run";
     request.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     const instant started = Now();
-    target_->SendAsync(request, what.time_limit,
-                       [this, key = what.key, started](std::optional<http_response> response, const failure& why) {
-                         ring_.Push(Answer(key, Now() - started, response, why));
-                       });
+    target_->SendAsync(
+        request, what.time_limit,
+        [this, key = what.key, started](const std::optional<http_response>& response, const failure& why) {
+          ring_.Push(Answer(key, Now() - started, response, why));
+        });
   }
 
   static task_answer Answer(const task_key& key, duration run_time, const std::optional<http_response>& response,
--- a/src/service/entry_rpc.cc
+++ b/src/service/entry_rpc.cc
@@ -48,7 +48,8 @@
   rpc::EntryPort::Client port;
 };
 
-struct agent_session {
+struct attached_agent {
+  attached_agent(std::uint64_t id, rpc::AgentPort::Client agent) : connection(id), port(kj::mv(agent)) {}
   std::uint64_t connection;
   rpc::AgentPort::Client port;
 };
@@ -88,20 +89,20 @@
   }
 
   void Handle(send_to_agent& send) {
-    const std::map<session_id, agent_session>::iterator found = sessions_.find(send.session);
+    const std::map<session_id, kj::Own<attached_agent>>::iterator found = sessions_.find(send.session);
     if (found == sessions_.end()) {
       return;
     }
     capnp::Request<rpc::AgentPort::DeliverParams, rpc::AgentPort::DeliverResults> request =
-        found->second.port.deliverRequest();
+        found->second->port.deliverRequest();
     Write(send.batch, request.initBatch());
     tasks_.add(request.send().ignoreResult());
   }
 
   void Handle(close_agent_session& close) {
-    const std::map<session_id, agent_session>::iterator found = sessions_.find(close.session);
+    const std::map<session_id, kj::Own<attached_agent>>::iterator found = sessions_.find(close.session);
     if (found != sessions_.end()) {
-      DropConnection(found->second.connection);
+      DropConnection(found->second->connection);
     }
   }
 
@@ -112,13 +113,14 @@
       return;
     }
     const relay_id id = relay.relay;
-    relays_[id] = {relay.address, io_.provider->getNetwork()
-                                      .parseAddress(relay.address)
-                                      .then([this, relay = std::move(relay)](kj::Own<kj::NetworkAddress>&& to) mutable {
-                                        return Connect(kj::mv(to), std::move(relay));
-                                      })
-                                      .catch_([this, id](kj::Exception&&) { FailRelay(id); })
-                                      .eagerlyEvaluate(nullptr)};
+    const std::string address = relay.address;
+    relays_[id] = {address, io_.provider->getNetwork()
+                                .parseAddress(address)
+                                .then([this, relay = std::move(relay)](kj::Own<kj::NetworkAddress>&& to) mutable {
+                                  return Connect(kj::mv(to), std::move(relay));
+                                })
+                                .catch_([this, id](kj::Exception&&) { FailRelay(id); })
+                                .eagerlyEvaluate(nullptr)};
   }
 
   void Handle(abandon_relay& abandon) {
@@ -142,7 +144,7 @@
 
   session_id AddSession(std::uint64_t connection, rpc::AgentPort::Client port, std::string agent) {
     const session_id id = ++last_id_;
-    sessions_.emplace(id, agent_session{connection, kj::mv(port)});
+    sessions_.emplace(id, kj::heap<attached_agent>(connection, kj::mv(port)));
     listener_.OnSessionOpened(id, std::move(agent));
     return id;
   }
@@ -194,9 +196,9 @@
     }
     tasks_.add(kj::evalLater([gone = kj::mv(found->second)]() {}));
     connections_.erase(found);
-    for (std::map<session_id, agent_session>::iterator it = sessions_.begin(); it != sessions_.end();) {
+    for (std::map<session_id, kj::Own<attached_agent>>::iterator it = sessions_.begin(); it != sessions_.end();) {
       const session_id session = it->first;
-      const bool ends = it->second.connection == id;
+      const bool ends = it->second->connection == id;
       ++it;
       if (ends) {
         RemoveSession(session);
@@ -261,7 +263,7 @@
   kj::AsyncIoContext& io_;
   std::uint64_t last_id_ = 0;
   kj::Own<kj::ConnectionReceiver> receiver_;
-  std::map<session_id, agent_session> sessions_;
+  std::map<session_id, kj::Own<attached_agent>> sessions_;
   std::map<relay_id, outgoing_relay> relays_;
   std::map<relay_id, kj::Own<kj::PromiseFulfiller<kj::Own<relay_reply>>>> incoming_;
   std::map<std::string, kj::Own<peer_connection>> peers_;
--- a/src/service/store_duty.cc
+++ b/src/service/store_duty.cc
@@ -40,7 +40,7 @@
   return digits ? std::stoull(text) : 0;
 }
 
-std::string WithoutPrefix(std::string key) { return key.substr(std::min(key.size(), kPrefix.size())); }
+std::string WithoutPrefix(const std::string& key) { return key.substr(std::min(key.size(), kPrefix.size())); }
 
 http_request KeyRequest(std::string method, const std::string& key) {
   http_request request;
@@ -164,13 +164,14 @@
     const std::shared_ptr<sinks> out = out_;
     if (const store_watch* watch = std::get_if<store_watch>(&what.call); watch != nullptr) {
       const duration timeout = kCallTimeout + (watch->after_revision == 0 ? duration(0) : watch->wait);
-      watches_->SendAsync(request, timeout,
-                          [out, id = what.id, watch = *watch](std::optional<http_response> response, const failure&) {
-                            out->watch(id, ReadWatch(watch, response));
-                          });
+      watches_->SendAsync(
+          request, timeout,
+          [out, id = what.id, watch = *watch](const std::optional<http_response>& response, const failure&) {
+            out->watch(id, ReadWatch(watch, response));
+          });
       return;
     }
-    calls_->SendAsync(request, kCallTimeout, [out, what](std::optional<http_response> response, const failure&) {
+    calls_->SendAsync(request, kCallTimeout, [out, what](const std::optional<http_response>& response, const failure&) {
       out->result(what.id, ReadResult(what, response));
     });
   }
