--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -62,7 +62,7 @@
 class Fleet:
     """A fleet of processes; use it in a `with` statement."""
 
-    def __init__(self, service="line-defects", domains=("hobart", "launceston", "burnie", "queenstown"), name="fleet"):
+    def __init__(self, service="line-defects", domains=("hobart", "launceston", "burnie", "queenstown"), name="fleet", events=True):
         self.service = service
         self.domains = domains
         self.directory = tempfile.TemporaryDirectory(prefix=f"bamboowing-{name}-")
@@ -72,6 +72,7 @@
         self.minions = {}
         self.agents = {}
         self.kv_port = 0
+        self.events = events
 
     def __enter__(self):
         return self
@@ -112,7 +113,7 @@
         settings = self.write_settings(
             name,
             f"role: entry\nid: {name}\nfailure_domain: {domain or self.domains[0]}\n"
-            f"events_file: {self.path / (name + '.events')}\n"
+            f"{self.events_line(name)}"
             f"entry:\n  callers_address: 127.0.0.1:{callers}\n  operators_address: 127.0.0.1:{operators}\n"
             f"  operators_token_file: {token}\n"
             f"  peers_address: 127.0.0.1:{peers}\n  store_address: 127.0.0.1:{self.kv_port}\n")
@@ -122,6 +123,9 @@
             wait_until(lambda: self.is_ready(name), f"start of {name}")
         return f"http://127.0.0.1:{callers}"
 
+    def events_line(self, name):
+        return f"events_file: {self.path / (name + '.events')}\n" if self.events else ""
+
     def is_ready(self, name):
         self.check_alive(name)
         return http("GET", f"{self.entry_url(name)}/readyz", timeout=2)[0] == 200
@@ -144,7 +148,7 @@
         settings = self.write_settings(
             name,
             f"role: agent\nid: {name}\nfailure_domain: {domain or self.domains[0]}\n"
-            f"events_file: {self.path / (name + '.events')}\n"
+            f"{self.events_line(name)}"
             f"agent:\n  entries:\n{peers}\n  target_address: 127.0.0.1:{minion_port}\n"
             f"  announce_address: 127.0.0.1:{announce}\n")
         self.start(name, [BUILD / "tools/bamboowingd", "--config", settings])
