Keep the first job of each team in one array

Change: heads of the teams' orders in one array, the first job is tried before the walk, the last job of a walk stands for all behind it, no exponentials on the path of a start.

--- a/include/bamboowing/dispatch/job_queue.h
+++ b/include/bamboowing/dispatch/job_queue.h
@@ -72,10 +72,12 @@
   bool active() const { return waiting + in_flight > 0; }
 };
 
-/// One step through the waiting jobs in their order over all teams.
+/// Position of a walk through the waiting jobs of one team.
 struct order_step {
+  instant place;  ///< of the team's next job
   team_index team = 0;
-  std::set<std::pair<instant, job_index>>::const_iterator next;
+  bool started = false;                                            ///< whether `next` is set
+  std::set<std::pair<instant, job_index>>::const_iterator next{};  ///< the team's next job
 };
 
 /// The jobs of a shard. A job stands in the order of its team while it has waiting tasks.
@@ -123,8 +125,11 @@
   /// Earliest deadline of the jobs that are not dropped.
   std::optional<std::pair<instant, job_index>> NextDeadline() const;
 
+  /// The first waiting job of the order over all teams; nullopt if no task waits.
+  std::optional<job_index> FirstInOrder(instant now) const;
+
   /// Starts a walk over the waiting jobs; NextInOrder() gives them one after the other.
-  void BeginOrder(std::vector<order_step>& steps) const;
+  void BeginOrder(std::vector<order_step>& steps, instant now) const;
   /// Next job of the walk, or nullopt at its end. The queue must not change during a walk.
   std::optional<job_index> NextInOrder(std::vector<order_step>& steps, instant now) const;
 
@@ -138,6 +143,16 @@
   double ShareOf(team_index index) const;
 
  private:
+  // The first job of a team's order. Kept apart from the teams so that comparing all teams reads little memory.
+  struct team_head {
+    bool waiting = false;
+    instant place;
+    instant share_clock;
+    job_index first = 0;
+  };
+
+  static instant SharedPlace(const team_head& head, instant place, instant now);
+  void RefreshHead(team_index index);
   instant PlaceOf(const queued_job& job, double capacity) const;
   void InsertWaiting(queued_job& job, std::uint32_t task);
   void CountWaiting(queued_job& job, double work_us, int tasks);
@@ -147,6 +162,7 @@
 
   dispatch_settings settings_;
   std::vector<queued_team> teams_;
+  std::vector<team_head> heads_;  // one for each of teams_
   std::unordered_map<std::string, team_index> team_by_name_;
   std::unordered_map<std::string, team_share> shares_;
   std::vector<std::unique_ptr<queued_job>> jobs_;
--- a/include/bamboowing/dispatch/placement.h
+++ b/include/bamboowing/dispatch/placement.h
@@ -37,6 +37,8 @@
   std::optional<placement> Choose(const job_queue& queue, const free_slot& slot, instant now);
 
  private:
+  std::optional<placement> ChooseOfFirst(const job_queue& queue, const free_slot& slot, instant now) const;
+  std::optional<placement> ChooseAmongFirst(const job_queue& queue, const free_slot& slot, int wanted, instant now);
   std::optional<std::size_t> TaskFor(const queued_job& job, const free_slot& slot, double work_before_us,
                                      instant now) const;
 
--- a/include/bamboowing/dispatch/target_table.h
+++ b/include/bamboowing/dispatch/target_table.h
@@ -51,6 +51,7 @@
   bool draining = false;
   std::vector<flight> in_flight;
   speed_estimate speed;
+  double linear_speed = 1;  ///< exponential of the logarithm in `speed`
   int speed_class = 0;
   std::int32_t free_position = -1;  ///< position in its class's list of free targets
   double counted_slots = 0;         ///< its part of the table's sums
@@ -75,7 +76,7 @@
   /// Removes a target. The tasks in flight there are the caller's concern.
   void Remove(target_index index);
 
-  /// Must be called after a change of slots, allowed, draining, in_flight or speed.
+  /// Must be called after a change of slots, allowed, draining or speed.
   void Update(target_index index);
 
   /// Adds a task in flight and returns its position in `in_flight`.
@@ -99,10 +100,11 @@
   double TotalCapacity() const { return total_slots_; }
 
   /// Speed relative to the mean of all slots.
-  double RelativeSpeed(target_index index) const;
+  double RelativeSpeed(target_index index) const { return targets_[index].linear_speed / mean_speed(); }
 
  private:
   double mean_speed() const { return total_slots_ >= 1 ? total_capacity_ / total_slots_ : 1; }
+  static std::uint32_t UsableSlots(const target_state& target);
   void Count(target_state& target, bool add);
   void SetFree(target_index index, bool free);
 
--- a/src/dispatch/job_queue.cc
+++ b/src/dispatch/job_queue.cc
@@ -32,6 +32,7 @@
   }
   const auto index = static_cast<team_index>(teams_.size());
   teams_.emplace_back();
+  heads_.emplace_back();
   teams_.back().name = name;
   const auto share = shares_.find(name);
   ApplyShare(teams_.back(), share == shares_.end() ? team_share() : share->second, settings_);
@@ -64,6 +65,7 @@
   added.place = PlaceOf(added, capacity);
   if (!added.waiting.empty()) {
     teams_[added.team].order.emplace(added.place, index);
+    RefreshHead(added.team);
   }
   return index;
 }
@@ -127,6 +129,7 @@
     dropped.dropped = true;
   }
   teams_[dropped.team].order.erase({dropped.place, index});
+  RefreshHead(dropped.team);
   for (const std::uint16_t task : dropped.waiting) {
     dropped.tasks[task].place = task_place::kDone;
     CountWaiting(dropped, -dropped.tasks[task].work_us, -1);
@@ -162,6 +165,7 @@
   if (!moved.waiting.empty()) {
     order.emplace(place, index);
   }
+  RefreshHead(moved.team);
 }
 
 void job_queue::ChargeShare(team_index index, double work_us, double capacity, instant now) {
@@ -173,6 +177,7 @@
   const instant latest = now + settings_.share.longest_debt;
   const instant used = std::max(charged.share_clock, earliest) + Micros(work_us / (capacity * ShareOf(index)));
   charged.share_clock = std::min(used, latest);
+  heads_[index].share_clock = charged.share_clock;
 }
 
 std::optional<std::pair<instant, job_index>> job_queue::NextDeadline() const {
@@ -182,36 +187,53 @@
   return *deadlines_.begin();
 }
 
-void job_queue::BeginOrder(std::vector<order_step>& steps) const {
-  steps.clear();
-  for (team_index i = 0; i < teams_.size(); ++i) {
-    if (!teams_[i].order.empty()) {
-      steps.push_back({i, teams_[i].order.begin()});
-    }
-  }
-}
-
-std::optional<job_index> job_queue::NextInOrder(std::vector<order_step>& steps, instant now) const {
-  order_step* best = nullptr;
+std::optional<job_index> job_queue::FirstInOrder(instant now) const {
+  const team_head* best = nullptr;
   instant best_place;
-  for (order_step& step : steps) {
-    const queued_team& team = teams_[step.team];
-    if (step.next == team.order.end()) {
+  for (const team_head& head : heads_) {
+    if (!head.waiting) {
       continue;
     }
-    // Work of a team that is ahead of its share stands behind everything that arrived before the time at which the team
-    // is level with its share.
-    const instant place = team.share_clock > now ? std::max(step.next->first, team.share_clock) : step.next->first;
+    const instant place = SharedPlace(head, head.place, now);
     if (best == nullptr || place < best_place) {
-      best = &step;
+      best = &head;
       best_place = place;
     }
   }
   if (best == nullptr) {
     return std::nullopt;
   }
+  return best->first;
+}
+
+void job_queue::BeginOrder(std::vector<order_step>& steps, instant now) const {
+  steps.clear();
+  for (team_index i = 0; i < heads_.size(); ++i) {
+    if (heads_[i].waiting) {
+      steps.push_back({SharedPlace(heads_[i], heads_[i].place, now), i});
+    }
+  }
+}
+
+std::optional<job_index> job_queue::NextInOrder(std::vector<order_step>& steps, instant now) const {
+  const auto best = std::min_element(steps.begin(), steps.end(),
+                                     [](const order_step& a, const order_step& b) { return a.place < b.place; });
+  if (best == steps.end()) {
+    return std::nullopt;
+  }
+  const queued_team& team = teams_[best->team];
+  if (!best->started) {
+    best->next = team.order.begin();
+    best->started = true;
+  }
   const job_index index = best->next->second;
   ++best->next;
+  if (best->next == team.order.end()) {
+    *best = steps.back();
+    steps.pop_back();
+  } else {
+    best->place = SharedPlace(heads_[best->team], best->next->first, now);
+  }
   return index;
 }
 
@@ -221,6 +243,23 @@
   return team.weight / std::max(others + team.weight, 1.0);
 }
 
+instant job_queue::SharedPlace(const team_head& head, instant place, instant now) {
+  // Work of a team that is ahead of its share stands behind everything that arrived before the time at which the team
+  // is level with its share.
+  return head.share_clock > now ? std::max(place, head.share_clock) : place;
+}
+
+void job_queue::RefreshHead(team_index index) {
+  const queued_team& team = teams_[index];
+  team_head& head = heads_[index];
+  head.waiting = !team.order.empty();
+  head.share_clock = team.share_clock;
+  if (head.waiting) {
+    head.place = team.order.begin()->first;
+    head.first = team.order.begin()->second;
+  }
+}
+
 instant job_queue::PlaceOf(const queued_job& job, double capacity) const {
   const order_settings& order = settings_.order;
   const double drain_us = job.waiting_work_us / std::max(capacity, 1.0);
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -12,25 +12,50 @@
 }  // namespace
 
 std::optional<placement> placement_rule::Choose(const job_queue& queue, const free_slot& slot, instant now) {
-  queue.BeginOrder(steps_);
+  const bool slow = slot.speed < settings_.slow_speed && slot.faster_slots >= 1;
+  if (!slow) {
+    const std::optional<placement> of_first = ChooseOfFirst(queue, slot, now);
+    if (of_first) {
+      return of_first;
+    }
+  }
+  return ChooseAmongFirst(queue, slot, slow ? settings_.slow_choice : 1, now);
+}
+
+std::optional<placement> placement_rule::ChooseOfFirst(const job_queue& queue, const free_slot& slot,
+                                                       instant now) const {
+  const std::optional<job_index> first = queue.FirstInOrder(now);
+  if (!first) {
+    return std::nullopt;
+  }
+  const std::optional<std::size_t> position = TaskFor(queue.job(*first), slot, 0, now);
+  if (!position) {
+    return std::nullopt;
+  }
+  return placement{*first, *position};
+}
+
+std::optional<placement> placement_rule::ChooseAmongFirst(const job_queue& queue, const free_slot& slot, int wanted,
+                                                          instant now) {
+  queue.BeginOrder(steps_, now);
   double work_before_us = 0;
   std::optional<placement> youngest;
-  const int wanted = slot.speed < settings_.slow_speed ? settings_.slow_choice : 1;
   int found = 0;
-  for (int i = 0; i < kJobsConsidered; ++i) {
+  for (int i = 0; i < kJobsConsidered && found < wanted; ++i) {
     const std::optional<job_index> index = queue.NextInOrder(steps_, now);
     if (!index) {
-      return youngest;
+      break;
     }
     const queued_job& job = queue.job(*index);
-    const std::optional<std::size_t> position = TaskFor(job, slot, work_before_us, now);
+    // The last job considered stands for all behind it.
+    const bool last = i + 1 == kJobsConsidered;
+    const double before_us = last ? queue.waiting_work_us() - job.waiting_work_us : work_before_us;
+    const std::optional<std::size_t> position = TaskFor(job, slot, before_us, now);
     if (position) {
+      ++found;
       if (!youngest || job.arrival > queue.job(youngest->job).arrival) {
         youngest = placement{*index, *position};
       }
-      if (++found >= wanted) {
-        return youngest;
-      }
     }
     work_before_us += job.waiting_work_us;
   }
--- a/src/dispatch/run_time_estimator.cc
+++ b/src/dispatch/run_time_estimator.cc
@@ -13,6 +13,7 @@
 
 // Neighbours count half as much with each class of distance; beyond this distance they hardly count.
 constexpr int kReach = 6;
+constexpr std::array<double, kReach + 1> kNeighbourShare = {1, 1.0 / 2, 1.0 / 4, 1.0 / 8, 1.0 / 16, 1.0 / 32, 1.0 / 64};
 // Observations that the neighbours, all teams and the declaration itself are worth.
 constexpr double kNeighbourWeight = 4;
 constexpr double kAllTeamsWeight = 4;
@@ -61,7 +62,7 @@
   const int last = std::min(kClasses - 1, declaration_class + kReach);
   for (int other = first; other <= last; ++other) {
     if (SameKind(other, declaration_class)) {
-      const double weight = std::ldexp(1.0, -std::abs(other - declaration_class));
+      const double weight = kNeighbourShare[std::abs(other - declaration_class)];
       count += weight * learned.count[other];
       sum += weight * learned.sum[other];
       squares += weight * learned.squares[other];
--- a/src/dispatch/target_table.cc
+++ b/src/dispatch/target_table.cc
@@ -83,6 +83,7 @@
 
 void target_table::Update(target_index index) {
   target_state& target = targets_[index];
+  target.linear_speed = std::exp(target.speed.log_speed());
   const int new_class = SpeedClass(target.speed.log_speed(), target.speed_class);
   if (new_class != target.speed_class) {
     SetFree(index, false);
@@ -90,15 +91,13 @@
   Count(target, false);
   target.speed_class = new_class;
   Count(target, true);
-  const std::uint32_t limit = target.draining ? 0 : std::min(target.slots, target.allowed);
-  SetFree(index, target.in_flight.size() < limit);
+  SetFree(index, target.in_flight.size() < UsableSlots(target));
 }
 
 std::uint32_t target_table::AddFlight(target_index index, flight task) {
   target_state& target = targets_[index];
   target.in_flight.push_back(task);
-  const std::uint32_t limit = std::min(target.slots, target.allowed);
-  SetFree(index, target.in_flight.size() < limit);
+  SetFree(index, target.in_flight.size() < UsableSlots(target));
   return static_cast<std::uint32_t>(target.in_flight.size() - 1);
 }
 
@@ -110,7 +109,7 @@
     moved = tasks[position];
   }
   tasks.pop_back();
-  Update(index);
+  SetFree(index, tasks.size() < UsableSlots(targets_[index]));
   return moved;
 }
 
@@ -119,14 +118,13 @@
   return free.empty() ? kNoTarget : free[random_.Below(free.size())];
 }
 
-double target_table::RelativeSpeed(target_index index) const {
-  return std::exp(targets_[index].speed.log_speed()) / mean_speed();
+std::uint32_t target_table::UsableSlots(const target_state& target) {
+  return target.draining ? 0 : std::min(target.slots, target.allowed);
 }
 
 void target_table::Count(target_state& target, bool add) {
-  const std::uint32_t usable = target.draining ? 0 : std::min(target.slots, target.allowed);
-  const double slots = add ? usable : 0;
-  const double capacity = slots * std::exp(target.speed.log_speed());
+  const double slots = add ? UsableSlots(target) : 0;
+  const double capacity = slots * target.linear_speed;
   class_slots_[target.speed_class] += slots - target.counted_slots;
   class_capacity_[target.speed_class] += capacity - target.counted_capacity;
   total_slots_ += slots - target.counted_slots;
