Do not repeat a vain search for work for slow targets

Cause: half of the cost of a start was the walk over 16 jobs for free slow slots. Change: after a vain walk the same and slower targets rest for 3 ms or until a job arrives; jobs keep the bounds of their waiting tasks.

--- a/include/bamboowing/dispatch/dispatcher.h
+++ b/include/bamboowing/dispatch/dispatcher.h
@@ -160,6 +160,8 @@
   placement_rule placement_;
   retry_budget retries_;
   std::vector<health_change> changes_;
+  int blocked_class_ = -1;  // targets of this class of speed and slower ones found no task
+  instant blocked_until_;
   std::optional<instant> held_since_;  // set while tasks wait for faster targets although a slot is free
 };
 
--- a/include/bamboowing/dispatch/job_queue.h
+++ b/include/bamboowing/dispatch/job_queue.h
@@ -45,9 +45,11 @@
   instant deadline;
   std::vector<queued_task> tasks;      ///< all tasks of the job by index
   std::vector<std::uint16_t> waiting;  ///< waiting tasks, the shortest first
+  float shortest_us = 0;               ///< risk_us of the first in `waiting`
+  float longest_us = 0;                ///< risk_us of the last in `waiting`
   double waiting_work_us = 0;          ///< sum of the expected work of the waiting tasks
   double first_work_us = 0;            ///< expected work of all tasks to start, at admission
-  double longest_us = 0;               ///< expected work of the longest of them
+  double first_longest_us = 0;         ///< risk_us of the longest of them
   std::uint32_t in_flight = 0;
   instant expected_end;            ///< latest expected end of the tasks in flight
   instant place;                   ///< position in the order of its team
@@ -154,6 +156,7 @@
   static instant SharedPlace(const team_head& head, instant place, instant now);
   void RefreshHead(team_index index);
   instant PlaceOf(const queued_job& job, double capacity) const;
+  static void RefreshBounds(queued_job& job);
   void InsertWaiting(queued_job& job, std::uint32_t task);
   void CountWaiting(queued_job& job, double work_us, int tasks);
   void CountInFlight(queued_job& job, double work_us, int tasks);
--- a/src/dispatch/admission.cc
+++ b/src/dispatch/admission.cc
@@ -67,7 +67,8 @@
   const double own_us = job.first_work_us / capacity;
   const auto allowed_us = static_cast<double>((job.deadline - job.arrival).count());
   const double backlog_excess_us = wait_us + own_us - settings_.admission.backlog_share * allowed_us;
-  const double end_excess_us = wait_us + own_us + settings_.admission.run_time_margin * job.longest_us - allowed_us;
+  const double end_excess_us =
+      wait_us + own_us + settings_.admission.run_time_margin * job.first_longest_us - allowed_us;
   const double excess_us = std::max(backlog_excess_us, end_excess_us);
   if (excess_us <= 0) {
     return std::nullopt;
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -95,6 +95,7 @@
     retries_.OnAdmitted();
   }
   const job_index index = queue_.Add(std::move(added), capacity);
+  blocked_until_ = now;
   queue_.EraseIfDone(index);
   return std::nullopt;
 }
@@ -118,7 +119,7 @@
     task.work_us = static_cast<float>(estimate.mean_us);
     task.risk_us = static_cast<float>(estimate.mean_us + settings_.order.risk_share * estimate.deviation_us);
     task.place = task_place::kWaiting;
-    result.longest_us = std::max(result.longest_us, static_cast<double>(task.risk_us));
+    result.first_longest_us = std::max(result.first_longest_us, static_cast<double>(task.risk_us));
     result.first_work_us += task.work_us;
   }
   return result;
@@ -163,6 +164,7 @@
   }
   if (held_since_ && queue_.waiting() > 0) {
     consider(*held_since_ + settings_.order.hold_limit);
+    consider(blocked_until_);
   }
   return earliest;
 }
@@ -207,6 +209,7 @@
   if (effect == health_effect::kNone) {
     return;
   }
+  blocked_class_ = -1;
   targets_.at(target).allowed = health_.Allowed(target);
   targets_.Update(target);
   if (effect == health_effect::kEjected) {
--- a/src/dispatch/dispatcher_answers.cc
+++ b/src/dispatch/dispatcher_answers.cc
@@ -30,6 +30,7 @@
   }
   LeaveTarget(*which, now);
   queue_.PutBack(which->job, which->task);
+  blocked_until_ = now;
   queue_.Reorder(which->job, targets_.TotalCapacity());
   queue_.EraseIfDone(which->job);
 }
@@ -119,6 +120,7 @@
   }
   job.avoid = failed_on;
   queue_.PutBack(which.job, which.task);
+  blocked_until_ = now;
   queue_.Reorder(which.job, targets_.TotalCapacity());
   return true;
 }
--- a/src/dispatch/dispatcher_starts.cc
+++ b/src/dispatch/dispatcher_starts.cc
@@ -1,4 +1,5 @@
 // The part of the dispatcher that fills free slots.
+#include <algorithm>
 #include <cmath>
 
 #include "bamboowing/dispatch/dispatcher.h"
@@ -8,20 +9,28 @@
 
 // Free targets for which no task was found before the slower ones are given up. More than one, because a request that
 // is retried may not suit the first.
-constexpr int kMostMisses = 3;
+constexpr int kMostMisses = 2;
+
+// Without a new job a task that should wait for a faster target will mostly still do so at the next event. The free
+// slow targets are considered again after this time, so that most starts do not pay for the comparison with many jobs.
+constexpr duration kBlockedFor{3'000};
 
 }  // namespace
 
 void dispatcher::FillTargets(instant now, std::vector<assignment>& out) {
   const bool hold = !HoldLimitReached(now);
+  const int slowest_class = hold && now < blocked_until_ ? blocked_class_ + 1 : 0;
+  blocked_class_ = hold && now < blocked_until_ ? blocked_class_ : -1;
   free_slot slot;
   int misses = 0;
-  for (int speed_class = target_table::kSpeedClasses - 1; speed_class >= 0; --speed_class) {
+  for (int speed_class = target_table::kSpeedClasses - 1; speed_class >= slowest_class; --speed_class) {
     while (queue_.waiting() > 0 && misses < kMostMisses && targets_.HasFree(speed_class)) {
       slot.target = targets_.PickFree(speed_class);
       slot.speed = targets_.RelativeSpeed(slot.target);
       if (!FillTarget(slot, now, out)) {
         ++misses;
+        blocked_class_ = std::max(blocked_class_, speed_class);
+        blocked_until_ = now + kBlockedFor;
         break;
       }
     }
@@ -33,7 +42,7 @@
       slot.faster_slots += targets_.ClassSlots(speed_class);
     }
   }
-  if (misses == 0 || queue_.waiting() == 0) {
+  if (blocked_class_ < 0 || queue_.waiting() == 0) {
     held_since_.reset();
   } else if (!held_since_) {
     held_since_ = now;
--- a/src/dispatch/job_queue.cc
+++ b/src/dispatch/job_queue.cc
@@ -60,6 +60,7 @@
   std::stable_sort(added.waiting.begin(), added.waiting.end(), [&added](std::uint16_t a, std::uint16_t b) {
     return added.tasks[a].risk_us < added.tasks[b].risk_us;
   });
+  RefreshBounds(added);
   by_id_.emplace(added.id, index);
   deadlines_.emplace(added.deadline, index);
   added.place = PlaceOf(added, capacity);
@@ -82,6 +83,7 @@
   queued_job& taken_from = job(index);
   const std::uint32_t task = taken_from.waiting[position];
   taken_from.waiting.erase(taken_from.waiting.begin() + static_cast<std::ptrdiff_t>(position));
+  RefreshBounds(taken_from);
   queued_task& state = taken_from.tasks[task];
   state.place = task_place::kInFlight;
   state.target = target;
@@ -271,11 +273,17 @@
   return std::min(place, job.arrival + Micros(order.deadline_share * allowed_us));
 }
 
+void job_queue::RefreshBounds(queued_job& job) {
+  job.shortest_us = job.waiting.empty() ? 0 : job.tasks[job.waiting.front()].risk_us;
+  job.longest_us = job.waiting.empty() ? 0 : job.tasks[job.waiting.back()].risk_us;
+}
+
 void job_queue::InsertWaiting(queued_job& job, std::uint32_t task) {
   const auto position =
       std::lower_bound(job.waiting.begin(), job.waiting.end(), job.tasks[task].risk_us,
                        [&job](std::uint16_t other, float risk) { return job.tasks[other].risk_us < risk; });
   job.waiting.insert(position, static_cast<std::uint16_t>(task));
+  RefreshBounds(job);
 }
 
 void job_queue::CountWaiting(queued_job& job, double work_us, int tasks) {
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -72,11 +72,17 @@
   }
   // Expected end of the job if all its waiting tasks go to faster targets: the shortest task starts last.
   const double faster_speed = slot.faster_capacity / slot.faster_slots;
-  const double shortest_us = job.tasks[job.waiting.front()].risk_us;
+  const double shortest_us = job.shortest_us;
   const double drained_us = (work_before_us + job.waiting_work_us) / slot.faster_capacity;
   const double running_us = job.in_flight > 0 ? static_cast<double>((job.expected_end - now).count()) : 0;
   const double end_us = std::max(running_us, drained_us + shortest_us / faster_speed);
   const double longest_fitting_us = settings_.hold_back * end_us * slot.speed;
+  if (longest_fitting_us < job.shortest_us) {
+    return std::nullopt;
+  }
+  if (longest_fitting_us >= job.longest_us) {
+    return job.waiting.size() - 1;
+  }
   const auto after = std::upper_bound(
       job.waiting.begin(), job.waiting.end(), longest_fitting_us,
       [&job](double limit, std::uint16_t task) { return limit < static_cast<double>(job.tasks[task].risk_us); });
