Write no version from the console when nothing changed

Cause: Submit without a change wrote a new version with an equal document, which every node then fetched. Change: the console says that there is nothing to write; the edit scenario checks it. Conclusion: each version differs from the one before.

--- a/console/main.js
+++ b/console/main.js
@@ -166,6 +166,10 @@
     byId('problem-list').querySelector('button')?.focus();
     return;
   }
+  if (state.changeCount === 0) {
+    setStatus(`Nothing to write: the document equals version ${state.base.version}.`);
+    return;
+  }
   const writeId = state.writeId || newWriteId();
   state.writeId = writeId;
   const text = toYaml({ write_id: writeId, ...withoutDefaults(state.schema, state.draft) });
--- a/tests/console/drive.js
+++ b/tests/console/drive.js
@@ -80,11 +80,13 @@
   expect('stored values', [localStorage.length, sessionStorage.length, document.cookie], [0, 0, '']);
 }
 
-// Guards against forms that lose an edit, show no error beside its field, or write a document that differs from the
-// one shown.
+// Guards against forms that lose an edit, show no error beside its field, write a document that differs from the one
+// shown, or write a version without a change.
 async function editTest() {
   await signIn();
   const { version } = await call('GET', 'config');
+  click('#submit');
+  await until('no write', () => text('#status').startsWith('Nothing to write') && !find('#submit').disabled);
   click('[data-path="teams"] > .buttons button');
   await until('the error of the empty name', () => text(fieldOf('teams[3].name')).includes('Found ""'));
   type(`${fieldOf('teams[3].name')} input`, 'storm-desk');
