--- a/tests/console/console_server.cc
+++ b/tests/console/console_server.cc
@@ -23,19 +23,6 @@
 using bamboowing::operator_answer;
 
 constexpr const char* kAuthorization = "Bearer test-token";
-constexpr const char* kFirstDocument = R"(
-failure_domains: [Hobart, Launceston, Burnie, Queenstown]
-services:
-  - name: line-analysis
-    targets: {failure_domains: [Hobart, Launceston, Burnie]}
-    task_time_limit_ms: 10000
-    deadline_max_ms: 60000
-  - {name: report-index, teams: [back-office]}
-teams:
-  - {name: control-room, priority: 5, weight: 4}
-  - {name: field-crews, priority: 3, weight: 2, quota_percent: 40}
-  - {name: back-office, quota_waiting_tasks: 50000}
-)";
 
 http_response FromAnswer(const operator_answer& answer) {
   http_response response;
@@ -48,7 +35,8 @@
 /// The document in force, changed by compare-and-swap as in the key-value service.
 class config_state {
  public:
-  config_state() : report_(bamboowing::CheckIntent(kFirstDocument)) {}
+  /// @param text the first document; it must be valid
+  explicit config_state(const std::string& text) : report_(bamboowing::CheckIntent(text)) {}
 
   operator_answer Get() {
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -135,7 +123,7 @@
     return 2;
   }
   const std::string test_directory = argv[1];
-  config_state state;
+  config_state state(ReadFile(test_directory + "/document.yaml"));
   failure why;
   const std::unique_ptr<bamboowing::http_server> server = bamboowing::http_server::Open(
       "127.0.0.1:0",
