--- a/console/main.js
+++ b/console/main.js
@@ -112,6 +112,7 @@
     byId('sign-in-error').textContent = '';
     byId('token').value = '';
     byId('editor').hidden = false;
+    byId('editor').focus({ preventScroll: true });
     if (state.draft === null) {
       await edit(config, structuredClone(config.document) ?? newValue(schema));
     } else {
@@ -165,6 +166,10 @@
     byId('problem-list').querySelector('button')?.focus();
     return;
   }
+  if (state.changeCount === 0) {
+    setStatus(`Nothing to write: the document equals version ${state.base.version}.`);
+    return;
+  }
   const writeId = state.writeId || newWriteId();
   state.writeId = writeId;
   const text = toYaml({ write_id: writeId, ...withoutDefaults(state.schema, state.draft) });
