Record what the checker needs, and follow the daemon's interface

Cause: the daemon recorded attempts and error kinds in fields that the checker does not read, no calls and no sequence numbers; the tool expected other names of states and another body of failed jobs.

Change: events of tasks carry their attempt, refusals their error kind, accepted jobs their number of tasks; an entry records each submission and its answer; a cleared drain is target_resumed; the event log numbers its events. An entry's target_left no longer counts as leaving, because it only says that the entry lost the agent. A relay bounds two clocks when the home received no call for the job itself. The tool reads a failed job's own fields, fetches events page by page, repeats a drain that lost a race, and takes differences and warnings from the intent library in place of its own comparison.

Conclusion: the checker reads the logs that daemons write.

--- a/include/bamboowing/observe/causal_pairs.h
+++ b/include/bamboowing/observe/causal_pairs.h
@@ -22,7 +22,8 @@
 /// - task_answered at the agent before task_answered at an entry, unless the entry records the target as lost;
 /// - task_refused at an agent before task_refused at an entry;
 /// - session_opened with the same `number` other than 0, at an agent and then at the entry whose `peer` is that agent;
-/// - job_relayed before job_accepted, when the acceptance names the relaying entry as its peer;
+/// - job_relayed before job_accepted, when the acceptance names the relaying entry as its peer, or the accepting entry
+///   received no call for the job itself;
 /// - job_completed at the home before call_answered without an error at another entry.
 ///
 /// A pair is left out when the events allow more than one reading, because a wrong pair would shift a whole process.
--- a/src/agent/agent_batch.cc
+++ b/src/agent/agent_batch.cc
@@ -139,7 +139,8 @@
   config_ = std::max(config_, batch.header.config);
   if (drain != operators_drain_) {
     operators_drain_ = drain;
-    Record(event_kind::kTargetDraining, now, nullptr, {}, config_, drain ? "set by operators" : "cleared by operators");
+    Record(drain ? event_kind::kTargetDraining : event_kind::kTargetResumed, now, nullptr, {}, config_,
+           drain ? "set by operators" : "cleared by operators");
     Announce(now);
   }
 }
--- a/src/agent/agent_core.cc
+++ b/src/agent/agent_core.cc
@@ -169,10 +169,14 @@
   if (key != nullptr) {
     what.job_id = key->job_id;
     what.task = key->task;
+    what.attempt = key->attempt;
   }
   what.peer = std::move(peer);
   what.number = number;
   what.detail = std::move(detail);
+  if (kind == event_kind::kTaskRefused) {
+    what.error = ErrorKindFromName(what.detail);
+  }
   actions_.emplace_back(record_event{std::move(what)});
 }
 
--- a/src/entry/shard_home.cc
+++ b/src/entry/shard_home.cc
@@ -624,6 +624,15 @@
   what.peer = std::move(peer);
   what.number = number;
   what.detail = std::move(detail);
+  if (task >= 0) {
+    what.attempt = static_cast<std::int64_t>(number);
+  }
+  if (kind == event_kind::kJobAccepted) {
+    what.count = static_cast<std::int64_t>(number);
+  }
+  if (kind == event_kind::kJobRefused || kind == event_kind::kJobFailed || kind == event_kind::kTaskRefused) {
+    what.error = ErrorKindFromName(what.detail);
+  }
   events_.push_back(std::move(what));
 }
 
--- a/src/observe/causal_pairs.cc
+++ b/src/observe/causal_pairs.cc
@@ -8,8 +8,6 @@
 #include <tuple>
 #include <unordered_map>
 
-#include "bamboowing/message/job.h"
-
 namespace bamboowing {
 namespace {
 
@@ -30,6 +28,7 @@
   index_list relayed;
   index_list accepted;
   index_list completed;
+  index_list received;
   index_list answered;
   std::map<std::int64_t, task_events> tasks;
 };
@@ -43,9 +42,7 @@
 bool AttemptsAgree(const event& a, const event& b) { return a.attempt < 0 || b.attempt < 0 || a.attempt == b.attempt; }
 
 /// An entry that loses a target records the answer itself, without a cause at the agent.
-bool IsLostTarget(const event& answered) {
-  return answered.error == error_kind::kTargetLost || answered.number == static_cast<std::uint64_t>(task_status::kLost);
-}
+bool IsLostTarget(const event& answered) { return answered.error == error_kind::kTargetLost; }
 
 class pair_finder {
  public:
@@ -96,6 +93,9 @@
       case event_kind::kJobCompleted:
         job.completed.push_back(index);
         break;
+      case event_kind::kCallReceived:
+        job.received.push_back(index);
+        break;
       case event_kind::kCallAnswered:
         job.answered.push_back(index);
         break;
@@ -129,8 +129,7 @@
       PairTask(one.second);
     }
     for (const std::size_t accepted : job.accepted) {
-      const event& record = events_[accepted].record;
-      if (process_ids_.count(record.peer) != 0) {
+      if (CameByRelay(job, accepted)) {
         PairEarliest(job.relayed, accepted);
       }
     }
@@ -141,6 +140,16 @@
     }
   }
 
+  /// Whether the home accepted the job from another entry: it names that entry, or it had no call for the job itself.
+  bool CameByRelay(const job_events& job, std::size_t accepted) const {
+    if (process_ids_.count(events_[accepted].record.peer) != 0) {
+      return true;
+    }
+    return !job.received.empty() && std::none_of(job.received.begin(), job.received.end(), [&](std::size_t call) {
+      return SameProcess(events_[call], events_[accepted]);
+    });
+  }
+
   void PairTask(const task_events& task) {
     for (const std::size_t started : task.started) {
       PairEarliest(task.sent, started);
--- a/src/observe/check_leaving.cc
+++ b/src/observe/check_leaving.cc
@@ -10,19 +10,21 @@
 
 /// Why a target is leaving, each with the first event that says so.
 struct leaving_state {
-  std::optional<std::size_t> left;                      ///< until the target announces itself again
-  std::optional<std::size_t> drained;                   ///< until the operators clear the flag
+  std::optional<std::size_t> left;           ///< the target left, until it announces itself again
+  std::optional<std::size_t> drained;        ///< the agent knows of a drain, until the operators clear it
+  std::optional<std::size_t> entry_drained;  ///< an entry knows of a drain, until the agent announces or resumes
   std::map<std::size_t, std::size_t> draining_process;  ///< for the rest of the life of that process
 
+  /// The earliest event after which the target must get no new work.
   std::optional<std::size_t> Since(std::size_t process) const {
-    if (left) {
-      return left;
-    }
-    if (drained) {
-      return drained;
-    }
+    std::optional<std::size_t> first;
     const std::map<std::size_t, std::size_t>::const_iterator found = draining_process.find(process);
-    return found == draining_process.end() ? std::nullopt : std::optional<std::size_t>(found->second);
+    const std::optional<std::size_t> own =
+        found == draining_process.end() ? std::nullopt : std::optional<std::size_t>(found->second);
+    for (const std::optional<std::size_t>& one : {left, drained, entry_drained, own}) {
+      first = one && (!first || *one < *first) ? one : first;
+    }
+    return first;
   }
 };
 
@@ -63,7 +65,16 @@
 
   void Apply(std::size_t index, leaving_state& state) {
     const timeline_entry& entry = context_.At(index);
-    const bool own = context_.all.processes[entry.process].identity.role == "agent";
+    if (context_.all.processes[entry.process].identity.role == "agent") {
+      ApplyOfAgent(index, entry, state);
+    } else if (entry.record.kind == event_kind::kTargetDraining) {
+      // An entry's target_left only says that it lost the agent, which may serve another entry.
+      CountFirst(state, entry.process);
+      SetOnce(state.entry_drained, index);
+    }
+  }
+
+  void ApplyOfAgent(std::size_t index, const timeline_entry& entry, leaving_state& state) {
     switch (entry.record.kind) {
       case event_kind::kTargetLeft:
         CountFirst(state, entry.process);
@@ -74,18 +85,16 @@
         SetOnce(state.drained, index);
         break;
       case event_kind::kProcessDraining:
-        if (own) {
-          CountFirst(state, entry.process);
-          state.draining_process.emplace(entry.process, index);
-        }
+        CountFirst(state, entry.process);
+        state.draining_process.emplace(entry.process, index);
         break;
       case event_kind::kTargetAnnounced:
-        if (own) {
-          state.left.reset();
-        }
+        state.left.reset();
+        state.entry_drained.reset();
         break;
       case event_kind::kTargetResumed:
         state.drained.reset();
+        state.entry_drained.reset();
         break;
       case event_kind::kTaskStarted:
         CheckStart(index, state);
--- a/src/service/entry_daemon.cc
+++ b/src/service/entry_daemon.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <atomic>
+#include <set>
 #include <thread>
 #include <utility>
 #include <variant>
@@ -183,7 +184,10 @@
     }
   }
 
-  void Handle(call_arrived& what, instant now) { core_.OnCall(what.call, std::move(what.request), now); }
+  void Handle(call_arrived& what, instant now) {
+    RecordCall(what, now);
+    core_.OnCall(what.call, std::move(what.request), now);
+  }
   void Handle(session_opened& what, instant now) { core_.OnSessionOpened(what.session, std::move(what.agent), now); }
   void Handle(session_closed& what, instant now) { core_.OnSessionClosed(what.session, now); }
   void Handle(batch_arrived& what, instant now) { core_.OnAgentBatch(what.session, what.batch, now); }
@@ -204,6 +208,7 @@
   void Do(const send_to_agent& what) { rpc_->SendToAgent(what.session, what.batch); }
   void Do(const close_agent_session& what) { rpc_->CloseSession(what.session); }
   void Do(const answer_call& what) {
+    RecordAnswer(what);
     operator_service_.Observe(what.reply);
     calls_.Answer(what.call, what.reply);
   }
@@ -214,6 +219,41 @@
   void Do(const config_write_result& what) { operator_service_.FinishWrite(what); }
   void Do(const record_entry_event& what) { events_.Record(what.what); }
 
+  void RecordCall(const call_arrived& what, instant now) {
+    if (what.request.verb != caller_verb::kSubmit) {
+      return;
+    }
+    event received;
+    received.kind = event_kind::kCallReceived;
+    received.at = now;
+    received.job_id = what.request.job.job_id;
+    received.number = what.call;
+    received.count = static_cast<std::int64_t>(what.request.job.tasks.size());
+    received.idempotent = what.request.job.idempotent;
+    events_.Record(std::move(received));
+    submissions_.insert(what.call);
+  }
+
+  void RecordAnswer(const answer_call& what) {
+    if (submissions_.erase(what.call) == 0) {
+      return;
+    }
+    event answered;
+    answered.kind = event_kind::kCallAnswered;
+    answered.at = Now();
+    answered.job_id = what.reply.job_id;
+    answered.number = what.call;
+    if (what.reply.error) {
+      answered.error = what.reply.error->kind;
+      answered.ran = what.reply.error->ran;
+    }
+    // An answer that leaves before the job ends carries no results, which is not a partial answer.
+    if (what.reply.error || what.reply.state == job_state::kComplete) {
+      answered.count = static_cast<std::int64_t>(what.reply.results.size());
+    }
+    events_.Record(std::move(answered));
+  }
+
   void HandleHttp(const http_request& request, http_server::responder answer) {
     if (request.method == "GET" && request.path == "/healthz") {
       answer({200, "application/json", R"({"status":"ok"})", std::nullopt});
@@ -272,6 +312,7 @@
   entry_core core_;
   operator_service operator_service_{core_, events_};
   open_calls calls_;
+  std::set<call_id> submissions_;  ///< calls with a call_received event that were not answered
   drain_latch drained_;
   std::atomic<bool> ready_{false};
   std::unique_ptr<store_duty> store_;
--- a/src/service/event_log.cc
+++ b/src/service/event_log.cc
@@ -58,6 +58,7 @@
       }
       continue;
     }
+    next->sequence = last_number_ + 1;
     std::string line = FormatEvent(*next, process_);
     if (file_.is_open()) {
       file_ << line << '\n';
--- a/tests/observe/invariants_test.cc
+++ b/tests/observe/invariants_test.cc
@@ -201,6 +201,14 @@
   ExpectOnly(entry, invariant::kLateStart, "agent-2");
 }
 
+// Guards against an alarm when an entry lost its session with an agent that serves another entry.
+TEST(Invariants, AllowWorkOnAnAgentThatOneEntryLost) {
+  log_builder log = GoodRun();
+  log.At(40 * kSecond, "entry-1", kind::kTargetLeft).peer = "agent-2";
+  log.At(50 * kSecond, "agent-2", kind::kTaskStarted, "elsewhere", 0);
+  EXPECT_TRUE(CheckInvariants(log.Merge()).violations.empty());
+}
+
 // Guards against a target that is taken for leaving after it announced itself again.
 TEST(Invariants, AllowWorkAfterATargetReturns) {
   log_builder log = GoodRun();
--- a/tests/observe/timeline_test.cc
+++ b/tests/observe/timeline_test.cc
@@ -135,6 +135,22 @@
   EXPECT_EQ(merged.processes[merged.entries[merged.links[1].cause].process].label, "entry-2");
 }
 
+// Guards against entries whose clocks stay unbounded because a home does not name the entry that relayed the job.
+TEST(Timeline, PairsARelayThatOnlyTheCallShows) {
+  log_builder log;
+  log.Process("entry-1", "entry", duration(5'000'000));
+  log.Process("entry-2", "entry");
+  log.At(0, "entry-1", kind::kCallReceived, "a").number = 1;
+  log.At(1, "entry-1", kind::kJobRelayed, "a").peer = "127.0.0.1:7";
+  log.At(10, "entry-2", kind::kJobAccepted, "a");
+  log.At(20, "entry-2", kind::kCallReceived, "b").number = 1;
+  log.At(21, "entry-1", kind::kJobRelayed, "b").peer = "127.0.0.1:7";
+  log.At(22, "entry-2", kind::kJobAccepted, "b");
+  const timeline merged = log.Merge();
+  ASSERT_EQ(merged.links.size(), 1U);
+  EXPECT_EQ(merged.entries[merged.links[0].effect].record.job_id, "a");
+}
+
 // Guards against an agent whose clock stays unbounded because it refuses all it gets.
 TEST(Timeline, PairsRefusals) {
   log_builder log;
--- a/tools/ctl/config_commands.cc
+++ b/tools/ctl/config_commands.cc
@@ -17,9 +17,6 @@
     print.Json({{"valid", true}, {"errors", json::array()}, {"warnings", warnings}, {"normalized", normalized}});
     return exit_code::kOk;
   }
-  for (const json& warning : warnings) {
-    print.Note("warning: " + (warning.is_string() ? warning.get<std::string>() : warning.dump()));
-  }
   print.Line(name + ": valid");
   return exit_code::kOk;
 }
@@ -37,10 +34,7 @@
   if (!answer) {
     return call.print().Fail(CallFailure(why));
   }
-  std::vector<intent_error> errors;
-  for (const json& one : answer->body.value("errors", json::array())) {
-    errors.push_back({TextOf(one, "path"), TextOf(one, "found"), TextOf(one, "expected"), 0});
-  }
+  const std::vector<intent_error> errors = FaultsFromJson(answer->body, "errors");
   if (!errors.empty()) {
     return ReportFaults(call.print(), name, errors);
   }
@@ -52,7 +46,7 @@
 struct apply_state {
   std::string write_id;
   std::uint64_t base = 0;
-  json document;
+  intent_document document;
 };
 
 /// The version at which the document with our write id is in force; nullopt when another one is, or none answers.
@@ -77,7 +71,7 @@
   if (!current) {
     return print.Fail(CallFailure(why));
   }
-  const std::vector<document_change> changes = Changes(Normalized(current->document), state.document);
+  const std::vector<intent_change> changes = ChangesFrom(current->document, state.document);
   if (print.json()) {
     print.Json({{"applied", false},
                 {"your_base", state.base},
@@ -127,7 +121,7 @@
 exit_code Put(invocation& call, api_client& server, const apply_state& state) {
   failure why;
   const std::optional<http_response> response = server.Send(
-      MakeRequest("PUT", "/operator/v1/config", state.document.dump(), {{"base_version", std::to_string(state.base)}}),
+      MakeRequest("PUT", "/operator/v1/config", ToJson(state.document), {{"base_version", std::to_string(state.base)}}),
       why);
   if (!response) {
     return Recognize(call, server, state, why);
@@ -137,6 +131,12 @@
   }
   if (response->status != 200) {
     why = api_client::FailureOf(*response);
+    const json refused = json::parse(response->body, nullptr, false);
+    const std::vector<intent_error> faults =
+        refused.is_object() ? FaultsFromJson(refused, "errors") : std::vector<intent_error>();
+    if (!faults.empty()) {
+      return ReportFaults(call.print(), "the document", faults);
+    }
     return IsLost(why) ? Recognize(call, server, state, why) : call.print().Fail(CallFailure(why));
   }
   const json body = json::parse(response->body, nullptr, false);
@@ -174,13 +174,13 @@
   if (!document) {
     return code;
   }
-  json base;
+  std::vector<intent_change> changes;
   if (call.Has("base")) {
     const std::optional<intent_document> other = ReadDocument(call, call.Text("base"), code);
     if (!other) {
       return code;
     }
-    base = json::parse(ToJson(*other));
+    changes = Difference(*other, *document);
   } else {
     command_failure error;
     failure why;
@@ -192,9 +192,8 @@
     if (!present) {
       return call.print().Fail(CallFailure(why));
     }
-    base = Normalized(present->document);
+    changes = ChangesFrom(present->document, *document);
   }
-  const std::vector<document_change> changes = Changes(base, json::parse(ToJson(*document)));
   if (call.print().json()) {
     call.print().Json({{"changes", ChangesToJson(changes)}});
   } else {
@@ -221,7 +220,7 @@
   }
   // A write id of its own for each run lets the tool recognise this very change when the answer is lost.
   document->write_id = call.env().random_id();
-  apply_state state{document->write_id, 0, json::parse(ToJson(*document))};
+  apply_state state{document->write_id, 0, *document};
   if (call.Has("base-version")) {
     state.base = call.options()["base-version"].as<std::uint64_t>();
   } else {
@@ -232,7 +231,7 @@
     }
     state.base = present ? present->version : 0;
     if (present && !call.print().json()) {
-      PrintChanges(call.print(), Changes(Normalized(present->document), state.document));
+      PrintChanges(call.print(), ChangesFrom(present->document, state.document));
     }
   }
   return Put(call, *server, state);
--- a/tools/ctl/document.cc
+++ b/tools/ctl/document.cc
@@ -1,7 +1,6 @@
 #include "ctl/document.h"
 
-#include <map>
-#include <set>
+#include "bamboowing/intent/report.h"
 
 namespace bamboowing::ctl {
 namespace {
@@ -9,59 +8,9 @@
 using nlohmann::json;
 using nlohmann::ordered_json;
 
-bool IsNamedList(const json& value) {
-  if (!value.is_array() || value.empty()) {
-    return false;
-  }
-  std::set<std::string> names;
-  for (const json& item : value) {
-    const json name = item.is_object() ? item.value("name", json()) : json();
-    if (!name.is_string() || !names.insert(name.get<std::string>()).second) {
-      return false;
-    }
-  }
-  return true;
-}
-
-/// The members of an object, or of a list whose items have names, by path below @p path.
-std::map<std::string, json> Members(const std::string& path, const json& value) {
-  std::map<std::string, json> members;
-  if (value.is_object()) {
-    for (json::const_iterator item = value.begin(); item != value.end(); ++item) {
-      members[path.empty() ? item.key() : path + "." + item.key()] = item.value();
-    }
-  } else {
-    for (const json& item : value) {
-      members[path + "[" + item.at("name").get<std::string>() + "]"] = item;
-    }
-  }
-  return members;
-}
-
-bool HasMembers(const json& value) { return value.is_object() || IsNamedList(value); }
-
-void Compare(const std::string& path, const json& before, const json& after, std::vector<document_change>& changes) {
-  if (before == after || path == "write_id") {
-    return;
-  }
-  const bool lists = before.is_array() && after.is_array() && (IsNamedList(before) || IsNamedList(after)) &&
-                     (IsNamedList(before) || before.empty()) && (IsNamedList(after) || after.empty());
-  const bool descend = lists || (HasMembers(before) && before.type() == after.type());
-  if (!descend) {
-    changes.push_back({path, before.is_null() ? "" : before.dump(), after.is_null() ? "" : after.dump()});
-    return;
-  }
-  std::map<std::string, json> left = Members(path, before);
-  std::map<std::string, json> right = Members(path, after);
-  std::set<std::string> paths;
-  for (const std::map<std::string, json>& side : {left, right}) {
-    for (const std::pair<const std::string, json>& one : side) {
-      paths.insert(one.first);
-    }
-  }
-  for (const std::string& member : paths) {
-    Compare(member, left[member], right[member], changes);
-  }
+std::string TextOf(const json& body, const char* key) {
+  const json::const_iterator found = body.find(key);
+  return found != body.end() && found->is_string() ? found->get<std::string>() : std::string();
 }
 
 }  // namespace
@@ -92,12 +41,15 @@
     code = call.print().Fail(error);
     return std::nullopt;
   }
-  std::vector<intent_error> errors;
-  std::optional<intent_document> document = ParseIntent(*text, errors);
-  if (!document) {
-    code = ReportFaults(call.print(), name, errors);
+  intent_report report = CheckIntent(*text);
+  if (!report.document) {
+    code = ReportFaults(call.print(), name, report.errors);
+    return std::nullopt;
+  }
+  for (const intent_error& warning : report.warnings) {
+    call.print().Note("warning: " + FormatIntentError(warning));
   }
-  return document;
+  return std::move(report.document);
 }
 
 std::optional<versioned_document> VersionedFromJson(const json& body) {
@@ -125,44 +77,39 @@
   return result;
 }
 
-json Normalized(const json& document) {
+std::vector<intent_change> ChangesFrom(const json& before, const intent_document& after) {
   std::vector<intent_error> errors;
-  const std::optional<intent_document> parsed = ParseIntent(document.dump(), errors);
-  return parsed ? json::parse(ToJson(*parsed)) : document;
+  const std::optional<intent_document> parsed = ParseIntent(before.dump(), errors);
+  return Difference(parsed.value_or(intent_document()), after);
 }
 
-std::vector<document_change> Changes(const json& before, const json& after) {
-  std::vector<document_change> changes;
-  Compare("", before, after, changes);
-  return changes;
-}
-
-void PrintChanges(printer& print, const std::vector<document_change>& changes) {
+void PrintChanges(printer& print, const std::vector<intent_change>& changes) {
   if (changes.empty()) {
     print.Line("no differences");
   }
-  for (const document_change& change : changes) {
-    const std::string path = change.path.empty() ? "document" : change.path;
-    if (change.left.empty()) {
-      print.Line("+ " + path + ": " + change.right);
-    } else if (change.right.empty()) {
-      print.Line("- " + path + ": " + change.left);
-    } else {
-      print.Line("~ " + path + ": " + change.left + " -> " + change.right);
-    }
+  for (const intent_change& change : changes) {
+    print.Line(FormatIntentChange(change));
+  }
+}
+
+std::vector<intent_error> FaultsFromJson(const json& body, const char* key) {
+  std::vector<intent_error> faults;
+  for (const json& one : body.value(key, json::array())) {
+    faults.push_back({TextOf(one, "path"), TextOf(one, "found"), TextOf(one, "expected"), one.value("line", 0)});
   }
+  return faults;
 }
 
-ordered_json ChangesToJson(const std::vector<document_change>& changes) {
+ordered_json ChangesToJson(const std::vector<intent_change>& changes) {
   ordered_json list = ordered_json::array();
-  for (const document_change& change : changes) {
+  for (const intent_change& change : changes) {
     ordered_json one;
     one["path"] = change.path;
-    if (!change.left.empty()) {
-      one["before"] = json::parse(change.left);
+    if (!change.before.empty()) {
+      one["before"] = json::parse(change.before);
     }
-    if (!change.right.empty()) {
-      one["after"] = json::parse(change.right);
+    if (!change.after.empty()) {
+      one["after"] = json::parse(change.after);
     }
     list.push_back(one);
   }
--- a/tools/ctl/document.h
+++ b/tools/ctl/document.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "bamboowing/intent/difference.h"
 #include "bamboowing/intent/document.h"
 #include "ctl/api.h"
 #include "ctl/command.h"
@@ -19,14 +20,7 @@
   nlohmann::json document;
 };
 
-/// One difference between two documents.
-struct document_change {
-  std::string path;   ///< for example "services[seal].shards"
-  std::string left;   ///< value before; empty when it is new
-  std::string right;  ///< value after; empty when it is removed
-};
-
-/// Reads and checks the document in the file @p name. Reports faults on @p call and returns nullopt.
+/// Reads and checks the document in the file @p name. Reports faults and warnings on @p call; nullopt after a fault.
 std::optional<intent_document> ReadDocument(invocation& call, const std::string& name, exit_code& code);
 
 /// Prints the faults of a document and returns the exit code.
@@ -38,17 +32,17 @@
 /// Reads {version, document}, in which the document is an object or its text.
 std::optional<versioned_document> VersionedFromJson(const nlohmann::json& body);
 
-/// The document in the form with all properties, so that two documents can be compared; as given when it cannot be
-/// parsed (a newer release may know more properties).
-nlohmann::json Normalized(const nlohmann::json& document);
-
-/// The differences from @p before to @p after without `write_id`. Entries of lists are matched by their names.
-std::vector<document_change> Changes(const nlohmann::json& before, const nlohmann::json& after);
+/// The differences from the document that a server gave to @p after. Everything is new when there is no document yet,
+/// or when it has properties that this release does not know.
+std::vector<intent_change> ChangesFrom(const nlohmann::json& before, const intent_document& after);
 
 /// Prints the differences, one line each.
-void PrintChanges(printer& print, const std::vector<document_change>& changes);
+void PrintChanges(printer& print, const std::vector<intent_change>& changes);
 
 /// The differences as JSON: [{path, before?, after?}].
-nlohmann::ordered_json ChangesToJson(const std::vector<document_change>& changes);
+nlohmann::ordered_json ChangesToJson(const std::vector<intent_change>& changes);
+
+/// The faults in the list @p key of a server's answer.
+std::vector<intent_error> FaultsFromJson(const nlohmann::json& body, const char* key);
 
 }  // namespace bamboowing::ctl
--- a/tools/ctl/fleet.cc
+++ b/tools/ctl/fleet.cc
@@ -5,6 +5,9 @@
 #include <tuple>
 
 namespace bamboowing::ctl {
+
+bool IsServing(std::string_view state) { return state == "serving"; }
+
 namespace {
 
 using nlohmann::json;
@@ -61,12 +64,12 @@
   return result;
 }
 
-/// States other than these mean that the target receives no work for a reason that needs attention.
+/// A state other than these means that the target receives no work for a reason that needs attention.
 tone ToneOfState(const std::string& state) {
-  if (state == "healthy" || state == "active" || state == "ready") {
+  if (IsServing(state)) {
     return tone::kGood;
   }
-  return state == "draining" || state == "leaving" || state == "probing" ? tone::kWarning : tone::kBad;
+  return state == "draining" || state == "joining" ? tone::kWarning : tone::kBad;
 }
 
 std::string Fixed(double value) {
--- a/tools/ctl/fleet.h
+++ b/tools/ctl/fleet.h
@@ -33,6 +33,9 @@
   bool ready = false;
 };
 
+/// Whether a target in this state receives work.
+bool IsServing(std::string_view state);
+
 /// The answer of the server, as received and as rows.
 struct target_answer {
   nlohmann::json body;
--- a/tools/ctl/fleet_commands.cc
+++ b/tools/ctl/fleet_commands.cc
@@ -9,6 +9,7 @@
 using nlohmann::json;
 using nlohmann::ordered_json;
 
+constexpr int kDrainAttempts = 5;
 constexpr duration kDrainPause = std::chrono::milliseconds(500);  // between looks at a target that drains
 
 bool Wanted(const invocation& call, const target_row& row) {
@@ -106,7 +107,14 @@
   }
   failure why;
   const json body = {{"target", target}};
-  const std::optional<json_answer> answer = server->Call(MakeRequest("POST", "/operator/v1/drain", body.dump()), why);
+  std::optional<json_answer> answer;
+  // A drain changes the configuration and may lose a race against another change, which does not make it wrong.
+  for (int attempt = 0; attempt < kDrainAttempts && !answer; ++attempt) {
+    answer = server->Call(MakeRequest("POST", "/operator/v1/drain", body.dump()), why);
+    if (!answer && why.kind != error_kind::kConflict) {
+      break;
+    }
+  }
   if (!answer) {
     const bool unknown = why.kind == error_kind::kTargetLost || why.kind == error_kind::kStoreUnavailable;
     return call.print().Fail(CallFailure(why, unknown ? "A drain may be repeated safely." : ""));
--- a/tools/ctl/job_commands.cc
+++ b/tools/ctl/job_commands.cc
@@ -26,6 +26,12 @@
   return found != body.end() && found->is_number() ? found->get<std::int64_t>() : 0;
 }
 
+/// Whether the same call may succeed soon, while an entry is replaced or a shard changes its home.
+bool IsPassing(error_kind kind) {
+  return kind == error_kind::kNotReady || kind == error_kind::kDraining || kind == error_kind::kTargetLost ||
+         kind == error_kind::kOverloaded;
+}
+
 bool HasEnded(const json& job) {
   const std::string state = TextOf(job, "state");
   return state == "complete" || state == "failed";
@@ -37,11 +43,8 @@
   if (!why) {
     why = failure(error_kind::kInternal, not_run::kUnknown, "the job failed without a reason");
   }
-  const exit_code code = why->ran == not_run::kYes  ? exit_code::kRefused
-                         : why->ran == not_run::kNo ? exit_code::kJobFailed
-                                                    : exit_code::kOutcomeUnknown;
   why->reason = "job " + TextOf(job, "job_id") + " failed: " + why->reason;
-  return {code, *why, std::string(ErrorRow(why->kind).action)};
+  return {ExitCodeOf(*why), *why, std::string(ErrorRow(why->kind).action)};
 }
 
 std::string ResultText(const json& result) {
@@ -82,6 +85,30 @@
   return exit_code::kOk;
 }
 
+/// Sends @p request and returns the job in the answer. A failed job comes with the status and the fields of its error;
+/// an answer that says that the entry cannot tell at present is a failure of the call.
+std::optional<json> CallJob(api_client& entry, http_request request, failure& why) {
+  const std::optional<http_response> response = entry.Send(std::move(request), why);
+  if (!response) {
+    return std::nullopt;
+  }
+  json body = json::parse(response->body, nullptr, false);
+  const bool good = response->status >= 200 && response->status <= 299;
+  if (!body.is_object() || TextOf(body, "state").empty()) {
+    why = good ? failure(error_kind::kInternal, "the server's answer is not a job") : api_client::FailureOf(*response);
+    return std::nullopt;
+  }
+  if (!good) {
+    why = api_client::FailureOf(*response);
+    // A job may end with target_lost; from an answer, unlike from the connection, it is the end of the job.
+    const bool lost = why.kind == error_kind::kTargetLost;
+    if ((IsPassing(why.kind) && !lost) || why.kind == error_kind::kNotFound) {
+      return std::nullopt;
+    }
+  }
+  return body;
+}
+
 std::string JobPath(const std::string& id) { return "/v1/jobs/" + id; }
 
 /// Waits for the end of a job. Returns nullopt and fills @p error when the calls fail or @p limit passes.
@@ -91,17 +118,15 @@
   while (true) {
     failure why;
     const std::map<std::string, std::string> query = {{"wait_ms", std::to_string(kPollWait.count() / 1000)}};
-    const std::optional<json_answer> answer = entry.Call(MakeRequest("GET", JobPath(id), {}, query), why);
+    std::optional<json> answer = CallJob(entry, MakeRequest("GET", JobPath(id), {}, query), why);
     const duration waited = call.env().now() - begin;
-    const bool passing = why.kind == error_kind::kNotReady || why.kind == error_kind::kDraining ||
-                         why.kind == error_kind::kTargetLost || why.kind == error_kind::kOverloaded;
-    if (!answer && (!passing || waited >= limit)) {
+    if (!answer && (!IsPassing(why.kind) || waited >= limit)) {
       error = CallFailure(why, "Ask later: bamboowingctl job status " + id + ".");
       return std::nullopt;
     }
-    if (answer && HasEnded(answer->body)) {
+    if (answer && HasEnded(*answer)) {
       call.print().EndProgress();
-      return answer->body;
+      return answer;
     }
     if (waited >= limit) {
       error = {exit_code::kTimeout,
@@ -109,8 +134,7 @@
                "Ask later: bamboowingctl job status " + id + "."};
       return std::nullopt;
     }
-    call.print().Progress("job " + id + ": " + (answer ? Counts(answer->body) : why.reason) + ", " +
-                          FormatDuration(waited));
+    call.print().Progress("job " + id + ": " + (answer ? Counts(*answer) : why.reason) + ", " + FormatDuration(waited));
     call.env().sleep(kPollPause);
   }
 }
@@ -142,10 +166,9 @@
   std::size_t attempt = 0;
   while (true) {
     failure why;
-    const std::optional<json_answer> answer =
-        entry.Call(MakeRequest("POST", "/v1/jobs", job.dump(), {{"wait", "false"}}), why);
+    std::optional<json> answer = CallJob(entry, MakeRequest("POST", "/v1/jobs", job.dump(), {{"wait", "false"}}), why);
     if (answer) {
-      return answer->body;
+      return answer;
     }
     if (why.kind != error_kind::kTargetLost || attempt == std::size(kResubmitPauses)) {
       error = CallFailure(why);
@@ -207,8 +230,8 @@
     return ended ? Report(call.print(), *ended) : call.print().Fail(error);
   }
   failure why;
-  const std::optional<json_answer> answer = entry->Call(MakeRequest("GET", JobPath(id)), why);
-  return answer ? Report(call.print(), answer->body) : call.print().Fail(CallFailure(why));
+  const std::optional<json> answer = CallJob(*entry, MakeRequest("GET", JobPath(id)), why);
+  return answer ? Report(call.print(), *answer) : call.print().Fail(CallFailure(why));
 }
 
 exit_code RunJobCancel(invocation& call) {
@@ -219,16 +242,17 @@
     return call.print().Fail(error);
   }
   failure why;
-  const std::optional<json_answer> answer = entry->Call(MakeRequest("DELETE", JobPath(id)), why);
+  const std::optional<json> answer = CallJob(*entry, MakeRequest("DELETE", JobPath(id)), why);
   if (!answer) {
     return call.print().Fail(CallFailure(why, why.ran == not_run::kUnknown && why.kind == error_kind::kTargetLost
                                                   ? "A cancellation may be repeated safely."
                                                   : ""));
   }
+  const bool cancelled = TextOf(*answer, "kind") == ErrorRow(error_kind::kCancelled).name;
   if (call.print().json()) {
-    call.print().Json(ordered_json(answer->body));
+    call.print().Json(ordered_json(*answer));
   } else {
-    call.print().Line("job " + id + ": " + TextOf(answer->body, "state"));
+    call.print().Line("job " + id + ": " + (cancelled ? "cancelled" : "ended before, " + TextOf(*answer, "state")));
   }
   return exit_code::kOk;
 }
--- a/tools/ctl/metrics_commands.cc
+++ b/tools/ctl/metrics_commands.cc
@@ -94,7 +94,7 @@
     ++load.targets;
     load.slots += row.slots;
     load.in_flight += row.in_flight;
-    load.out_of_use += row.state == "healthy" || row.state == "active" || row.state == "ready" ? 0 : 1;
+    load.out_of_use += IsServing(row.state) ? 0 : 1;
   }
   return services;
 }
--- a/tools/ctl/timeline_command.cc
+++ b/tools/ctl/timeline_command.cc
@@ -30,15 +30,25 @@
   if (server == nullptr) {
     return false;
   }
-  failure why;
-  const std::optional<http_response> response =
-      server->Send(MakeRequest("GET", "/operator/v1/events", {}, {{"after", "0"}}), why);
-  if (!response || response->status != 200) {
-    error = CallFailure(response ? api_client::FailureOf(*response) : why);
-    return false;
+  std::uint64_t after = 0;
+  while (true) {
+    failure why;
+    const std::map<std::string, std::string> query = {{"after", std::to_string(after)}};
+    const std::optional<http_response> response =
+        server->Send(MakeRequest("GET", "/operator/v1/events", {}, query), why);
+    if (!response || response->status != 200) {
+      error = CallFailure(response ? api_client::FailureOf(*response) : why);
+      return false;
+    }
+    const std::size_t before = events.events.size();
+    AppendEventLog(response->body, "operator", events);
+    // One answer is bounded, so the events come in several; the last event's number asks for the next ones.
+    const std::uint64_t last = events.events.size() == before ? 0 : events.events.back().record.sequence;
+    if (last <= after) {
+      return true;
+    }
+    after = last;
   }
-  AppendEventLog(response->body, "operator", events);
-  return true;
 }
 
 duration Milliseconds(const invocation& call, const std::string& name, duration otherwise) {
