Add the stand-in for a worker and the runner that reaches it

Cause: workers run tasks under leases, report usage with a lag and stop tasks by guards; an agent must not promise them more than they have.

Change: standin_worker with leases, usage reports of a set age, throttle, checkpoint, stop and guards. The worker runner renews leases, and counts as committed the reported usage plus everything granted since; each report names the newest grant that it includes.

Conclusion: with a report that shows no usage, 15 tasks of 2 cores fill 30 cores and the 16th is refused.

--- a/include/bamboowing/platform/target_runner.h
+++ b/include/bamboowing/platform/target_runner.h
@@ -2,6 +2,7 @@
 /// Runs tasks at the target beside an agent.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -12,6 +13,7 @@
 #include "bamboowing/base/error.h"
 #include "bamboowing/base/types.h"
 #include "bamboowing/message/batch.h"
+#include "bamboowing/platform/worker_commitments.h"
 
 namespace bamboowing {
 
@@ -54,4 +56,17 @@
 /// is malformed.
 std::unique_ptr<target_runner> OpenMinionRunner(std::string_view run_url, failure& why);
 
+/// How tasks run at a worker.
+struct worker_settings {
+  resource_size capacity;                           ///< of the whole worker
+  resource_size task_size;                          ///< declared for each task
+  duration lease = std::chrono::seconds(3);         ///< of a task; renewed every third of it while the task runs
+  duration usage_period = std::chrono::seconds(1);  ///< between two requests for a usage report while tasks run
+};
+
+/// Opens a worker by its announced @p run_url ("http://127.0.0.1:9000/v1/tasks"). A task that doesn't fit beside the
+/// worker's commitments is refused with `no_slot`. Returns null and fills @p why when the URL is malformed.
+std::unique_ptr<target_runner> OpenWorkerRunner(std::string_view run_url, const worker_settings& settings,
+                                                failure& why);
+
 }  // namespace bamboowing
--- /dev/null
+++ b/src/platform/worker_runner.cc
@@ -0,0 +1,268 @@
+#include <algorithm>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+
+#include "bamboowing/platform/http_client.h"
+#include "bamboowing/platform/target_runner.h"
+#include "run_url.h"
+
+namespace bamboowing {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+constexpr int kRenewalsPerLease = 3;
+
+// Long enough for a busy machine; the start's outcome is unknown after it.
+constexpr duration kCallTimeout = std::chrono::seconds(2);
+
+instant Now() { return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now()); }
+
+std::string WorkerTaskId(const task_key& key) {
+  return key.job_id + "." + std::to_string(key.task) + "." + std::to_string(key.attempt);
+}
+
+nlohmann::json ParseObject(const std::string& text) {
+  nlohmann::json body = nlohmann::json::parse(text, nullptr, false);
+  return body.is_object() ? body : nlohmann::json::object();
+}
+
+std::uint64_t Milliseconds(duration time) {
+  return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
+// The state that a worker reports for a task, as a status; nullopt while it runs.
+std::optional<task_status> StatusOf(const std::string& state) {
+  if (state == "running") {
+    return std::nullopt;
+  }
+  if (state == "succeeded") {
+    return task_status::kSucceeded;
+  }
+  return state == "lease_expired" ? task_status::kLost : task_status::kFailed;
+}
+
+// The tasks at one worker. Shared with callbacks, which can outlive the runner.
+class worker_runs : public std::enable_shared_from_this<worker_runs> {
+ public:
+  worker_runs(std::unique_ptr<http_client> client, std::string path, const worker_settings& settings)
+      : client_(std::move(client)), path_(std::move(path)), settings_(settings), commitments_(settings.capacity) {}
+
+  void Run(const start_task& task, const target_runner::run_callback& done) {
+    if (!Admit(task, done)) {
+      done(std::nullopt, failure(error_kind::kNoSlot, not_run::kYes, "the worker's room is committed"));
+      return;
+    }
+    const nlohmann::json body = {{"task_id", WorkerTaskId(task.key)},
+                                 {"payload", task.payload},
+                                 {"lease_ms", Milliseconds(settings_.lease)},
+                                 {"cores", settings_.task_size.cores},
+                                 {"memory_bytes", settings_.task_size.memory_bytes}};
+    const std::string text = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    client_->SendAsync(
+        {"POST", path_, {}, text, ""}, kCallTimeout,
+        [self = shared_from_this(), key = task.key](const std::optional<http_response>& response, const failure& why) {
+          self->AfterStart(key, response, why);
+        });
+  }
+
+  void Stop(const task_key& key) {
+    if (End(key, task_status::kCancelled, "stopped")) {
+      Post(key, "stop", "");
+    }
+  }
+
+  bool Throttle(const task_key& key, double share) {
+    if (!IsRunning(key)) {
+      return false;
+    }
+    Post(key, "throttle", nlohmann::json{{"share", share}}.dump());
+    return true;
+  }
+
+  void Checkpoint(const task_key& key, const target_runner::checkpoint_callback& done) {
+    client_->SendAsync({"POST", path_ + "/" + WorkerTaskId(key) + "/checkpoint", {}, "", ""}, kCallTimeout,
+                       [done](const std::optional<http_response>& response, const failure& why) {
+                         if (response && response->status == kOk) {
+                           done(ParseObject(response->body).value("checkpoint", ""), failure());
+                         } else {
+                           done(std::nullopt, response ? failure(error_kind::kNotFound, "no such running task") : why);
+                         }
+                       });
+  }
+
+ private:
+  struct run {
+    target_runner::run_callback done;
+    instant started;
+    duration time_limit;
+  };
+
+  bool Admit(const start_task& task, const target_runner::run_callback& done) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (!commitments_.Fits(settings_.task_size)) {
+      return false;
+    }
+    commitments_.Ask(settings_.task_size);
+    runs_[task.key] = {done, Now(), task.time_limit};
+    return true;
+  }
+
+  void AfterStart(const task_key& key, const std::optional<http_response>& response, const failure& why) {
+    const bool granted = response && response->status == kOk;
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      commitments_.Confirm(settings_.task_size, granted ? ParseObject(response->body).value("grant", 0ULL) : 0);
+    }
+    AskUsage();
+    if (granted) {
+      Follow(key);
+    } else if (response && response->status == kUnavailable) {
+      Refuse(key, failure(error_kind::kNoSlot, not_run::kYes, "the worker has no room"));
+    } else if (response) {
+      End(key, task_status::kFailed, "the worker answered " + std::to_string(response->status));
+    } else if (why.ran == not_run::kYes) {
+      Refuse(key, why);
+    } else {
+      End(key, task_status::kLost, why.reason);
+    }
+  }
+
+  // Waits for the end of the task for a part of its lease, then renews the lease and waits again.
+  void Follow(const task_key& key) {
+    const duration left = TimeLeft(key);
+    if (left <= duration(0)) {
+      if (End(key, task_status::kTimeLimit, "stopped at its time limit")) {
+        Post(key, "stop", "");
+      }
+      return;
+    }
+    const duration wait = std::min(settings_.lease / kRenewalsPerLease, left);
+    const std::string wait_ms = std::to_string(std::max<std::uint64_t>(1, Milliseconds(wait)));
+    client_->SendAsync({"GET", path_ + "/" + WorkerTaskId(key), {{"wait_ms", wait_ms}}, "", ""}, wait + kCallTimeout,
+                       [self = shared_from_this(), key](const std::optional<http_response>& response,
+                                                        const failure& why) { self->AfterWait(key, response, why); });
+  }
+
+  void AfterWait(const task_key& key, const std::optional<http_response>& response, const failure& why) {
+    if (!IsRunning(key)) {
+      return;
+    }
+    if (!response || response->status != kOk) {
+      End(key, task_status::kLost, response ? "the worker no longer knows the task" : why.reason);
+      return;
+    }
+    const nlohmann::json body = ParseObject(response->body);
+    const std::string state = body.value("state", "");
+    const std::optional<task_status> status = StatusOf(state);
+    if (status) {
+      End(key, *status, *status == task_status::kSucceeded ? body.value("result", "") : "the task ended as " + state);
+      return;
+    }
+    AskUsage();
+    Post(key, "renew", "");
+    Follow(key);
+  }
+
+  void AskUsage() {
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      if (Now() - usage_asked_ < settings_.usage_period) {
+        return;
+      }
+      usage_asked_ = Now();
+    }
+    const std::string path = path_.substr(0, path_.rfind('/')) + "/usage";
+    client_->SendAsync({"GET", path, {}, "", ""}, kCallTimeout,
+                       [self = shared_from_this()](const std::optional<http_response>& response, const failure&) {
+                         if (response && response->status == kOk) {
+                           self->TakeUsage(ParseObject(response->body));
+                         }
+                       });
+  }
+
+  void TakeUsage(const nlohmann::json& body) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    commitments_.Report({body.value("last_grant", std::uint64_t{0}),
+                         {body.value("cores", 0.0), body.value("memory_bytes", std::uint64_t{0})}});
+  }
+
+  // The answer does not matter: what it would tell is seen by the wait that runs at the same time or follows.
+  void Post(const task_key& key, const std::string& verb, const std::string& body) {
+    client_->SendAsync({"POST", path_ + "/" + WorkerTaskId(key) + "/" + verb, {}, body, ""}, kCallTimeout,
+                       [](const std::optional<http_response>&, const failure&) {});
+  }
+
+  bool IsRunning(const task_key& key) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return runs_.count(key) > 0;
+  }
+
+  duration TimeLeft(const task_key& key) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const std::map<task_key, run>::const_iterator found = runs_.find(key);
+    return found == runs_.end() ? duration(0) : found->second.started + found->second.time_limit - Now();
+  }
+
+  std::optional<run> Take(const task_key& key) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const std::map<task_key, run>::iterator found = runs_.find(key);
+    if (found == runs_.end()) {
+      return std::nullopt;
+    }
+    std::optional<run> taken = std::move(found->second);
+    runs_.erase(found);
+    return taken;
+  }
+
+  bool End(const task_key& key, task_status status, const std::string& result) {
+    const std::optional<run> ended = Take(key);
+    if (ended) {
+      ended->done(task_answer{key, status, result, Now() - ended->started}, failure());
+    }
+    return ended.has_value();
+  }
+
+  void Refuse(const task_key& key, const failure& why) {
+    const std::optional<run> refused = Take(key);
+    if (refused) {
+      refused->done(std::nullopt, why);
+    }
+  }
+
+  const std::unique_ptr<http_client> client_;
+  const std::string path_;
+  const worker_settings settings_;
+  std::mutex mutex_;
+  worker_commitments commitments_;
+  std::map<task_key, run> runs_;
+  instant usage_asked_;
+};
+
+class worker_runner : public target_runner {
+ public:
+  explicit worker_runner(std::shared_ptr<worker_runs> runs) : runs_(std::move(runs)) {}
+
+  void Run(const start_task& task, run_callback done) override { runs_->Run(task, done); }
+  void Stop(const task_key& key) override { runs_->Stop(key); }
+  bool Throttle(const task_key& key, double share) override { return runs_->Throttle(key, share); }
+  void Checkpoint(const task_key& key, checkpoint_callback done) override { runs_->Checkpoint(key, done); }
+
+ private:
+  const std::shared_ptr<worker_runs> runs_;
+};
+
+}  // namespace
+
+std::unique_ptr<target_runner> OpenWorkerRunner(std::string_view run_url_text, const worker_settings& settings,
+                                                failure& why) {
+  const std::optional<run_url> url = ParseRunUrl(run_url_text, why);
+  if (!url) {
+    return nullptr;
+  }
+  std::unique_ptr<http_client> client = http_client::Open(url->address, why);
+  return std::make_unique<worker_runner>(std::make_shared<worker_runs>(std::move(client), url->path, settings));
+}
+
+}  // namespace bamboowing
--- /dev/null
+++ b/standins/worker.cc
@@ -0,0 +1,258 @@
+#include "standins/worker.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "standins/json_http.h"
+#include "standins/minion.h"
+
+namespace bamboowing::standin {
+namespace {
+
+constexpr std::string_view kTasksPath = "/v1/tasks/";
+
+duration Scale(duration time, double factor) {
+  return duration(static_cast<std::int64_t>(static_cast<double>(time.count()) * factor));
+}
+
+http_response Refusal(error_kind kind, const std::string& reason) {
+  return ErrorResponse(failure(kind, not_run::kYes, reason));
+}
+
+worker_size UsedSize(const std::string& payload, const worker_size& declared) {
+  const nlohmann::json parsed = nlohmann::json::parse(payload, nullptr, false);
+  if (!parsed.is_object()) {
+    return declared;
+  }
+  return {parsed.value("use_cores", declared.cores), parsed.value("use_memory_bytes", declared.memory_bytes)};
+}
+
+}  // namespace
+
+worker::worker(const worker_options& options) : options_(options) {}
+
+std::unique_ptr<worker> worker::Open(const worker_options& options, failure& why) {
+  std::unique_ptr<worker> result(new worker(options));
+  worker* const self = result.get();
+  result->server_ = http_server::Open(
+      options.address,
+      [self](const http_request& request, const http_server::responder& answer) { self->Take(request, answer); },
+      http_limits(), why);
+  return result->server_ ? std::move(result) : nullptr;
+}
+
+worker::~worker() { Close(); }
+
+void worker::Close() {
+  if (server_) {
+    server_->Close();
+  }
+}
+
+void worker::Take(const http_request& request, const http_server::responder& answer) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (request.method == "POST" && request.path == "/v1/tasks") {
+    answer(Grant(request));
+    return;
+  }
+  if (request.method == "GET" && request.path == "/v1/usage") {
+    answer(Usage());
+    return;
+  }
+  if (request.path.compare(0, kTasksPath.size(), kTasksPath) != 0) {
+    answer(Refusal(error_kind::kNotFound, "no call " + request.method + " " + request.path));
+    return;
+  }
+  const std::string rest = request.path.substr(kTasksPath.size());
+  if (request.method == "GET") {
+    Wait(rest, std::chrono::milliseconds(QueryNumber(request, "wait_ms", 0)), answer);
+    return;
+  }
+  const std::size_t slash = rest.rfind('/');
+  const std::string verb = slash == std::string::npos ? std::string() : rest.substr(slash + 1);
+  answer(Act(rest.substr(0, slash), verb, BodyObject(request)));
+}
+
+http_response worker::Grant(const http_request& request) {
+  const nlohmann::json body = BodyObject(request);
+  const std::string id = body.value("task_id", "");
+  task granted;
+  granted.payload = body.value("payload", "");
+  granted.lease = std::chrono::milliseconds(body.value("lease_ms", std::uint64_t{0}));
+  granted.declared = {body.value("cores", 0.0), body.value("memory_bytes", std::uint64_t{0})};
+  if (id.empty() || granted.lease.count() == 0) {
+    return Refusal(error_kind::kInvalidField, "expected task_id and lease_ms");
+  }
+  if (tasks_.count(id) > 0) {
+    return ErrorResponse(failure(error_kind::kConflict, not_run::kNo, "the task was started before"));
+  }
+  if (!Fits(granted.declared)) {
+    return Refusal(error_kind::kNoSlot, "the worker has no room for the declared size");
+  }
+  granted.used = UsedSize(granted.payload, granted.declared);
+  granted.work = Scale(RunTime(granted.payload, id, 0, options_.seed), 1 / options_.speed);
+  granted.work_left = granted.work;
+  granted.since = Now();
+  granted.lease_end = Now() + granted.lease;
+  task& running = tasks_[id] = granted;
+  ++last_grant_;
+  RecordUsage();
+  ScheduleEnd(id, running);
+  ScheduleLease(id, running.lease_end);
+  ScheduleGuard(id);
+  return JsonAnswer(200, {{"task_id", id}, {"grant", last_grant_}});
+}
+
+http_response worker::Act(const std::string& id, const std::string& verb, const nlohmann::json& body) {
+  const std::map<std::string, task>::iterator found = tasks_.find(id);
+  if (found == tasks_.end() || found->second.state != "running") {
+    return ErrorResponse(failure(error_kind::kNotFound, "no running task " + id));
+  }
+  task& running = found->second;
+  if (verb == "renew") {
+    running.lease_end = Now() + running.lease;
+    return JsonAnswer(200, Describe(id, running));
+  }
+  if (verb == "checkpoint") {
+    const double done = 1 - std::chrono::duration<double>(WorkLeft(running)) / running.work;
+    return JsonAnswer(200, {{"checkpoint", std::to_string(done)}});
+  }
+  if (verb == "throttle") {
+    running.work_left = WorkLeft(running);
+    running.since = Now();
+    running.share = std::clamp(body.value("share", 1.0), 0.0, 1.0);
+    ScheduleEnd(id, running);
+    return JsonAnswer(200, Describe(id, running));
+  }
+  if (verb == "stop") {
+    Finish(id, "stopped");
+    return JsonAnswer(200, Describe(id, running));
+  }
+  return Refusal(error_kind::kNotFound, "expected renew, checkpoint, throttle or stop");
+}
+
+void worker::Wait(const std::string& id, duration time, const http_server::responder& answer) {
+  const std::map<std::string, task>::iterator found = tasks_.find(id);
+  if (found == tasks_.end()) {
+    answer(ErrorResponse(failure(error_kind::kNotFound, "no task " + id)));
+    return;
+  }
+  if (found->second.state != "running" || time.count() == 0) {
+    answer(JsonAnswer(200, Describe(id, found->second)));
+    return;
+  }
+  found->second.waiting.push_back(answer);
+  timers_.At(Now() + time, [this, id, answer] {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    // Only the first call of a responder counts, so a task that ended before needs no removal from the list.
+    answer(JsonAnswer(200, Describe(id, tasks_[id])));
+  });
+}
+
+http_response worker::Usage() {
+  const instant wanted = Now() - options_.usage_lag;
+  while (history_.size() > 1 && history_[1].at <= wanted) {
+    history_.pop_front();
+  }
+  const bool any = !history_.empty() && history_.front().at <= wanted;
+  const usage report = any ? history_.front() : usage();
+  return JsonAnswer(
+      200,
+      {{"last_grant", report.last_grant}, {"cores", report.used.cores}, {"memory_bytes", report.used.memory_bytes}});
+}
+
+bool worker::Fits(const worker_size& size) const {
+  worker_size sum = size;
+  for (const std::pair<const std::string, task>& each : tasks_) {
+    if (each.second.state == "running") {
+      sum.cores += each.second.declared.cores;
+      sum.memory_bytes += each.second.declared.memory_bytes;
+    }
+  }
+  return sum.cores <= options_.cores && sum.memory_bytes <= options_.memory_bytes;
+}
+
+void worker::ScheduleEnd(const std::string& id, task& running) {
+  const std::uint64_t generation = ++running.generation;
+  if (running.share <= 0) {
+    return;
+  }
+  timers_.At(Now() + Scale(running.work_left, 1 / running.share), [this, id, generation] {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (tasks_[id].generation == generation) {
+      Finish(id, "succeeded");
+    }
+  });
+}
+
+void worker::ScheduleLease(const std::string& id, instant time) {
+  timers_.At(time, [this, id] {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const task& running = tasks_[id];
+    if (running.state != "running") {
+      return;
+    }
+    if (running.lease_end <= Now()) {
+      Finish(id, "lease_expired");
+    } else {
+      ScheduleLease(id, running.lease_end);
+    }
+  });
+}
+
+void worker::ScheduleGuard(const std::string& id) {
+  if (!options_.guards) {
+    return;
+  }
+  timers_.At(Now() + options_.guard_delay, [this, id] {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const task& running = tasks_[id];
+    if (running.used.cores > running.declared.cores || running.used.memory_bytes > running.declared.memory_bytes) {
+      Finish(id, "guard");
+    }
+  });
+}
+
+void worker::Finish(const std::string& id, const std::string& state) {
+  task& ended = tasks_[id];
+  if (ended.state != "running") {
+    return;
+  }
+  ended.work_left = WorkLeft(ended);
+  ended.state = state;
+  RecordUsage();
+  for (const http_server::responder& answer : ended.waiting) {
+    answer(JsonAnswer(200, Describe(id, ended)));
+  }
+  ended.waiting.clear();
+}
+
+void worker::RecordUsage() {
+  usage now{Now(), last_grant_, {}};
+  for (const std::pair<const std::string, task>& each : tasks_) {
+    if (each.second.state == "running") {
+      now.used.cores += each.second.used.cores;
+      now.used.memory_bytes += each.second.used.memory_bytes;
+    }
+  }
+  history_.push_back(now);
+}
+
+duration worker::WorkLeft(const task& running) const {
+  if (running.state != "running") {
+    return running.work_left;
+  }
+  return std::max(duration(0), running.work_left - Scale(Now() - running.since, running.share));
+}
+
+nlohmann::json worker::Describe(const std::string& id, const task& described) const {
+  const double left =
+      described.work.count() == 0 ? 0 : std::chrono::duration<double>(WorkLeft(described)) / described.work;
+  nlohmann::json body = {{"task_id", id}, {"state", described.state}, {"progress", 1 - left}};
+  if (described.state == "succeeded") {
+    body["result"] = MinionResult(described.payload);
+  }
+  return body;
+}
+
+}  // namespace bamboowing::standin
--- /dev/null
+++ b/standins/worker.h
@@ -0,0 +1,105 @@
+/// @file
+/// Stand-in for a worker: a machine that runs tasks under leases.
+///
+/// `POST /v1/tasks` with `{"task_id", "payload", "lease_ms", "cores", "memory_bytes"}` answers `{"grant"}`, a number
+/// that grows with every grant; 409 when the task id was used, 503 when the declared sizes don't fit. `POST
+/// /v1/tasks/ID/renew|checkpoint|throttle|stop`; throttle takes `{"share"}`. `GET /v1/tasks/ID?wait_ms=` answers
+/// `{"state", "result", "progress"}` at the end of the task or of the wait. `GET /v1/usage` answers `{"last_grant",
+/// "cores", "memory_bytes"}` as they were some time ago. A payload can state `work_ms`, and `use_cores` and
+/// `use_memory_bytes` where it uses more or less than declared.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "bamboowing/platform/http_server.h"
+#include "standins/timer_queue.h"
+
+namespace bamboowing::standin {
+
+/// Settings of a worker.
+struct worker_options {
+  std::string address = "127.0.0.1:0";
+  double cores = 30;
+  std::uint64_t memory_bytes = 64ULL << 30U;
+  double speed = 1;         ///< run times are divided by this
+  std::uint64_t seed = 1;   ///< of run times that the payload does not state
+  duration usage_lag{0};    ///< age of usage reports
+  bool guards = true;       ///< stop tasks that use more than they declared
+  duration guard_delay{0};  ///< from the start of a task to its check by the guard
+};
+
+/// What a task may use or uses.
+struct worker_size {
+  double cores = 0;
+  std::uint64_t memory_bytes = 0;
+};
+
+/// The running service.
+class worker {
+ public:
+  /// Returns null and fills @p why when the address can't be used.
+  static std::unique_ptr<worker> Open(const worker_options& options, failure& why);
+
+  worker(const worker&) = delete;
+  worker& operator=(const worker&) = delete;
+  ~worker();
+
+  int port() const { return server_->port(); }
+
+  /// Finishes the running tasks and stops.
+  void Close();
+
+ private:
+  struct task {
+    std::string payload;
+    std::string state = "running";  // then succeeded, stopped, lease_expired or guard
+    worker_size declared;
+    worker_size used;
+    duration lease{0};
+    instant lease_end;
+    double share = 1;       // share of the full speed
+    duration work_left{0};  // at full speed, at the time `since`
+    duration work{0};
+    instant since;
+    std::uint64_t generation = 0;  // of the timer for the end
+    std::vector<http_server::responder> waiting;
+  };
+
+  struct usage {
+    instant at;
+    std::uint64_t last_grant = 0;
+    worker_size used;
+  };
+
+  explicit worker(const worker_options& options);
+  void Take(const http_request& request, const http_server::responder& answer);
+  http_response Grant(const http_request& request);
+  http_response Act(const std::string& id, const std::string& verb, const nlohmann::json& body);
+  void Wait(const std::string& id, duration time, const http_server::responder& answer);
+  http_response Usage();
+  bool Fits(const worker_size& size) const;
+  void ScheduleEnd(const std::string& id, task& running);
+  void ScheduleLease(const std::string& id, instant time);
+  void ScheduleGuard(const std::string& id);
+  void Finish(const std::string& id, const std::string& state);
+  void RecordUsage();
+  duration WorkLeft(const task& running) const;
+  nlohmann::json Describe(const std::string& id, const task& described) const;
+
+  const worker_options options_;
+  std::mutex mutex_;
+  std::map<std::string, task> tasks_;
+  std::deque<usage> history_;
+  std::uint64_t last_grant_ = 0;
+  std::unique_ptr<http_server> server_;
+  timer_queue timers_;
+};
+
+}  // namespace bamboowing::standin
