--- a/include/bamboowing/entry/agent_sessions.h
+++ b/include/bamboowing/entry/agent_sessions.h
@@ -2,6 +2,7 @@
 /// The sessions of agents with this entry, and the batch that is being filled for each.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -24,15 +25,20 @@
   epoch highest_epoch = 0;                    ///< highest epoch that the agent reported
   instant heard;                              ///< when the newest batch arrived
   instant sent;                               ///< when the newest batch was sent
+  instant busy_since;                         ///< when this entry last started a task on the idle agent
   instant peer_clock;                         ///< agent's clock in the newest batch
   instant confirmed;                          ///< our clock that the agent echoed last
   config_version config = 0;
-  entry_batch pending;    ///< what the next batch will carry
-  bool excluded = false;  ///< the operators drain the target or forbid it to serve the service
-  bool closing = false;   ///< the session was silent for too long and is being closed
-  bool dirty = false;     ///< whether `pending` must be sent at the end of this iteration
+  entry_batch pending;        ///< what the next batch will carry
+  bool excluded = false;      ///< the operators drain the target or forbid it to serve the service
+  bool closing = false;       ///< the session was silent for too long and is being closed
+  duration told_interval{0};  ///< interval of heartbeats that the agent was told
+  bool dirty = false;         ///< whether `pending` must be sent at the end of this iteration
 };
 
+/// Since when an agent that has tasks in flight has been silent: before the first of them it had no reason to send.
+inline instant SilentSince(const agent_session& session) { return std::max(session.heard, session.busy_since); }
+
 /// Identity that this entry puts into headers.
 struct entry_identity {
   std::string id;
@@ -62,11 +68,18 @@
   entry_batch& Outgoing(agent_session& session);
 
   /// Appends a send action for each marked batch. @p epoch_of gives the epoch of a shard for the header.
-  void Flush(instant now, config_version config, const std::map<shard_id, epoch>& epochs,
+  /// @param idle_interval how long an idle agent may be silent; told to each agent when it changes.
+  void Flush(instant now, config_version config, const std::map<shard_id, epoch>& epochs, duration idle_interval,
              std::vector<entry_action>& out);
 
-  /// Marks every session that has sent nothing for @p interval, so that Flush() sends a heartbeat.
-  void MarkIdle(instant now, duration interval, const std::map<shard_id, epoch>& homes, duration home_interval);
+  /// Marks every session that has sent nothing for its interval, so that Flush() sends a heartbeat.
+  /// @param interval_of gives the longest pause for a session.
+  template <typename Function>
+  void MarkIdle(instant now, const Function& interval_of) {
+    for (std::pair<const session_id, agent_session>& item : sessions_) {
+      item.second.dirty = item.second.dirty || now - item.second.sent >= interval_of(item.second);
+    }
+  }
 
   /// All sessions, by id.
   const std::map<session_id, agent_session>& all() const { return sessions_; }
--- a/include/bamboowing/entry/entry_core.h
+++ b/include/bamboowing/entry/entry_core.h
@@ -107,7 +107,11 @@
   void NoteConfigOfPeer(config_version version, const std::string& address);
   void TellEntries(agent_session& session);
   void RecordEvent(event_kind kind, instant now, std::string peer, std::uint64_t number, std::string detail);
-  duration HeartbeatInterval(duration shortest) const;
+  /// Interval of heartbeats of idle sessions, in both directions; it grows with the number of sessions.
+  duration HeartbeatInterval() const;
+  /// Whether an agent has tasks of this entry in flight.
+  bool IsBusy(const agent_session& session) const;
+  duration SendInterval(const agent_session& session) const;
   void AppendStoreCall(const shard_id& shard, const owner_action& action);
   config_version config() const { return intent_.version(); }
 
--- a/src/entry/agent_sessions.cc
+++ b/src/entry/agent_sessions.cc
@@ -74,7 +74,7 @@
 }
 
 void agent_sessions::Flush(instant now, config_version config, const std::map<shard_id, epoch>& epochs,
-                           std::vector<entry_action>& out) {
+                           duration idle_interval, std::vector<entry_action>& out) {
   for (std::pair<const session_id, agent_session>& item : sessions_) {
     agent_session& session = item.second;
     if (!session.dirty) {
@@ -86,6 +86,10 @@
     heartbeats_sent_ += CarriesWork(batch) ? 0 : 1;
     batch.shard = session.shard;
     batch.draining = session.excluded;
+    if (idle_interval != session.told_interval) {
+      batch.heartbeat_interval = idle_interval;
+      session.told_interval = idle_interval;
+    }
     batch.header.sender = self_.id;
     batch.header.life = self_.life;
     batch.header.sent_at = now;
@@ -98,15 +102,4 @@
   }
 }
 
-void agent_sessions::MarkIdle(instant now, duration interval, const std::map<shard_id, epoch>& homes,
-                              duration home_interval) {
-  for (std::pair<const session_id, agent_session>& item : sessions_) {
-    agent_session& session = item.second;
-    const duration limit = homes.count(session.shard) > 0 ? home_interval : interval;
-    if (now - session.sent >= limit) {
-      session.dirty = true;
-    }
-  }
-}
-
 }  // namespace bamboowing
--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -229,16 +229,11 @@
     Collect(now);
   }
   std::map<shard_id, epoch> epochs;
-  std::map<shard_id, epoch> homes;
   for (const std::pair<const shard_id, std::unique_ptr<shard_home>>& item : shards_) {
     epochs[item.first] = item.second->known_epoch();
-    if (item.second->is_home() || item.second->is_claiming()) {
-      homes[item.first] = item.second->known_epoch();
-    }
   }
-  sessions_.MarkIdle(now, HeartbeatInterval(settings_.idle_heartbeat), homes,
-                     HeartbeatInterval(settings_.home_heartbeat));
-  sessions_.Flush(now, config(), epochs, actions_);
+  sessions_.MarkIdle(now, [this](const agent_session& session) { return SendInterval(session); });
+  sessions_.Flush(now, config(), epochs, HeartbeatInterval(), actions_);
 }
 
 std::optional<instant> entry_core::next_wakeup() const {
@@ -246,17 +241,13 @@
   if (const std::optional<instant> due = config_writer_.next_wakeup(); due) {
     next = std::min(next, *due);
   }
-  const duration home_interval = HeartbeatInterval(settings_.home_heartbeat);
-  const duration idle_interval = HeartbeatInterval(settings_.idle_heartbeat);
   for (const std::pair<const shard_id, std::unique_ptr<shard_home>>& item : shards_) {
     if (const std::optional<instant> due = item.second->next_wakeup(); due) {
       next = std::min(next, *due);
     }
   }
   for (const std::pair<const session_id, agent_session>& item : sessions_.all()) {
-    const std::map<shard_id, std::unique_ptr<shard_home>>::const_iterator home = shards_.find(item.second.shard);
-    const bool own = home != shards_.end() && home->second->is_home();
-    next = std::min(next, item.second.sent + (own ? home_interval : idle_interval));
+    next = std::min(next, item.second.sent + SendInterval(item.second));
   }
   if (router_.waiting() > 0) {
     next = std::min(next, retry_due_);
@@ -481,17 +472,14 @@
 }
 
 void entry_core::CloseSilentSessions(instant now) {
-  const duration idle_interval = HeartbeatInterval(settings_.idle_heartbeat);
-  const duration home_interval = HeartbeatInterval(settings_.home_heartbeat);
+  constexpr int kMissedHeartbeats = 3;
+  const duration idle_limit = std::max(settings_.close_after, kMissedHeartbeats * HeartbeatInterval());
   for (std::pair<const session_id, agent_session>& item : sessions_.all()) {
     agent_session& session = item.second;
-    const std::map<shard_id, std::unique_ptr<shard_home>>::const_iterator home = shards_.find(session.shard);
-    const bool own = home != shards_.end() && home->second->is_home();
-    // With tasks in flight the home asks after query_after; an idle session may be silent for its heartbeat interval.
-    const bool busy = own && home->second->HasTasksAt(session.agent);
-    const duration idle_limit = own ? home_interval + settings_.close_after : 3 * idle_interval;
-    const duration limit = busy ? settings_.close_after : idle_limit;
-    if (!session.closing && now - session.heard >= limit) {
+    // An agent with tasks in flight sends every half second; an idle one may be silent for its heartbeat interval.
+    const bool silent =
+        IsBusy(session) ? now - SilentSince(session) >= settings_.close_after : now - session.heard >= idle_limit;
+    if (!session.closing && silent) {
       session.closing = true;
       actions_.emplace_back(close_agent_session{item.first});
     }
@@ -569,7 +557,6 @@
   }
   entry_batch& batch = sessions_.Outgoing(session);
   batch.entries = std::move(addresses);
-  batch.heartbeat_interval = HeartbeatInterval(settings_.idle_heartbeat);
 }
 
 void entry_core::RecordEvent(event_kind kind, instant now, std::string peer, std::uint64_t number, std::string detail) {
@@ -582,10 +569,19 @@
   actions_.emplace_back(record_entry_event{std::move(what)});
 }
 
-duration entry_core::HeartbeatInterval(duration shortest) const {
+duration entry_core::HeartbeatInterval() const {
   const std::uint64_t bytes = sessions_.all().size() * settings_.heartbeat_bytes;
   const duration needed = duration(static_cast<std::int64_t>(bytes * 1'000'000 / settings_.heartbeat_bytes_per_second));
-  return std::clamp(needed, shortest, std::max(shortest, settings_.heartbeat_interval_max));
+  return std::clamp(needed, settings_.idle_heartbeat_min, settings_.idle_heartbeat_max);
+}
+
+bool entry_core::IsBusy(const agent_session& session) const {
+  const std::map<shard_id, std::unique_ptr<shard_home>>::const_iterator home = shards_.find(session.shard);
+  return home != shards_.end() && home->second->HasTasksAt(session.agent);
+}
+
+duration entry_core::SendInterval(const agent_session& session) const {
+  return IsBusy(session) ? settings_.busy_heartbeat : HeartbeatInterval();
 }
 
 void entry_core::AppendStoreCall(const shard_id& shard, const owner_action& action) {
--- a/src/entry/shard_home.cc
+++ b/src/entry/shard_home.cc
@@ -279,7 +279,7 @@
       next = std::min(next, state.detached_at + settings_.agent_loss_timeout);
     } else if (state.attached && !state.queried && !state.in_flight.empty()) {
       if (const agent_session* session = sessions_.FindAgent(item.first); session != nullptr) {
-        next = std::min(next, session->heard + settings_.query_after);
+        next = std::min(next, SilentSince(*session) + settings_.query_after);
       }
     }
   }
@@ -562,7 +562,7 @@
     if (session == nullptr || state.queried || state.in_flight.empty()) {
       continue;
     }
-    if (now - session->heard >= settings_.query_after) {
+    if (now - SilentSince(*session) >= settings_.query_after) {
       state.queried = true;
       sessions_.Outgoing(*session).status_query = true;
     }
@@ -588,7 +588,9 @@
     task.time_limit = settings_.task_time_limit;
     task.idempotent = job->idempotent;
     sessions_.Outgoing(*session).starts.push_back(std::move(task));
-    agents_[start.target].in_flight.insert(start.key);
+    std::set<task_key>& in_flight = agents_[start.target].in_flight;
+    session->busy_since = in_flight.empty() ? now : session->busy_since;
+    in_flight.insert(start.key);
     agents_of_job_[start.key.job_id].insert(start.target);
     jobs_.MarkStarted(start.key.job_id);
     jobs_.CountMessages(start.key.job_id, 1);
