--- /dev/null
+++ b/scripts/capacity_page.py
@@ -0,0 +1,237 @@
+"""Writes docs/CAPACITY.md from the measured slopes in docs/capacity/slopes.json.
+
+`--check` fails when the page differs from what the slopes give, so that page and script agree.
+"""
+
+import json
+import sys
+
+from fleet import ROOT
+
+PAGE = ROOT / "docs" / "CAPACITY.md"
+SLOPES = ROOT / "docs" / "capacity" / "slopes.json"
+
+# The size to design for.
+WORKERS = 3100
+STARTS_PER_S = 190_000
+TASKS_PER_JOB = 180
+CHANGES_PER_DAY = 8800
+REPLACED_PER_DAY = 190
+FAILED_PER_DAY = 17
+DOMAINS = 17
+REGIONS = 5
+# Limits of a node for control, and of the store.
+LIMIT_CPU = 0.013
+LIMIT_MEMORY = 128e6
+LIMIT_BYTES = 5000
+LIMIT_WRITES = 300
+LIMIT_READS = 2000
+# Choices of the design.
+ENTRIES = 16
+SHARDS = 64
+DAY_S = 86400
+RETAINED_BYTES = 64 << 20
+AGENT_RETAINED_BYTES = 32 << 20
+LEASE_S = 3.0
+SETTLE_S = 1.2
+BUSY_SILENCE_S = 2.0
+AGENT_LOSS_S = 5.0
+HEARTBEAT_EXCHANGE_BYTES = 1130
+HEARTBEAT_BUDGET = 4500
+HEARTBEAT_CAP_S = 60.0
+CONFIG_BATCH_BYTES = 410
+SHARD_RECORD_AGENT_BYTES = 45
+WRITES_PER_HOME_CHANGE = 5
+
+
+def verdict(value, limit):
+    return "within" if value <= limit else f"**exceeds {value / limit:.1f} times**"
+
+
+def sums(s):
+    """All worked figures, by name."""
+    f = {}
+    f["agents_per_entry"] = WORKERS / ENTRIES
+    f["agents_per_shard"] = WORKERS / SHARDS
+    f["starts_per_entry"] = STARTS_PER_S / ENTRIES
+    f["starts_per_agent"] = STARTS_PER_S / WORKERS
+    f["entry_cores"] = s["entry_cpu_by_starts"]["slope"] * f["starts_per_entry"]
+    f["agent_cores"] = s["agent_cpu_by_starts"]["slope"] * f["starts_per_agent"]
+    f["entry_rpc_mb"] = s["entry_rpc_bytes_by_starts"]["slope"] * f["starts_per_entry"] / 1e6
+    f["agent_rpc_kb"] = s["entry_rpc_bytes_by_starts"]["slope"] * f["starts_per_agent"] / 1e3
+    f["sessions_all"] = WORKERS
+    f["entry_session_mb"] = s["entry_rss_by_sessions"]["slope"] * WORKERS / 1e6
+    f["entry_base_mb"] = s["entry_rss_by_sessions"]["intercept"] / 1e6
+    f["waiting_tasks"] = f["starts_per_entry"]
+    f["entry_tasks_mb"] = s["entry_rss_by_tasks"]["slope"] * f["waiting_tasks"] / 1e6
+    f["entry_mb"] = f["entry_base_mb"] + f["entry_session_mb"] + f["entry_tasks_mb"] + RETAINED_BYTES / 1e6
+    f["agent_mb"] = s["agent_rss"]["high"] / 1e6
+    f["heartbeat_s"] = min(HEARTBEAT_CAP_S, WORKERS * HEARTBEAT_EXCHANGE_BYTES / HEARTBEAT_BUDGET)
+    f["entry_idle_bytes"] = WORKERS * HEARTBEAT_EXCHANGE_BYTES / f["heartbeat_s"]
+    f["heartbeat_limit_sessions"] = HEARTBEAT_CAP_S * HEARTBEAT_BUDGET / HEARTBEAT_EXCHANGE_BYTES
+    f["agent_idle_bytes"] = ENTRIES * HEARTBEAT_EXCHANGE_BYTES / f["heartbeat_s"]
+    f["config_bytes"] = CHANGES_PER_DAY / DAY_S * WORKERS * CONFIG_BATCH_BYTES
+    f["config_agent_bytes"] = CHANGES_PER_DAY / DAY_S * ENTRIES * CONFIG_BATCH_BYTES
+    per_entry = s["store_calls_per_s"]["slope"]
+    f["store_today"] = per_entry * ENTRIES
+    f["store_shards"] = ENTRIES * SHARDS * 1.0 + SHARDS * 1.0
+    f["record_writes"] = (REPLACED_PER_DAY * 2 + FAILED_PER_DAY) / DAY_S
+    f["record_bytes"] = f["agents_per_shard"] * SHARD_RECORD_AGENT_BYTES
+    f["config_writes"] = CHANGES_PER_DAY / DAY_S
+    f["takeover_s"] = LEASE_S + SETTLE_S
+    f["domain_agents"] = WORKERS / DOMAINS
+    f["domain_shards"] = SHARDS / DOMAINS
+    f["domain_claims"] = f["domain_shards"] * f["agents_per_shard"] * 2
+    f["domain_writes"] = f["domain_shards"] * WRITES_PER_HOME_CHANGE
+    f["domain_jobs"] = f["domain_shards"] * STARTS_PER_S / SHARDS / TASKS_PER_JOB * f["takeover_s"]
+    return f
+
+
+def slope_rows(s):
+    names = {
+        "entry_cpu_by_starts": ("processor time of the home for each start", 1e6, "us", "3,600 to 28,800 starts"),
+        "agent_cpu_by_starts": ("processor time of the agent for each start", 1e6, "us", "3,600 to 28,800 starts"),
+        "entry_rpc_bytes_by_starts": ("RPC bytes for each start and its answer", 1, "bytes", "3,600 to 28,800 starts"),
+        "entry_rss_by_tasks": ("memory of the home for each waiting task", 1, "bytes", "1,800 to 180,000 tasks"),
+        "entry_rss_by_sessions": ("memory of an entry for each session", 1e-3, "KB", "10 to 100 agents"),
+        "store_calls_per_s": ("store calls a second for each entry, one shard", 1, "calls/s", "1, 2, 4 entries"),
+    }
+    rows = ["| slope | value | standard error | R2 | runs |", "|---|---|---|---|---|"]
+    for key, (label, scale, unit, runs) in names.items():
+        fit = s[key]
+        rows.append(f"| {label} | {fit['slope'] * scale:.1f} {unit} | {fit['error'] * scale:.1f} | {fit['r2']:.4f} | {runs} |")
+    return "\n".join(rows)
+
+
+def level_rows(s):
+    names = {
+        "entry_idle_cpu": ("idle entry, cores", 1, 4),
+        "entry_idle_bytes_per_s": ("idle entry, RPC bytes a second", 1, 0),
+        "entry_idle_messages_per_s": ("idle entry, heartbeats a second, both directions", 1, 1),
+        "agent_idle_cpu": ("idle agent, cores", 1, 4),
+        "agent_idle_bytes_per_s": ("idle agent, RPC bytes a second", 1, 0),
+        "agent_rss": ("agent, resident MB", 1e-6, 1),
+    }
+    rows = ["| level at 10 to 100 agents | mean | lowest | highest |", "|---|---|---|---|"]
+    for key, (label, scale, digits) in names.items():
+        one = s[key]
+        rows.append(f"| {label} | {one['mean'] * scale:.{digits}f} | {one['low'] * scale:.{digits}f} | "
+                    f"{one['high'] * scale:.{digits}f} |")
+    return "\n".join(rows)
+
+
+def render(s):
+    f = sums(s)
+    return f"""# Capacity
+
+What each role holds, sends and uses at the size to design for: {WORKERS:,} workers with 5,000 accelerators,
+{STARTS_PER_S:,} task starts a second at the peak in jobs of up to {TASKS_PER_JOB} tasks, 52 teams, {REGIONS} regions with
+{DOMAINS} failure domains, {CHANGES_PER_DAY:,} configuration changes a day in force within 5 s, {FAILED_PER_DAY} instances that
+fail and {REPLACED_PER_DAY} that are replaced a day. The sums assume {ENTRIES} entries and {SHARDS} shards, which is
+{f['agents_per_shard']:.0f} agents a shard and {f['agents_per_entry']:.0f} at home with each entry.
+
+`scripts/capacity.py` measures the slopes on one machine with stand-ins and writes `docs/capacity/raw.csv` and
+`slopes.json`; `scripts/capacity_page.py` computes this page from them, and CI checks that both agree. The processor
+figures move by a third with what else the machine does; the counts and bytes do not. Limits for control on a node:
+1.3 % of a core, 128 MB, 5 KB/s; for the store: several hundred writes and about 2,000 reads a second.
+
+## Measured
+
+{slope_rows(s)}
+
+{level_rows(s)}
+
+![processor time of the home](capacity/entry_cpu_by_starts.svg)
+![memory of the home](capacity/entry_rss_by_tasks.svg)
+![store calls](capacity/store_calls_per_s.svg)
+
+RPC bytes are what the process reads and writes on its RPC connections, without the headers of TCP/IP.
+
+## Entry
+
+| what | at the size | limit | mechanism |
+|---|---|---|---|
+| task starts | {f['starts_per_entry']:,.0f} a second | | shard homes spread over the entries |
+| processor time for starts | {f['entry_cores']:.2f} cores | the entry's work, not control | one decision thread, batches for each agent |
+| RPC for starts and answers | {f['entry_rpc_mb']:.1f} MB/s | work | one session for each agent |
+| memory: base | {f['entry_base_mb']:.0f} MB | 128 MB | |
+| memory: sessions with all {WORKERS:,} agents | {f['entry_session_mb']:.0f} MB | | every agent attaches to every entry |
+| memory: one second of starts waiting | {f['entry_tasks_mb']:.1f} MB | | dispatcher and job table |
+| memory: answers retained | {RETAINED_BYTES / 1e6:.0f} MB | | bound of the job table, oldest dropped first |
+| memory in all | {f['entry_mb']:.0f} MB | 128 MB: {verdict(f['entry_mb'] * 1e6, LIMIT_MEMORY)} | |
+| idle heartbeats | every {f['heartbeat_s']:.0f} s, {f['entry_idle_bytes'] / 1e3:.1f} KB/s | 5 KB/s: {verdict(f['entry_idle_bytes'], LIMIT_BYTES)} | interval grows with the sessions up to 60 s |
+| configuration to agents | {f['config_bytes'] / 1e3:.1f} KB/s | 5 KB/s: {verdict(f['config_bytes'], LIMIT_BYTES)} | one batch to each session at each change |
+
+## Agent
+
+| what | at the size | limit | mechanism |
+|---|---|---|---|
+| task starts | {f['starts_per_agent']:.0f} a second | | |
+| processor time | {100 * f['agent_cores']:.2f} % of a core | 1.3 %: {verdict(f['agent_cores'], LIMIT_CPU)} | HTTP call to the target, ledger, batches |
+| RPC | {f['agent_rpc_kb']:.0f} KB/s with the tasks' own data | work | |
+| idle heartbeats with {ENTRIES} entries | {f['agent_idle_bytes']:.0f} bytes/s | 5 KB/s: {verdict(f['agent_idle_bytes'], LIMIT_BYTES)} | |
+| configuration | {f['config_agent_bytes']:.0f} bytes/s | 5 KB/s: {verdict(f['config_agent_bytes'], LIMIT_BYTES)} | version and drain flag only |
+| memory | {f['agent_mb']:.0f} MB, and at most {AGENT_RETAINED_BYTES / 1e6:.0f} MB of retained answers | 128 MB: {verdict(f['agent_mb'] * 1e6 + AGENT_RETAINED_BYTES, LIMIT_MEMORY)} | bounded ledger |
+
+## Key-value service
+
+| what | at the size | limit | mechanism |
+|---|---|---|---|
+| calls with one shard | {f['store_today']:.0f} a second | | registration, watch, lease renewal |
+| calls with {SHARDS} shards | {f['store_shards']:,.0f} a second | 2,000 reads: {verdict(f['store_shards'], LIMIT_READS)} | every entry polls the holder of every shard once a second, each home renews a lease for each shard |
+| writes of shard records | {f['record_writes']:.4f} a second | 300: {verdict(f['record_writes'], LIMIT_WRITES)} | when an agent joins or is lost |
+| size of a shard record | {f['record_bytes'] / 1e3:.1f} KB | 1 MB | {f['agents_per_shard']:.0f} agents |
+| configuration writes | {f['config_writes']:.2f} a second | 300: {verdict(f['config_writes'], LIMIT_WRITES)} | compare-and-swap of one document |
+
+Agents never call the store, and no call lies on the path of a job or task.
+
+## Operators' tools
+
+They hold no state and read one entry at a time. A call of `target list` returns about 150 bytes for each target that
+the entry knows, so {WORKERS * 150 / 1e3:.0f} KB for all.
+
+## What does not reach the size
+
+1. **The holder polls give out first.** {ENTRIES} entries x {SHARDS} shards poll once a second. Reads reach 2,000 a second at
+   {LIMIT_READS // ENTRIES} shards for {ENTRIES} entries. The entry's watch sees the same keys already; polling only when the
+   watch is broken would remove them.
+2. **Every agent attaches to every entry.** Idle heartbeats stay under 5 KB/s up to {f['heartbeat_limit_sessions']:.0f}
+   sessions for each entry, then the cap of 60 s lets them grow. Attaching each agent to its home and one standby keeps
+   {2 * f['agents_per_entry']:.0f} sessions for each entry.
+3. **Every change of configuration goes to every agent** as one batch. Telling only agents whose own drain flag changed,
+   and the version with the next heartbeat, removes it.
+4. **An agent's processor time** for each start is dominated by the HTTP call to its target. A connection kept for each
+   slot and a smaller client would carry it.
+5. **One document at 8,800 changes a day** is read whole by each entry at each change, at most 1 MB each
+   {DAY_S / CHANGES_PER_DAY:.0f} s. A document in parts would carry it.
+
+## Loss at this size
+
+| lost | no new work there after | messages and calls | jobs |
+|---|---|---|---|
+| agent, process dies | its connection breaks: at once | 1 write of the record | jobs with tasks there fail, `unknown` |
+| agent, silent | {BUSY_SILENCE_S:.0f} s with tasks in flight; given up after {BUSY_SILENCE_S + AGENT_LOSS_S:.0f} s | 1 status query, 1 write | the same |
+| home | its shards wait {f['takeover_s']:.1f} s: lease {LEASE_S:.0f} s, settling {SETTLE_S:.1f} s | for each shard {WRITES_PER_HOME_CHANGE} store calls and {2 * f['agents_per_shard']:.0f} claims and inventories | recovered from the inventories |
+| failure domain | as for its parts | {f['domain_agents']:.0f} agents, {f['domain_shards']:.1f} shards: {f['domain_writes']:.0f} store calls, {f['domain_claims']:.0f} claims and inventories | {f['domain_jobs']:.0f} jobs of {TASKS_PER_JOB} tasks arrive for them during the takeover and wait |
+| region, cut off | the side with the store, or with most agents of a shard, goes on | as for its failure domains | the other side refuses, not run |
+
+A takeover needs more than half of the shard's agents. Shards whose agents are spread over failure domains keep that when
+one of {DOMAINS} domains is lost. The times of takeover are the sums of the settings; the end-to-end tests show that jobs
+complete after a kill and a freeze of the home, not these times at the full size, which was not run.
+"""
+
+
+def main():
+    text = render(json.loads(SLOPES.read_text()))
+    if "--check" in sys.argv:
+        if PAGE.read_text() != text:
+            print("docs/CAPACITY.md differs from scripts/capacity_page.py; run it without --check")
+            return 1
+        print("capacity page: agrees with the slopes")
+        return 0
+    PAGE.write_text(text)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
