--- a/include/bamboowing/agent/agent_core.h
+++ b/include/bamboowing/agent/agent_core.h
@@ -28,8 +28,10 @@
 ///   while the target is absent or leaving.
 /// - Answers go to the home of the shard: the entry that sent a claim or a start with the highest epoch. Each answer is
 ///   sent once unasked and kept until the job is released, `retention` has passed, or `retained_bytes_limit` is full.
-/// - On a fresh session with the home, the agent first reports what it holds. From then on it refuses starts that were
-///   sent before the home had this report, so the home may take a task missing in the report as not started.
+/// - On a fresh session with the home, the agent first reports what it holds; it also does so when the home asks. From
+///   then on it refuses starts of this session that were sent before the home had the report. A task that is missing in
+///   a report is therefore certainly not started if its start echoed a clock below the report's `sent_at`. About a
+///   start with a newer echo the report, perhaps a late copy, says nothing.
 ///
 /// An entry must send something on each session at least every heartbeat interval, and every 500 ms while tasks of it
 /// run here; else the agent takes the session for silent and replaces it. The agent confirms each batch of the home at
--- a/include/bamboowing/agent/agent_settings.h
+++ b/include/bamboowing/agent/agent_settings.h
@@ -31,11 +31,13 @@
   std::size_t record_limit = 200000;  ///< starts are refused while so many records are held
 
   duration heartbeat_interval = std::chrono::milliseconds(500);  ///< longest pause in sending to the home
-  duration idle_heartbeat_interval = std::chrono::seconds(5);    ///< longest pause in sending to other entries
-  duration silence_limit = std::chrono::seconds(2);              ///< no session is replaced before this silence
-  duration connect_timeout = std::chrono::seconds(2);            ///< an attempt to connect is given up after this time
-  duration backoff_min = std::chrono::milliseconds(100);         ///< first pause between attempts to connect
-  duration backoff_max = std::chrono::seconds(5);                ///< longest pause between attempts to connect
+  /// Longest pause in sending to other entries, unless they ask for another. Two of them bound the time in which a
+  /// silent session with an entry that claims the shard is found, and so the time of that takeover.
+  duration idle_heartbeat_interval = std::chrono::seconds(2);
+  duration silence_limit = std::chrono::seconds(2);       ///< no session is replaced before this silence
+  duration connect_timeout = std::chrono::seconds(2);     ///< an attempt to connect is given up after this time
+  duration backoff_min = std::chrono::milliseconds(100);  ///< first pause between attempts to connect
+  duration backoff_max = std::chrono::seconds(5);         ///< longest pause between attempts to connect
   /// A target that stops announcing itself has left. Targets announce themselves every second or two.
   duration target_timeout = std::chrono::seconds(5);
   duration drain_linger = std::chrono::seconds(5);  ///< wait for releases after the last answer
--- a/include/bamboowing/ownership/job_recovery.h
+++ b/include/bamboowing/ownership/job_recovery.h
@@ -31,17 +31,24 @@
   std::size_t held_limit = 500000;             ///< tasks remembered from inventories
 };
 
+/// The attempt under which a home with this epoch first starts a task. Attempts of different epochs differ, so that a
+/// late refusal of a start of an earlier epoch is not taken for a refusal of the present one, after which the task
+/// would run twice. Epochs repeat after 65,536 changes of home.
+constexpr std::uint32_t FirstAttempt(epoch claimed) { return static_cast<std::uint32_t>(claimed & 0xFFFFU) << 16U; }
+
 enum class task_step : std::uint8_t {
   kStart,       ///< certainly not started: queue it
   kTakeAnswer,  ///< fetch the retained answer from `agent`
-  kAwait,       ///< it runs on `agent`, whose answer will come
+  /// It ran on `agent` at the time of the inventory: fetch from `agent` as well. If it has ended since, the agent has
+  /// sent its one unasked answer to a home that did not know the job yet; if it still runs, the answer will come.
+  kAwait,
 };
 
 /// What to do with one task.
 struct task_plan {
   task_step step = task_step::kStart;
   recorded_agent agent;       ///< not for kStart
-  std::uint32_t attempt = 0;  ///< attempt under which the agent holds it; 0 for kStart
+  std::uint32_t attempt = 0;  ///< attempt under which the agent holds it; for kStart see FirstAttempt()
 };
 
 enum class recovery_verdict : std::uint8_t {
--- a/src/agent/agent_batch.cc
+++ b/src/agent/agent_batch.cc
@@ -136,6 +136,8 @@
     reply.inventory = ledger_.Inventory(false);
   }
   reply.status_reply = true;
+  // A start that is still under way is not in the report, so it must not run after it.
+  session.fence = reply.header.sent_at;
   NoteReport(reply);
 }
 
--- a/src/agent/agent_core.cc
+++ b/src/agent/agent_core.cc
@@ -45,7 +45,6 @@
   AnnounceOn(*session, now);
   if (home_.has_value() && home_->address == address) {
     ReportHeld(*session, now);
-    session->fence = clock_sent_;
     last_change_ = now;
   }
 }
--- a/src/agent/session_table.cc
+++ b/src/agent/session_table.cc
@@ -6,7 +6,7 @@
 namespace {
 
 // A session is silent when this many heartbeats of the entry are missing, and not before `silence_limit`.
-constexpr int kMissedHeartbeats = 3;
+constexpr int kMissedHeartbeats = 2;
 
 }  // namespace
 
--- a/tests/agent/home_test.cc
+++ b/tests/agent/home_test.cc
@@ -109,6 +109,22 @@
   EXPECT_EQ(rig.AnswersTo(kHome)[1].status, task_status::kLost);
 }
 
+// Guards against a home that waits for an answer which the agent sent before the home knew the job: the inventory said
+// "running", the task ended, and the job was submitted again after that. Found by seed 41 of Cluster.RandomFaults.
+TEST(Home, FetchFindsAnAnswerThatWasSentBefore) {
+  agent_rig rig;
+  rig.ClaimBy(kHome, 3);
+  rig.Deliver(kHome, rig.StartBatch(kHome, 3, {"a", 0, 0}));
+  rig.ClaimBy(kOther, 4);
+  EXPECT_EQ(StateOf(rig.LastTo(kOther), {"a", 0, 0}), held_state::kRunning);
+  rig.End({"a", 0, 0});
+  rig.sent.clear();
+  entry_batch fetch = rig.Batch(kOther, 4);
+  fetch.fetch_jobs = {"a"};
+  rig.Deliver(kOther, fetch);
+  EXPECT_EQ(rig.AnswersTo(kOther).size(), 1U);
+}
+
 // Guards against a shard's home that takes an agent away from another shard while tasks run or may be under way.
 TEST(Home, OtherShardClaimsOnlyAFreeAgent) {
   agent_rig rig;
--- a/tests/agent/session_test.cc
+++ b/tests/agent/session_test.cc
@@ -57,6 +57,42 @@
   EXPECT_EQ(rig.runs.size(), 1U) << "the home has the report";
 }
 
+// Guards against a start that was under way while the agent answered a status query: the answer does not list it, so
+// the home may start it elsewhere.
+TEST(Session, StartsFromBeforeAStatusReplyAreRefused) {
+  agent_rig rig;
+  rig.ClaimBy(kHome, 3);
+  entry_batch query = rig.Batch(kHome, 3);
+  query.status_query = true;
+  const entry_batch start = rig.StartBatch(kHome, 3, {"a", 0, 0});
+  rig.now += milliseconds(1);
+  rig.Deliver(kHome, query);
+  ASSERT_TRUE(rig.LastTo(kHome).status_reply);
+  EXPECT_LT(start.header.echo, rig.LastTo(kHome).header.sent_at);
+  rig.Deliver(kHome, start);
+  EXPECT_TRUE(rig.runs.empty());
+  rig.Deliver(kHome, rig.StartBatch(kHome, 3, {"a", 0, 1}));
+  EXPECT_EQ(rig.runs.size(), 1U);
+}
+
+// Guards against a claim that waits for a silent session of an entry that was not home: a takeover takes about 5 s.
+TEST(Session, SilentSessionOfAnotherEntryIsReplaced) {
+  agent_rig rig;
+  rig.ClaimBy(kHome, 3);
+  rig.Run(milliseconds(500));
+  rig.opens.clear();
+  const instant silent = rig.now;
+  rig.Run(seconds(5), false);
+  std::vector<instant> reopened;
+  for (const std::pair<instant, std::string>& open : rig.opens) {
+    if (open.second == kOther) {
+      reopened.push_back(open.first);
+    }
+  }
+  ASSERT_FALSE(reopened.empty());
+  EXPECT_LE(reopened[0] - silent, 2 * seconds(2) + milliseconds(200));
+}
+
 // Guards against a storm of connections, to an entry that refuses them and to one that accepts them and stays silent.
 TEST(Session, AttemptsBecomeRare) {
   for (const bool accept : {false, true}) {
--- a/tests/ownership/job_recovery_test.cc
+++ b/tests/ownership/job_recovery_test.cc
@@ -133,6 +133,14 @@
   EXPECT_EQ(recovery.Decide(Job(1), kHomeSince + seconds(10)).verdict, recovery_verdict::kProceed);
 }
 
+// Guards against a refusal of an earlier epoch that is taken for one of the present epoch, after which the task would
+// run twice. Found by seed 13 of Cluster.RandomFaults.
+TEST(JobRecovery, AttemptsOfDifferentEpochsDiffer) {
+  EXPECT_NE(FirstAttempt(1), FirstAttempt(2));
+  EXPECT_GT(FirstAttempt(2), FirstAttempt(1) + 1000);
+  EXPECT_EQ(FirstAttempt(3) + 5, (3U << 16U) + 5);
+}
+
 // Guards against unbounded memory, and against taking a task as new because its inventory did not fit.
 TEST(JobRecovery, BeyondTheLimitUnknownJobsAreUncertain) {
   recovery_settings settings;
