--- a/console/main.js
+++ b/console/main.js
@@ -112,6 +112,7 @@
     byId('sign-in-error').textContent = '';
     byId('token').value = '';
     byId('editor').hidden = false;
+    byId('editor').focus({ preventScroll: true });
     if (state.draft === null) {
       await edit(config, structuredClone(config.document) ?? newValue(schema));
     } else {
@@ -141,6 +142,14 @@
     'the same write is never applied twice.', true);
 }
 
+/** Some rules need the version in force, so that only a write finds their errors. */
+function showRefusal(error) {
+  if (error.status === 400 && error.body.errors) {
+    showProblems(byId('form'), { errors: error.body.errors, warnings: error.body.warnings ?? [] });
+  }
+  fail(error);
+}
+
 async function refused(error, writeId, normalized) {
   const { current } = error.body;
   if (current.document?.write_id === writeId) {
@@ -157,6 +166,10 @@
     byId('problem-list').querySelector('button')?.focus();
     return;
   }
+  if (state.changeCount === 0) {
+    setStatus(`Nothing to write: the document equals version ${state.base.version}.`);
+    return;
+  }
   const writeId = state.writeId || newWriteId();
   state.writeId = writeId;
   const text = toYaml({ write_id: writeId, ...withoutDefaults(state.schema, state.draft) });
@@ -169,7 +182,7 @@
     } else if (error.status === 0 || error.status >= 500) {
       await settle(error, writeId);
     } else {
-      fail(error);
+      showRefusal(error);
     }
   }
 }
--- a/src/entry/shard_home.cc
+++ b/src/entry/shard_home.cc
@@ -255,6 +255,7 @@
     DecideHeld(now);
     ExpireJobs(now);
     StartTasks(now);
+    RecordHealth(now);
   }
   ReleaseDelivered();
 }
@@ -596,6 +597,16 @@
   }
 }
 
+void shard_home::RecordHealth(instant now) {
+  std::vector<health_change> changes;
+  dispatcher_->DrainHealthChanges(changes);
+  for (health_change& change : changes) {
+    ejections_ += change.ejected ? 1 : 0;
+    Record(change.ejected ? event_kind::kTargetEjected : event_kind::kTargetRestored, now, "", -1,
+           std::move(change.target), 0, std::move(change.reason));
+  }
+}
+
 void shard_home::ReleaseDelivered() {
   std::vector<std::string> delivered;
   jobs_.TakeDelivered(delivered);
@@ -624,6 +635,15 @@
   what.peer = std::move(peer);
   what.number = number;
   what.detail = std::move(detail);
+  if (task >= 0) {
+    what.attempt = static_cast<std::int64_t>(number);
+  }
+  if (kind == event_kind::kJobAccepted) {
+    what.count = static_cast<std::int64_t>(number);
+  }
+  if (kind == event_kind::kJobRefused || kind == event_kind::kJobFailed || kind == event_kind::kTaskRefused) {
+    what.error = ErrorKindFromName(what.detail);
+  }
   events_.push_back(std::move(what));
 }
 
