Give a team's priority a bounded lead while it is within its share

Cause: team_share.priority had no effect. Change: each step of priority moves the work of a team within its share one second ahead. decision_cost also measures cancellations.

--- a/benchmark/decision_cost.cc
+++ b/benchmark/decision_cost.cc
@@ -110,6 +110,33 @@
     ->Args({48, 100'000, 1})
     ->Args({3'100, 900'000, 1});
 
+// One job of 34 waiting tasks is cancelled and another admitted, with many others waiting.
+void CancelOneJob(benchmark::State& state) {
+  dispatcher queue(dispatch_settings(), 1);
+  job_spec job;
+  job.team = "team";
+  job.deadline = std::chrono::hours(1);
+  job.tasks.resize(34);
+  const auto jobs = static_cast<std::uint64_t>(state.range(0)) / job.tasks.size();
+  std::uint64_t next = 0;
+  const auto admit = [&] {
+    job.job_id = "job-" + std::to_string(next++);
+    if (queue.Admit(job, instant(duration(static_cast<std::int64_t>(next)))).has_value()) {
+      std::abort();
+    }
+  };
+  while (next < jobs) {
+    admit();
+  }
+  std::vector<task_key> in_flight;
+  std::uint64_t victim = 0;
+  while (state.KeepRunning()) {
+    queue.CancelJob("job-" + std::to_string(victim++), instant(), in_flight);
+    admit();
+  }
+}
+BENCHMARK(CancelOneJob)->ArgName("waiting")->Arg(1'000)->Arg(100'000)->Arg(990'000);
+
 }  // namespace
 }  // namespace bamboowing
 
--- a/benchmark/policy_bench/overrides.cc
+++ b/benchmark/policy_bench/overrides.cc
@@ -22,6 +22,7 @@
       {"slow_choice", [](dispatch_settings& s, double v) { s.order.slow_choice = static_cast<int>(v); }},
       {"hold_limit", [](dispatch_settings& s, double v) { s.order.hold_limit = Micros(v); }},
       {"burst_credit", [](dispatch_settings& s, double v) { s.share.burst_credit = Micros(v); }},
+      {"priority_lead", [](dispatch_settings& s, double v) { s.share.priority_lead = Micros(v); }},
       {"longest_debt", [](dispatch_settings& s, double v) { s.share.longest_debt = Micros(v); }},
       {"backlog_share", [](dispatch_settings& s, double v) { s.admission.backlog_share = v; }},
       {"run_time_margin", [](dispatch_settings& s, double v) { s.admission.run_time_margin = v; }},
--- a/include/bamboowing/dispatch/job_queue.h
+++ b/include/bamboowing/dispatch/job_queue.h
@@ -150,6 +150,7 @@
     bool waiting = false;
     instant place;
     instant share_clock;
+    duration lead{0};  // from the team's priority
     job_index first = 0;
   };
 
--- a/include/bamboowing/dispatch/settings.h
+++ b/include/bamboowing/dispatch/settings.h
@@ -46,6 +46,9 @@
 struct share_settings {
   /// Work that a team may run ahead of its share before it loses its place to others, as time at its share.
   duration burst_credit{20'000'000};
+  /// A team within its share goes ahead of work that arrived up to this time earlier, for each step of priority. Being
+  /// bounded, it delays teams of lower priority but never stops them.
+  duration priority_lead{1'000'000};
   /// Bound of the time at its share that a team's past use counts against it.
   duration longest_debt{30'000'000};
 };
--- a/src/dispatch/job_queue.cc
+++ b/src/dispatch/job_queue.cc
@@ -19,6 +19,7 @@
     active_weight_ -= team.active() ? team.weight : 0;
     ApplyShare(team, found == shares_.end() ? team_share() : found->second, settings_);
     active_weight_ += team.active() ? team.weight : 0;
+    RefreshHead(static_cast<team_index>(&team - teams_.data()));
   }
 }
 
@@ -248,7 +249,7 @@
 instant job_queue::SharedPlace(const team_head& head, instant place, instant now) {
   // Work of a team that is ahead of its share stands behind everything that arrived before the time at which the team
   // is level with its share.
-  return head.share_clock > now ? std::max(place, head.share_clock) : place;
+  return head.share_clock > now ? std::max(place, head.share_clock) : place - head.lead;
 }
 
 void job_queue::RefreshHead(team_index index) {
@@ -256,6 +257,7 @@
   team_head& head = heads_[index];
   head.waiting = !team.order.empty();
   head.share_clock = team.share_clock;
+  head.lead = settings_.share.priority_lead * team.priority;
   if (head.waiting) {
     head.place = team.order.begin()->first;
     head.first = team.order.begin()->second;
--- a/tests/dispatch/policy_test.cc
+++ b/tests/dispatch/policy_test.cc
@@ -114,6 +114,24 @@
   EXPECT_NEAR(static_cast<double>(started['b']) / (started['b'] + started['l']), 0.75, 0.1);
 }
 
+// Guards against a priority without effect, and against one that stops the teams of lower priority.
+TEST(Order, PriorityIsABoundedLead) {
+  dispatcher queue(dispatch_settings(), 1);
+  std::vector<team_share> teams = {{"urgent", 1, 1, 1.0}, {"plain", 1, 0, 1.0}};
+  queue.SetTeams(teams);
+  ASSERT_FALSE(queue.Admit(MakeJob("plain", "plain", 1, milliseconds(10)), At(10'000)).has_value());
+  ASSERT_FALSE(queue.Admit(MakeJob("urgent", "urgent", 1, milliseconds(10)), At(10'500)).has_value());
+  ASSERT_FALSE(queue.Admit(MakeJob("late", "urgent", 1, milliseconds(10)), At(12'000)).has_value());
+  queue.AddTarget("a", 1, At(12'000));
+  std::vector<std::string> order;
+  for (int i = 0; i < 3; ++i) {
+    const assignment start = Starts(queue, At(12'000 + i)).at(0);
+    order.push_back(start.key.job_id);
+    Answer(queue, start, task_status::kSucceeded, At(12'000 + i));
+  }
+  EXPECT_EQ(order, (std::vector<std::string>{"urgent", "plain", "late"}));
+}
+
 // Guards against a long task on a slow target when a fast one is about to be free, and against a task that is held for
 // ever because the faster target hangs.
 TEST(Placement, HoldsATaskForAFasterTargetButNotForEver) {
