Refuse drains that break a rule and compare the write id as a property

Cause: two faults of the entry, both seen on real processes. A drain call with the target "*" was stored without a check; no entry applied it, and every later write got 409 with a null document. A lost race was answered as a success when the write id occurred anywhere in the winner's document: a write with the id "services" got 200 although nothing was written. Change: the drain call checks the changed document and answers 400 with its errors; the writer compares the write_id of the parsed document. Conclusion: an accepted change is one that every entry can apply.

--- a/src/entry/config_writer.cc
+++ b/src/entry/config_writer.cc
@@ -5,8 +5,19 @@
 #include <utility>
 
 #include "bamboowing/entry/directory.h"
+#include "bamboowing/intent/document.h"
 
 namespace bamboowing {
+namespace {
+
+/// The id is compared as a property: as text it may also occur as a name or as part of a key.
+bool HasWriteId(const std::string& text, const std::string& write_id) {
+  std::vector<intent_error> errors;
+  const std::optional<intent_document> document = ParseIntent(text, errors);
+  return document && document->write_id == write_id;
+}
+
+}  // namespace
 
 void config_writer::Begin(call_id call, config_version base, std::string document, std::string write_id, instant now,
                           std::uint64_t& next_id, std::vector<entry_action>& out) {
@@ -87,7 +98,7 @@
   if (write.reading) {
     const std::string current = result.value.value_or("");
     // The unique id shows that the document in force is the one of an earlier, unanswered attempt of this write.
-    if (current.find(write.write_id) != std::string::npos) {
+    if (HasWriteId(current, write.write_id)) {
       results_.push_back({write.call, result.version, std::nullopt, ""});
     } else {
       results_.push_back({write.call, result.version,
--- a/src/service/operator_service.cc
+++ b/src/service/operator_service.cc
@@ -216,6 +216,12 @@
     targets.push_back(target);
   }
   changed.write_id = NewWriteId();
+  // Every reader refuses a document that breaks a rule, such as a drain of everything, so it must not be written.
+  const intent_report report = CheckIntent(changed);
+  if (!report.document) {
+    Answer(call, FromAnswer(InvalidAnswer(report)));
+    return;
+  }
   writes_[call] = {core_.intent().version()};
   core_.OnConfigWrite(call, core_.intent().version(), ToJson(changed), changed.write_id, now);
 }
--- a/tests/end_to_end/console_test.py
+++ b/tests/end_to_end/console_test.py
@@ -1,4 +1,4 @@
-"""The console in headless Chromium on the calls of a real entry."""
+"""The operators' calls of a real entry, with the console in headless Chromium."""
 
 import http.server
 import pathlib
@@ -106,6 +106,16 @@
         """Guards against a refusal without the list of errors."""
         self.run_scenario("refusal")
 
+    def test_a_drain_of_everything_is_refused(self):
+        """Guards against a drain call that stores a document which no entry applies, so that later writes conflict."""
+        self.write_first_document()
+        before = self.config()
+        for target in ("*", "not an id"):
+            status, body = operator(self.fleet, "entry-1", "POST", "/operator/v1/drain", {"target": target})
+            self.assertEqual((status, body["errors"][0]["path"]), (400, "drains.targets[0]"), body)
+        self.write_first_document()
+        self.assertEqual(self.config()["version"], before["version"] + 1)
+
 
 if __name__ == "__main__":
     unittest.main()
