--- a/include/bamboowing/observe/causal_pairs.h
+++ b/include/bamboowing/observe/causal_pairs.h
@@ -24,7 +24,7 @@
 /// - session_opened with the same `number` other than 0, at an agent and then at the entry whose `peer` is that agent;
 /// - job_relayed before job_accepted, when the acceptance names the relaying entry as its peer, or the accepting entry
 ///   received no call for the job itself;
-/// - job_completed at the home before call_answered without an error at another entry.
+/// - job_completed at the home before call_answered with results at another entry.
 ///
 /// A pair is left out when the events allow more than one reading, because a wrong pair would shift a whole process.
 std::vector<causal_pair> FindCausalPairs(span<const recorded_event> events);
--- a/src/observe/causal_pairs.cc
+++ b/src/observe/causal_pairs.cc
@@ -134,7 +134,8 @@
       }
     }
     for (const std::size_t answered : job.answered) {
-      if (!events_[answered].record.error) {
+      // An answer that leaves before the job ends has neither an error nor results.
+      if (!events_[answered].record.error && events_[answered].record.count >= 0) {
         PairEarliest(job.completed, answered);
       }
     }
--- a/tests/ctl/operator_test.cc
+++ b/tests/ctl/operator_test.cc
@@ -13,6 +13,7 @@
 constexpr const char* kInstances = R"({"instances":[
   {"id":"a1","role":"agent","incarnation":"7","address":"127.0.0.1:7","failure_domain":"Hobart","config_version":4,
    "home_of":[],"ready":true},
+  {"id":"e2","role":"entry","incarnation":"9","address":"127.0.0.1:9","failure_domain":"Burnie","home_of":[]},
   {"id":"e1","role":"entry","incarnation":"8","address":"127.0.0.1:8","failure_domain":"Hobart","config_version":4,
    "home_of":["lines/0","seals/0"],"ready":false}]})";
 constexpr const char* kMetrics =
@@ -60,11 +61,13 @@
   EXPECT_EQ(json::parse(Out()).at("targets").size(), 1U);
 }
 
-// Guards against entries hidden below agents, and against a process that is not ready looking well.
+// Guards against entries hidden below agents, against a value that the server did not give being shown as 0, and
+// against a process that is not ready looking well.
 TEST_F(operator_test, ListsInstances) {
   EXPECT_EQ(Run({"instance", "list"}), 0);
   EXPECT_LT(Out().find("e1"), Out().find("a1")) << Out();
   EXPECT_NE(Out().find("lines/0, seals/0  no"), std::string::npos) << Out();
+  EXPECT_NE(Out().find("Burnie               -  -                 -"), std::string::npos) << Out();
 }
 
 // Guards against a drain that is reported done while tasks still run.
--- a/tests/observe/timeline_test.cc
+++ b/tests/observe/timeline_test.cc
@@ -151,6 +151,21 @@
   EXPECT_EQ(merged.entries[merged.links[0].effect].record.job_id, "a");
 }
 
+// Guards against a contradiction from the answer to a call that does not wait for the end of its job.
+TEST(Timeline, AnAnswerWithoutResultsMayPrecedeTheEndOfTheJob) {
+  log_builder log;
+  log.Process("entry-1", "entry");
+  log.Process("entry-2", "entry");
+  log.At(0, "entry-1", kind::kCallReceived, "a").number = 1;
+  log.At(1, "entry-1", kind::kJobRelayed, "a");
+  log.At(2, "entry-2", kind::kJobAccepted, "a");
+  log.At(3, "entry-1", kind::kCallAnswered, "a").number = 1;
+  log.At(900, "entry-2", kind::kJobCompleted, "a");
+  const timeline merged = log.Merge();
+  EXPECT_TRUE(merged.contradictions.empty());
+  EXPECT_EQ(merged.links.size(), 1U);
+}
+
 // Guards against an agent whose clock stays unbounded because it refuses all it gets.
 TEST(Timeline, PairsRefusals) {
   log_builder log;
--- a/tools/ctl/fleet.cc
+++ b/tools/ctl/fleet.cc
@@ -25,6 +25,11 @@
   }
 }
 
+template <typename T>
+std::optional<T> OptionalField(const json& row, const char* key) {
+  return row.contains(key) ? std::optional<T>(Field<T>(row, key, T())) : std::nullopt;
+}
+
 /// Calls @p path and returns the array @p key of the answer's object.
 std::optional<json> FetchList(api_client& server, const char* path, const char* key, json& body, failure& why) {
   std::optional<json_answer> answer = server.Call(MakeRequest("GET", path), why);
@@ -48,7 +53,7 @@
   result.slots = Field<std::int64_t>(row, "slots", 0);
   result.in_flight = Field<std::int64_t>(row, "in_flight", 0);
   result.state = Field<std::string>(row, "state", "");
-  result.speed = Field<double>(row, "speed", 0);
+  result.speed = OptionalField<double>(row, "speed");
   return result;
 }
 
@@ -58,9 +63,9 @@
   result.role = Field<std::string>(row, "role", "");
   result.address = Field<std::string>(row, "address", "");
   result.failure_domain = Field<std::string>(row, "failure_domain", "");
-  result.config_version = Field<std::int64_t>(row, "config_version", 0);
+  result.config_version = OptionalField<std::int64_t>(row, "config_version");
   result.home_of = Field<std::vector<std::string>>(row, "home_of", {});
-  result.ready = Field<bool>(row, "ready", false);
+  result.ready = OptionalField<bool>(row, "ready");
   return result;
 }
 
@@ -78,6 +83,13 @@
   return text;
 }
 
+cell ReadyCell(std::optional<bool> ready) {
+  if (!ready) {
+    return {"-"};
+  }
+  return {*ready ? "yes" : "no", *ready ? tone::kGood : tone::kBad};
+}
+
 std::string Joined(const std::vector<std::string>& parts) {
   std::string text;
   for (const std::string& part : parts) {
@@ -122,7 +134,8 @@
   table result{{"TARGET", "SERVICE", "FAILURE DOMAIN", "SLOTS", "IN FLIGHT", "SPEED", "STATE"}, {}};
   for (const target_row& row : rows) {
     result.rows.push_back({row.id, row.service, row.failure_domain, std::to_string(row.slots),
-                           std::to_string(row.in_flight), Fixed(row.speed), cell(row.state, ToneOfState(row.state))});
+                           std::to_string(row.in_flight), row.speed ? Fixed(*row.speed) : "-",
+                           cell(row.state, ToneOfState(row.state))});
   }
   return result;
 }
@@ -130,8 +143,9 @@
 table InstanceTable(const std::vector<instance_row>& rows) {
   table result{{"INSTANCE", "ROLE", "ADDRESS", "FAILURE DOMAIN", "CONFIG", "HOME OF", "READY"}, {}};
   for (const instance_row& row : rows) {
-    result.rows.push_back({row.id, row.role, row.address, row.failure_domain, std::to_string(row.config_version),
-                           Joined(row.home_of), cell(row.ready ? "yes" : "no", row.ready ? tone::kGood : tone::kBad)});
+    result.rows.push_back({row.id, row.role, row.address, row.failure_domain,
+                           row.config_version ? std::to_string(*row.config_version) : "-", Joined(row.home_of),
+                           ReadyCell(row.ready)});
   }
   return result;
 }
--- a/tools/ctl/fleet.h
+++ b/tools/ctl/fleet.h
@@ -19,7 +19,7 @@
   std::int64_t slots = 0;
   std::int64_t in_flight = 0;
   std::string state;
-  double speed = 0;
+  std::optional<double> speed;  ///< absent when the server does not know it
 };
 
 /// One process.
@@ -28,9 +28,9 @@
   std::string role;
   std::string address;
   std::string failure_domain;
-  std::int64_t config_version = 0;
+  std::optional<std::int64_t> config_version;  ///< absent when the server does not know it
   std::vector<std::string> home_of;
-  bool ready = false;
+  std::optional<bool> ready;  ///< absent when the server does not know it
 };
 
 /// Whether a target in this state receives work.
--- a/tools/ctl/job_commands.cc
+++ b/tools/ctl/job_commands.cc
@@ -44,7 +44,7 @@
     why = failure(error_kind::kInternal, not_run::kUnknown, "the job failed without a reason");
   }
   why->reason = "job " + TextOf(job, "job_id") + " failed: " + why->reason;
-  return {ExitCodeOf(*why), *why, std::string(ErrorRow(why->kind).action)};
+  return {ExitCodeOf(*why), *why, AdviceFor(why->kind)};
 }
 
 std::string ResultText(const json& result) {
--- a/tools/ctl/output.cc
+++ b/tools/ctl/output.cc
@@ -160,6 +160,11 @@
   return what.code;
 }
 
+std::string AdviceFor(error_kind kind) {
+  const std::string_view action = ErrorRow(kind).action;
+  return action == "None." ? std::string() : std::string(action);
+}
+
 command_failure UsageFailure(std::string reason, std::string next) {
   return {exit_code::kUsage, failure(error_kind::kInvalidField, not_run::kYes, std::move(reason)), std::move(next)};
 }
@@ -167,7 +172,7 @@
 command_failure CallFailure(const failure& why, std::string next) {
   const exit_code code = ExitCodeOf(why);
   const bool from_table = next.empty() && (code == exit_code::kRefused || code == exit_code::kJobFailed);
-  return {code, why, from_table ? std::string(ErrorRow(why.kind).action) : std::move(next)};
+  return {code, why, from_table ? AdviceFor(why.kind) : std::move(next)};
 }
 
 std::string FormatDuration(duration length) {
--- a/tools/ctl/output.h
+++ b/tools/ctl/output.h
@@ -101,6 +101,9 @@
   std::size_t progress_width_ = 0;
 };
 
+/// What the error table advises for @p kind; empty when it advises nothing.
+std::string AdviceFor(error_kind kind);
+
 /// A failure of the command line itself.
 command_failure UsageFailure(std::string reason, std::string next = {});
 
