--- a/scripts/capacity.py
+++ b/scripts/capacity/measure.py
@@ -1,19 +1,22 @@
 """Measures how the cost of each role grows with its load, on one machine with stand-ins.
 
 Writes docs/capacity/raw.csv (every reading) and docs/capacity/slopes.json (fitted slopes with their spread), draws
-docs/capacity/*.svg with gnuplot, and fails when a fit is poor. scripts/capacity_page.py makes docs/CAPACITY.md of it.
+docs/capacity/*.svg with gnuplot, and fails when a fit is poor. scripts/capacity-page makes docs/CAPACITY.md of it.
 """
 
 import csv
 import json
-import math
 import os
 import pathlib
 import subprocess
 import sys
 import time
 
-from fleet import ROOT, Fleet, http, wait_until
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
+
+from fleet import ROOT, Fleet, http, wait_until  # noqa: E402
+
+from fit import fit_line, is_poor  # noqa: E402
 
 OUT = ROOT / "docs" / "capacity"
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
@@ -24,7 +27,6 @@
 WAITING_JOBS = (10, 100, 300, 1000)
 ENTRIES = (1, 2, 4)
 TASKS_PER_JOB = 180
-MIN_R2 = 0.9
 RAW = []
 
 
@@ -135,30 +137,18 @@
             note("entry_rss_by_tasks", jobs * TASKS_PER_JOB, rss_bytes(entry))
 
 
+def store_calls(fleet):
+    return sum(http("GET", f"http://127.0.0.1:{fleet.kv_port}/v1/stats")[1]["calls"].values())
+
+
 def measure_store():
     """Calls to the key-value service by entries."""
     for count in ENTRIES:
         with Fleet("line-defects", ("hobart",), "store", events=False) as fleet:
             start(fleet, count, 2)
-            calls = lambda: sum(http("GET", f"http://127.0.0.1:{fleet.kv_port}/v1/stats")[1]["calls"].values())
-            before = calls()
+            before = store_calls(fleet)
             time.sleep(IDLE_S)
-            note("store_calls_per_s", count, (calls() - before) / IDLE_S)
-
-
-def fit(points):
-    """Least squares y = a + b x: returns slope, its standard error, intercept and R^2."""
-    n = len(points)
-    mean_x = sum(x for x, _ in points) / n
-    mean_y = sum(y for _, y in points) / n
-    sxx = sum((x - mean_x) ** 2 for x, _ in points)
-    sxy = sum((x - mean_x) * (y - mean_y) for x, y in points)
-    slope = sxy / sxx
-    intercept = mean_y - slope * mean_x
-    residual = sum((y - intercept - slope * x) ** 2 for x, y in points)
-    total = sum((y - mean_y) ** 2 for _, y in points)
-    error = math.sqrt(residual / max(1, n - 2) / sxx)
-    return slope, error, intercept, 1.0 - residual / total if total > 0 else 1.0
+            note("store_calls_per_s", count, (store_calls(fleet) - before) / IDLE_S)
 
 
 # Series that grow with their load; for the others the mean is of interest.
@@ -175,10 +165,12 @@
 def summarise():
     summary, poor = {}, []
     for name in FITTED:
-        slope, error, intercept, r2 = fit(series_points(name))
-        summary[name] = {"slope": slope, "error": error, "intercept": intercept, "r2": r2}
-        print(f"{name}: slope {slope:.6g} +- {error:.2g}, intercept {intercept:.6g}, R2 {r2:.4f}")
-        if r2 < MIN_R2:
+        line = fit_line(series_points(name))
+        summary[name] = {"slope": line.slope, "error": line.slope_error, "intercept": line.intercept,
+                         "r2": line.r_squared}
+        print(f"{name}: slope {line.slope:.6g} +- {line.slope_error:.2g}, intercept {line.intercept:.6g}, "
+              f"R2 {line.r_squared:.4f}")
+        if is_poor(line):
             poor.append(name)
     for name in LEVELS:
         values = [y for _, y in series_points(name)]
@@ -191,10 +183,10 @@
 
 def plot(name, xlabel, ylabel):
     points = "\n".join(f"{x} {y}" for x, y in sorted(series_points(name)))
-    slope, _, intercept, _ = fit(series_points(name))
+    line = fit_line(series_points(name))
     script = (f"set terminal svg size 560,340 font 'sans,12'\nset output '{OUT / (name + '.svg')}'\nset key left top\n"
               f"set xlabel '{xlabel}'\nset ylabel '{ylabel}'\nset yrange [0:*]\nset grid\n$data << EOD\n{points}\nEOD\n"
-              f"plot $data with points pt 7 title 'measured', {intercept} + {slope} * x title 'fit'\n")
+              f"plot $data with points pt 7 title 'measured', {line.intercept} + {line.slope} * x title 'fit'\n")
     subprocess.run(["gnuplot"], input=script.encode(), check=True)
 
 
--- a/scripts/capacity_page.py
+++ b/scripts/capacity/page.py
@@ -4,9 +4,10 @@
 """
 
 import json
+import pathlib
 import sys
 
-from fleet import ROOT
+ROOT = pathlib.Path(__file__).resolve().parents[2]
 
 PAGE = ROOT / "docs" / "CAPACITY.md"
 SLOPES = ROOT / "docs" / "capacity" / "slopes.json"
@@ -130,8 +131,8 @@
 fail and {REPLACED_PER_DAY} that are replaced a day. The sums assume {ENTRIES} entries and {SHARDS} shards, which is
 {f['agents_per_shard']:.0f} agents a shard and {f['agents_per_entry']:.0f} at home with each entry.
 
-`scripts/capacity.py` measures the slopes on one machine with stand-ins and writes `docs/capacity/raw.csv` and
-`slopes.json`; `scripts/capacity_page.py` computes this page from them, and CI checks that both agree. The processor
+`scripts/capacity-measure` measures the slopes on one machine with stand-ins and writes `docs/capacity/raw.csv` and
+`slopes.json`; `scripts/capacity-page` computes this page from them, and CI checks that both agree. The processor
 figures move by a third with what else the machine does; the counts and bytes do not. Limits for control on a node:
 1.3 % of a core, 128 MB, 5 KB/s; for the store: several hundred writes and about 2,000 reads a second.
 
@@ -225,7 +226,7 @@
     text = render(json.loads(SLOPES.read_text()))
     if "--check" in sys.argv:
         if PAGE.read_text() != text:
-            print("docs/CAPACITY.md differs from scripts/capacity_page.py; run it without --check")
+            print("docs/CAPACITY.md differs from scripts/capacity-page; run it without --check")
             return 1
         print("capacity page: agrees with the slopes")
         return 0
