Date each input of a daemon when it is taken from the ring

Cause: a daemon read the clock before it emptied its ring, so an answer that arrived meanwhile was dated before its cause.

Change: the clock is read again after each input.

--- a/src/service/agent_daemon.cc
+++ b/src/service/agent_daemon.cc
@@ -106,10 +106,12 @@
       const std::optional<instant> due = core_.next_wakeup();
       const duration wait = due ? std::clamp(*due - before, duration(0), kMaxWait) : kMaxWait;
       std::optional<agent_input> next = ring_.PopFor(wait);
-      const instant now = Now();
+      instant now = Now();
       while (next) {
         std::visit([this, now](const auto& what) { Handle(what, now); }, *next);
         next = ring_.TryPop();
+        // An input that arrived during this loop must not be dated before its cause at another process.
+        now = Now();
       }
       core_.OnTick(now);
       CarryOut();
