Make refusals before the home's lookup say unknown; use the platform interfaces

A draining or overloaded entry answered not_run yes to a second copy of a job that may have run. Attempts began at 0 in each epoch, so a late refusal could match a new start. A task that ended between inventory and resubmission was awaited for ever. The store and the target were reached by twins of the platform adapters. Change: such refusals say unknown for jobs named by the caller; attempts begin above those of earlier epochs; answers are fetched for awaited tasks too; a report only counts for starts whose echo is older; store_duty and the agent use key_value_store and target_runner, so an agent can serve a worker.

--- a/include/bamboowing/base/error.h
+++ b/include/bamboowing/base/error.h
@@ -49,7 +49,7 @@
   error_kind kind;
   std::string_view name;     ///< the value of `kind` in an error body
   int http_status;           ///< status code of the HTTP answer
-  not_run ran;               ///< the strongest statement that holds wherever this kind is raised
+  not_run ran;               ///< what holds unless the place that raises the error says otherwise
   bool retryable;            ///< whether the same submission may succeed later
   std::string_view meaning;  ///< one sentence for docs/errors.md
   std::string_view action;   ///< what the caller or the operator does next
--- a/include/bamboowing/dispatch/settings.h
+++ b/include/bamboowing/dispatch/settings.h
@@ -84,6 +84,10 @@
 
 /// Limits and parameters of a dispatcher.
 struct dispatch_settings {
+  /// Attempt of the first start of a task. A new home begins above the attempts of earlier ones, so that a late refusal
+  /// of an old start can't match a new one.
+  std::uint32_t first_attempt = 0;
+
   std::uint32_t max_waiting_tasks = 1'000'000;  ///< bound of the queue, in tasks
   std::uint32_t max_jobs = 1'000'000;           ///< bound of the jobs known at the same time
   std::uint32_t max_targets = 4'096;            ///< bound of the targets known at the same time
--- a/include/bamboowing/entry/directory.h
+++ b/include/bamboowing/entry/directory.h
@@ -30,7 +30,7 @@
 class directory {
  public:
   /// Applies a result of the watch. A result without an answer changes nothing.
-  void Apply(const watch_result& result);
+  void Apply(const directory_update& result);
 
   /// The present holder of a shard; nullopt if there is none.
   std::optional<shard_holder> Holder(const shard_id& shard) const;
--- a/include/bamboowing/entry/entry_core.h
+++ b/include/bamboowing/entry/entry_core.h
@@ -50,7 +50,7 @@
   void OnRelayReply(relay_id relay, std::optional<relay_reply> reply, instant now);
 
   void OnStoreResult(std::uint64_t call, store_result result, instant now);
-  void OnWatchResult(std::uint64_t call, const watch_result& result, instant now);
+  void OnWatchResult(std::uint64_t call, const directory_update& result, instant now);
 
   /// An operator's document, already checked, that is to replace version @p base. Answered by a config_write_result.
   void OnConfigWrite(call_id call, config_version base, std::string document, std::string write_id, instant now);
--- a/include/bamboowing/entry/io.h
+++ b/include/bamboowing/entry/io.h
@@ -85,7 +85,7 @@
 };
 
 /// The end of a store_watch.
-struct watch_result {
+struct directory_update {
   bool answered = false;       ///< false: the store did not answer
   bool complete = false;       ///< whether `items` is all that the store holds below the prefix
   std::uint64_t revision = 0;  ///< state of the store that this result shows
--- a/include/bamboowing/entry/shard_home.h
+++ b/include/bamboowing/entry/shard_home.h
@@ -68,7 +68,10 @@
   /// Gives the shard up. Jobs that have not ended are displaced.
   void Release(instant now);
 
-  void SetTeams(span<const team_share> teams) { dispatcher_->SetTeams(teams); }
+  void SetTeams(std::vector<team_share> teams) {
+    teams_ = std::move(teams);
+    dispatcher_->SetTeams(teams_);
+  }
 
   /// Bound of one task's run.
   void SetTaskTimeLimit(duration limit) { settings_.task_time_limit = limit; }
@@ -119,10 +122,10 @@
     bool excluded = false;
     bool target_added = false;
     instant detached_at;
-    bool queried = false;          ///< a status query is under way
-    std::set<task_key> in_flight;  ///< started by this home and not yet answered
-    std::set<task_key> foreign;    ///< running, started under an earlier epoch
-    std::set<task_key> expected;   ///< of recovered jobs: started under an earlier epoch, the answer is to come
+    bool queried = false;                   ///< a status query is under way
+    std::map<task_key, instant> in_flight;  ///< started by this home and not yet answered, with the echo of the start
+    std::set<task_key> foreign;             ///< running, started under an earlier epoch
+    std::set<task_key> expected;  ///< of recovered jobs: started under an earlier epoch, the answer is to come
   };
 
   /// A submission about which the inventories do not tell enough yet.
@@ -165,6 +168,7 @@
   std::uint64_t seed_;
   std::unique_ptr<shard_owner> owner_;
   std::unique_ptr<dispatcher> dispatcher_;
+  std::vector<team_share> teams_;
   job_recovery recovery_;
   job_table jobs_;
   std::vector<held_call> held_;
--- a/include/bamboowing/entry/store_watcher.h
+++ b/include/bamboowing/entry/store_watcher.h
@@ -17,7 +17,7 @@
   explicit store_watcher(const entry_settings& settings) : settings_(settings) {}
 
   /// Handles the result of its call. Returns false if the call is not its own.
-  bool OnResult(std::uint64_t call, const watch_result& result, instant now) {
+  bool OnResult(std::uint64_t call, const directory_update& result, instant now) {
     if (call == 0 || call != call_) {
       return false;
     }
--- a/include/bamboowing/service/settings.h
+++ b/include/bamboowing/service/settings.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "bamboowing/base/types.h"
+#include "bamboowing/platform/worker_commitments.h"
 
 namespace bamboowing {
 
@@ -39,8 +40,10 @@
   // Agent.
   std::vector<std::string> entries;  ///< peers_address of entries to start with
   std::string target_kind = "minion";
-  std::string target_address;    ///< the target's HTTP address
-  std::string announce_address;  ///< where the target announces itself
+  std::string target_address;                       ///< the target's HTTP address
+  resource_size worker_capacity{30, 64ULL << 30U};  ///< of a worker: cores and bytes of memory
+  resource_size worker_task_size{1, 1ULL << 30U};   ///< declared for each task at a worker
+  std::string announce_address;                     ///< where the target announces itself
 };
 
 /// One fault of a settings file.
--- a/include/bamboowing/service/store_duty.h
+++ b/include/bamboowing/service/store_duty.h
@@ -11,13 +11,14 @@
 
 namespace bamboowing {
 
-/// Makes the calls that the decisions ask for and hands their results back. All keys get the prefix "bamboowing/".
+/// Makes the calls that the decisions ask for through key_value_store and hands their results back. All keys get the
+/// prefix "bamboowing/".
 class store_duty {
  public:
   /// Receives results. Called from threads of the HTTP client's pool; must not wait long.
   struct sinks {
     std::function<void(std::uint64_t call, store_result result)> result;
-    std::function<void(std::uint64_t call, watch_result result)> watch;
+    std::function<void(std::uint64_t call, directory_update result)> watch;
   };
 
   /// @param address "IP:PORT" of the service. Opens no connection yet. Returns nullptr and fills @p why if the address
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -226,7 +226,7 @@
 
 task_key dispatcher::KeyOf(job_index job, std::uint32_t task) const {
   const queued_job& of = queue_.job(job);
-  return {of.id, task, of.tasks[task].attempt};
+  return {of.id, task, settings_.first_attempt + of.tasks[task].attempt};
 }
 
 }  // namespace bamboowing
--- a/src/dispatch/dispatcher_answers.cc
+++ b/src/dispatch/dispatcher_answers.cc
@@ -58,7 +58,7 @@
     return std::nullopt;
   }
   const queued_task& task = job.tasks[key.task];
-  if (task.place != task_place::kInFlight || task.attempt != key.attempt) {
+  if (task.place != task_place::kInFlight || settings_.first_attempt + task.attempt != key.attempt) {
     return std::nullopt;
   }
   return located_task{*index, key.task};
--- a/src/entry/directory.cc
+++ b/src/entry/directory.cc
@@ -57,7 +57,7 @@
   return entry;
 }
 
-void directory::Apply(const watch_result& result) {
+void directory::Apply(const directory_update& result) {
   if (!result.answered) {
     return;
   }
--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -10,6 +10,12 @@
 namespace bamboowing {
 namespace {
 
+/// What a refusal may say before the home has looked for the job: one that the caller named may be a second copy of a
+/// job that ran.
+not_run WithoutLookup(const job_spec& job) {
+  return job.job_id.empty() || job.generated_id ? not_run::kYes : not_run::kUnknown;
+}
+
 template <typename Call>
 Call WithLocalId(Call call, store_call_id& local) {
   local = call.call;
@@ -37,7 +43,7 @@
   if (draining_) {
     caller_reply reply;
     reply.job_id = request.job.job_id;
-    reply.error = failure(error_kind::kDraining, "this entry is shutting down");
+    reply.error = failure(error_kind::kDraining, WithoutLookup(request.job), "this entry is shutting down");
     Reply(route, std::move(reply));
     return;
   }
@@ -161,7 +167,7 @@
   Shard(shard, now).OnStoreResult(result, now);
 }
 
-void entry_core::OnWatchResult(std::uint64_t call, const watch_result& result, instant now) {
+void entry_core::OnWatchResult(std::uint64_t call, const directory_update& result, instant now) {
   if (!watcher_.OnResult(call, result, now)) {
     return;
   }
@@ -303,6 +309,7 @@
   call.arrived = now;
   call.give_up = now + patience;
   if (std::optional<failure> refused = intent_.Refusal(call.request.job); refused) {
+    refused->ran = WithoutLookup(call.request.job);
     RefuseCall(call, std::move(*refused));
     return;
   }
@@ -340,8 +347,7 @@
       break;
   }
   if (now >= call.give_up) {
-    const bool accepted_before = call.sent;
-    failure why(error_kind::kNotReady, accepted_before ? not_run::kUnknown : not_run::kYes,
+    failure why(error_kind::kNotReady, call.sent ? not_run::kUnknown : WithoutLookup(call.request.job),
                 "no home of service " + call.request.job.service + " answered");
     why.retry_after = std::chrono::seconds(1);
     RefuseCall(call, std::move(why));
--- a/src/entry/shard_home.cc
+++ b/src/entry/shard_home.cc
@@ -89,6 +89,8 @@
   const job_spec& job = held.call.job;
   std::optional<failure> refused = dispatcher_->Admit(job, now);
   if (refused) {
+    // The job table and the inventories do not know the job, so nothing of it was started.
+    refused->ran = not_run::kYes;
     Record(event_kind::kJobRefused, now, job.job_id, -1, "", 0, std::string(ErrorRow(refused->kind).name));
     jobs_.Refuse(job.job_id, held.route, std::move(*refused));
     return;
@@ -128,9 +130,10 @@
   agents_[plan.agent.id].expected.insert({job.job_id, task, plan.attempt});
   agents_of_job_[job.job_id].insert(plan.agent.id);
   agent_session* session = sessions_.FindAgent(plan.agent.id);
-  if (plan.step != task_step::kTakeAnswer || session == nullptr) {
+  if (session == nullptr) {
     return;
   }
+  // A task that ran when the inventory was taken may have ended since, so its answer is asked for too.
   std::vector<std::string>& fetch = sessions_.Outgoing(*session).fetch_jobs;
   if (std::find(fetch.begin(), fetch.end(), job.job_id) == fetch.end()) {
     fetch.push_back(job.job_id);
@@ -354,6 +357,9 @@
 
 void shard_home::BecomeHome(instant now) {
   home_ = true;
+  settings_.dispatch.first_attempt = FirstAttempt(owner_->claimed_epoch());
+  dispatcher_ = std::make_unique<dispatcher>(settings_.dispatch, seed_);
+  dispatcher_->SetTeams(teams_);
   recovery_.OnHome(now);
 }
 
@@ -370,10 +376,13 @@
   held_.clear();
   recovered_deadlines_.clear();
   dispatcher_ = std::make_unique<dispatcher>(settings_.dispatch, seed_);
+  dispatcher_->SetTeams(teams_);
   agents_of_job_.clear();
   for (std::pair<const std::string, agent_state>& item : agents_) {
     item.second.target_added = false;
-    item.second.foreign.insert(item.second.in_flight.begin(), item.second.in_flight.end());
+    for (const std::pair<const task_key, instant>& started : item.second.in_flight) {
+      item.second.foreign.insert(started.first);
+    }
     item.second.in_flight.clear();
     item.second.expected.clear();
   }
@@ -471,8 +480,12 @@
   if (batch.status_reply) {
     // The agent refuses every start that was sent before this report, so a task that it does not hold was not started.
     std::vector<task_key> missing;
-    std::set_difference(state.in_flight.begin(), state.in_flight.end(), held.begin(), held.end(),
-                        std::back_inserter(missing));
+    for (const std::pair<const task_key, instant>& started : state.in_flight) {
+      // A start that echoes a clock from after the report may still be under way.
+      if (held.count(started.first) == 0 && started.second < batch.header.sent_at) {
+        missing.push_back(started.first);
+      }
+    }
     for (const task_key& key : missing) {
       TakeRefusal(state, {key, error_kind::kStaleMessage}, now);
     }
@@ -588,9 +601,9 @@
     task.time_limit = settings_.task_time_limit;
     task.idempotent = job->idempotent;
     sessions_.Outgoing(*session).starts.push_back(std::move(task));
-    std::set<task_key>& in_flight = agents_[start.target].in_flight;
+    std::map<task_key, instant>& in_flight = agents_[start.target].in_flight;
     session->busy_since = in_flight.empty() ? now : session->busy_since;
-    in_flight.insert(start.key);
+    in_flight[start.key] = session->peer_clock;
     agents_of_job_[start.key.job_id].insert(start.target);
     jobs_.MarkStarted(start.key.job_id);
     jobs_.CountMessages(start.key.job_id, 1);
--- a/src/service/agent_daemon.cc
+++ b/src/service/agent_daemon.cc
@@ -7,8 +7,8 @@
 
 #include "bamboowing/agent/agent_core.h"
 #include "bamboowing/base/ring.h"
-#include "bamboowing/platform/http_client.h"
 #include "bamboowing/platform/http_server.h"
+#include "bamboowing/platform/target_runner.h"
 #include "bamboowing/service/agent_rpc.h"
 #include "bamboowing/service/caller_api.h"
 #include "bamboowing/service/clock.h"
@@ -63,7 +63,7 @@
   }
 
   bool Start(failure& why) {
-    target_ = http_client::Open(settings_.target_address, why);
+    target_ = OpenTarget(why);
     if (!target_) {
       return false;
     }
@@ -91,6 +91,17 @@
   }
 
  private:
+  std::unique_ptr<target_runner> OpenTarget(failure& why) const {
+    const std::string base = "http://" + settings_.target_address;
+    if (settings_.target_kind == "worker") {
+      worker_settings worker;
+      worker.capacity = settings_.worker_capacity;
+      worker.task_size = settings_.worker_task_size;
+      return OpenWorkerRunner(base + "/v1/tasks", worker, why);
+    }
+    return OpenMinionRunner(base + "/run", why);
+  }
+
   agent_settings MakeSettings() const {
     agent_settings agent;
     agent.id = settings_.id;
@@ -145,45 +156,23 @@
   void Do(const send_batch& what) { rpc_->Send(what.peer, what.batch); }
   void Do(const open_session& what) { rpc_->OpenSession(what.address); }
   void Do(const close_session& what) { rpc_->CloseSession(what.address); }
-  void Do(const stop_task&) {}  // a minion has no call that stops a task; it runs to its end
+  void Do(const stop_task& what) { target_->Stop(what.key); }
   void Do(const record_event& what) { events_.Record(what.what); }
 
   void Do(const run_task& what) {
-    nlohmann::json body;
-    body["job_id"] = what.key.job_id;
-    body["task"] = what.key.task;
-    body["payload"] = what.payload;
-    body["idempotent"] = what.idempotent;
-    http_request request;
-    request.method = "POST";
-    request.path = "/run";
-    request.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-    const instant started = Now();
-    target_->SendAsync(
-        request, what.time_limit,
-        [this, key = what.key, started](const std::optional<http_response>& response, const failure& why) {
-          ring_.Push(Answer(key, Now() - started, response, why));
-        });
+    const start_task task{what.key, what.payload, what.time_limit, what.idempotent};
+    target_->Run(task, [this, key = what.key](const std::optional<task_answer>& answer, const failure& why) {
+      ring_.Push(answer ? *answer : Unanswered(key, why));
+    });
   }
 
-  static task_answer Answer(const task_key& key, duration run_time, const std::optional<http_response>& response,
-                            const failure& why) {
-    constexpr int kHttpOk = 200;
+  /// The target refused the task or could not be reached. The agent has recorded the start, so the home is told that
+  /// the task is lost; it is not started again.
+  static task_answer Unanswered(const task_key& key, const failure& why) {
     task_answer answer;
     answer.key = key;
-    answer.run_time = run_time;
-    if (!response) {
-      answer.status = task_status::kLost;
-      answer.result = why.reason;
-      return answer;
-    }
-    const nlohmann::json body = nlohmann::json::parse(response->body, nullptr, false);
-    if (response->status == kHttpOk && body.is_object() && body.contains("result")) {
-      answer.result = body["result"].is_string() ? body["result"].get<std::string>() : body["result"].dump();
-      return answer;
-    }
-    answer.status = task_status::kFailed;
-    answer.result = response->body;
+    answer.status = task_status::kLost;
+    answer.result = why.reason;
     return answer;
   }
 
@@ -241,7 +230,7 @@
   event_log events_;
   agent_core core_;
   drain_latch drained_;
-  std::unique_ptr<http_client> target_;
+  std::unique_ptr<target_runner> target_;
   std::unique_ptr<http_server> announce_server_;
   std::unique_ptr<agent_rpc> rpc_;
   std::thread thread_;
--- a/src/service/entry_daemon.cc
+++ b/src/service/entry_daemon.cc
@@ -52,9 +52,9 @@
   std::uint64_t call;
   store_result result;
 };
-struct watch_answered {
+struct directory_updated {
   std::uint64_t call;
-  watch_result result;
+  directory_update result;
 };
 struct operator_call {
   call_id call;
@@ -62,7 +62,7 @@
 };
 struct drain_requested {};
 using entry_input = std::variant<call_arrived, session_opened, session_closed, batch_arrived, relay_arrived,
-                                 relay_ended, store_answered, watch_answered, operator_call, drain_requested>;
+                                 relay_ended, store_answered, directory_updated, operator_call, drain_requested>;
 
 class entry_daemon final : public daemon, public entry_rpc_listener {
  public:
@@ -96,8 +96,8 @@
                               {[this](std::uint64_t call, store_result result) {
                                  ring_.Push(store_answered{call, std::move(result)});
                                },
-                               [this](std::uint64_t call, watch_result result) {
-                                 ring_.Push(watch_answered{call, std::move(result)});
+                               [this](std::uint64_t call, directory_update result) {
+                                 ring_.Push(directory_updated{call, std::move(result)});
                                }},
                               why);
     if (!store_) {
@@ -196,7 +196,7 @@
   void Handle(relay_arrived& what, instant now) { core_.OnRelayRequest(what.relay, std::move(what.request), now); }
   void Handle(relay_ended& what, instant now) { core_.OnRelayReply(what.relay, std::move(what.reply), now); }
   void Handle(store_answered& what, instant now) { core_.OnStoreResult(what.call, std::move(what.result), now); }
-  void Handle(watch_answered& what, instant now) { core_.OnWatchResult(what.call, what.result, now); }
+  void Handle(directory_updated& what, instant now) { core_.OnWatchResult(what.call, what.result, now); }
   void Handle(operator_call& what, instant now) { operator_service_.Handle(what.call, what.request, now); }
   void Handle(drain_requested&, instant now) { core_.OnDrain(now); }
 
@@ -282,7 +282,7 @@
     const call_id id = calls_.Add(*call, std::move(answer));
     if (!ring_.TryPush(call_arrived{id, std::move(*call)})) {
       caller_reply refused;
-      refused.error = failure(error_kind::kOverloaded, "too many calls are waiting to be read");
+      refused.error = failure(error_kind::kOverloaded, not_run::kUnknown, "too many calls are waiting to be read");
       calls_.Answer(id, refused);
     }
   }
--- a/src/service/entry_rpc.cc
+++ b/src/service/entry_rpc.cc
@@ -114,13 +114,11 @@
     }
     const relay_id id = relay.relay;
     const std::string address = relay.address;
-    relays_[id] = {address, io_.provider->getNetwork()
-                                .parseAddress(address)
-                                .then([this, relay = std::move(relay)](kj::Own<kj::NetworkAddress>&& to) mutable {
-                                  return Connect(kj::mv(to), std::move(relay));
-                                })
-                                .catch_([this, id](kj::Exception&&) { FailRelay(id); })
-                                .eagerlyEvaluate(nullptr)};
+    Keep(id, address,
+         io_.provider->getNetwork().parseAddress(address).then(
+             [this, relay = std::move(relay)](kj::Own<kj::NetworkAddress>&& to) mutable {
+               return Connect(kj::mv(to), std::move(relay));
+             }));
   }
 
   void Handle(abandon_relay& abandon) {
@@ -234,8 +232,14 @@
   void SendRelayOn(peer_connection& peer, send_relay& relay) {
     const relay_id id = relay.relay;
     const std::string address = relay.address;
-    relays_[id] = {
-        address, RelayOn(peer, relay).catch_([this, id](kj::Exception&&) { FailRelay(id); }).eagerlyEvaluate(nullptr)};
+    Keep(id, address, RelayOn(peer, relay));
+  }
+
+  /// Keeps the promise of an outgoing relay until it is reported or abandoned.
+  void Keep(relay_id id, const std::string& address, kj::Promise<void> promise) {
+    outgoing_relay& kept = relays_[id];
+    kept.address = address;
+    kept.promise = promise.catch_([this, id](kj::Exception&&) { FailRelay(id); }).eagerlyEvaluate(nullptr);
   }
 
   void ReportReply(relay_id id, std::optional<relay_reply> reply) {
--- a/src/service/settings.cc
+++ b/src/service/settings.cc
@@ -164,6 +164,10 @@
   agent.Addresses("entries", settings.entries);
   agent.OneOf("target_kind", settings.target_kind, {"minion", "worker"}, false);
   agent.Address("target_address", settings.target_address, true);
+  agent.Integer("worker_cores", settings.worker_capacity.cores, 1, 4096);
+  agent.Integer("worker_memory_bytes", settings.worker_capacity.memory_bytes, 1, INT64_MAX);
+  agent.Integer("worker_task_cores", settings.worker_task_size.cores, 1, 4096);
+  agent.Integer("worker_task_memory_bytes", settings.worker_task_size.memory_bytes, 1, INT64_MAX);
   agent.Address("announce_address", settings.announce_address, true);
   agent.RefuseUnknown();
 }
--- a/tests/agent/cluster_sim.cc
+++ b/tests/agent/cluster_sim.cc
@@ -247,7 +247,7 @@
     sim_task task;
     task.attempt = FirstAttempt(entry.owner->claimed_epoch());
     if (plan.step != task_step::kStart) {
-      task = {task_state::kAwaited, static_cast<std::size_t>(plan.agent.id.back() - '0'), plan.attempt};
+      task = {task_state::kAwaited, static_cast<std::size_t>(plan.agent.id.back() - '0'), plan.attempt, {}};
     }
     if (plan.step != task_step::kStart) {
       SendToAgent(e, task.agent, [&spec](entry_batch& batch) { batch.fetch_jobs = {spec.job_id}; });
