--- a/include/bamboowing/entry/job_table.h
+++ b/include/bamboowing/entry/job_table.h
@@ -13,6 +13,7 @@
 #include <variant>
 #include <vector>
 
+#include "bamboowing/chart/state_chart.h"
 #include "bamboowing/entry/io.h"
 #include "bamboowing/message/job.h"
 
@@ -66,8 +67,9 @@
   /// Looks for the submitted job. For kNew the caller decides on admission and calls Add().
   submission Find(const job_spec& job, reply_route route, duration wait_limit, instant now);
 
-  /// Adds an accepted job, with the route that waits for it.
-  void Add(const job_spec& job, reply_route route, duration wait_limit, instant now);
+  /// Adds an accepted job, with the route that waits for it. @p recovered says that an earlier home started some of its
+  /// tasks.
+  void Add(const job_spec& job, reply_route route, duration wait_limit, instant now, bool recovered = false);
 
   /// Answers @p route with a refusal; the job is not added.
   void Refuse(const std::string& job_id, reply_route route, failure why);
@@ -127,7 +129,7 @@
     std::uint64_t fingerprint = 0;
     instant accepted;
     instant ended;
-    job_state state = job_state::kQueued;
+    state_id state{};  ///< in charts/job.yaml
     std::vector<std::optional<std::string>> results;
     std::uint32_t done = 0;
     std::optional<failure> error;
@@ -143,7 +145,7 @@
 
   caller_reply MakeReply(const job_record& job, instant now) const;
   void WaitOrReply(job_record& job, reply_route route, duration wait_limit, instant now);
-  void End(job_record& job, job_state state, instant now);
+  void End(job_record& job, instant now);
   void Queue(job_record& job, reply_route route, instant now);
   void DropResults(job_record& job);
   void ForgetOldest();
--- a/src/entry/job_table.cc
+++ b/src/entry/job_table.cc
@@ -7,6 +7,56 @@
 namespace bamboowing {
 namespace {
 
+/// The chart of jobs with the ids of what this file uses.
+struct job_chart {
+  const state_chart& chart = BuiltInChart("job");
+  state_id queued = chart.State("queued").value();
+  state_id running = chart.State("running").value();
+  state_id complete = chart.State("complete").value();
+  event_id accepted = chart.Event("accepted").value();
+  event_id recovery_started = chart.Event("recovery_started").value();
+  event_id some_started = chart.Event("some_started").value();
+  event_id task_sent = chart.Event("task_sent").value();
+  event_id last_task_succeeded = chart.Event("last_task_succeeded").value();
+  event_id task_failed = chart.Event("task_failed").value();
+  event_id cancelled = chart.Event("cancelled").value();
+  event_id deadline_passed = chart.Event("deadline_passed").value();
+};
+
+const job_chart& Chart() {
+  static const job_chart chart;
+  return chart;
+}
+
+/// Takes a step; returns whether the chart has one for the event.
+bool Step(state_id& state, event_id event) {
+  const std::optional<state_id> next = Chart().chart.Next(state, event);
+  state = next.value_or(state);
+  return next.has_value();
+}
+
+bool HasEnded(state_id state) { return Chart().chart.IsFinal(state); }
+
+/// The state as callers see it.
+job_state Visible(state_id state) {
+  const job_chart& chart = Chart();
+  if (state == chart.complete) {
+    return job_state::kComplete;
+  }
+  if (HasEnded(state)) {
+    return job_state::kFailed;
+  }
+  return state == chart.queued ? job_state::kQueued : job_state::kRunning;
+}
+
+event_id EventOf(error_kind kind) {
+  const job_chart& chart = Chart();
+  if (kind == error_kind::kCancelled) {
+    return chart.cancelled;
+  }
+  return kind == error_kind::kDeadlineExceeded ? chart.deadline_passed : chart.task_failed;
+}
+
 bool SameRoute(reply_route a, reply_route b) { return a.relayed == b.relayed && a.id == b.id; }
 
 std::size_t ResultBytes(const std::vector<std::optional<std::string>>& results) {
@@ -44,12 +94,20 @@
   return submission::kJoined;
 }
 
-void job_table::Add(const job_spec& job, reply_route route, duration wait_limit, instant now) {
+void job_table::Add(const job_spec& job, reply_route route, duration wait_limit, instant now, bool recovered) {
   job_record& added = jobs_[job.job_id];
   added.spec = job;
   added.fingerprint = Fingerprint(job);
   added.accepted = now;
   added.results.resize(job.tasks.size());
+  added.state = Chart().chart.initial();
+  if (recovered) {
+    Step(added.state, Chart().recovery_started);
+    Step(added.state, Chart().some_started);
+  } else {
+    Step(added.state, Chart().accepted);
+  }
+  added.started = recovered;
   ++open_jobs_;
   WaitOrReply(added, route, wait_limit, now);
 }
@@ -73,30 +131,37 @@
 bool job_table::SetResult(std::string_view job_id, std::uint32_t task, std::string result, duration run_time,
                           instant now) {
   job_record* job = FindRecord(job_id);
-  if (job == nullptr || job->state == job_state::kComplete || job->state == job_state::kFailed) {
+  if (job == nullptr || HasEnded(job->state)) {
     return false;
   }
   if (task >= job->results.size() || job->results[task]) {
     return false;
   }
   job->results[task] = std::move(result);
-  job->state = job_state::kRunning;
+  Step(job->state, Chart().task_sent);
   job->ideal = std::max(job->ideal, run_time);
   ++job->done;
-  if (job->done < job->results.size()) {
+  if (job->done < job->results.size() || !Step(job->state, Chart().last_task_succeeded)) {
     return false;
   }
-  End(*job, job_state::kComplete, now);
+  End(*job, now);
   return true;
 }
 
 bool job_table::Fail(std::string_view job_id, failure why, instant now) {
   job_record* job = FindRecord(job_id);
-  if (job == nullptr || job->state == job_state::kComplete || job->state == job_state::kFailed) {
+  if (job == nullptr || HasEnded(job->state)) {
+    return false;
+  }
+  const event_id event = EventOf(why.kind);
+  if (event == Chart().task_failed) {
+    Step(job->state, Chart().task_sent);
+  }
+  if (!Step(job->state, event)) {
     return false;
   }
   job->error = std::move(why);
-  End(*job, job_state::kFailed, now);
+  End(*job, now);
   return true;
 }
 
@@ -109,6 +174,7 @@
 void job_table::MarkStarted(std::string_view job_id) {
   if (job_record* job = FindRecord(job_id); job != nullptr) {
     job->started = true;
+    Step(job->state, Chart().task_sent);
   }
 }
 
@@ -126,7 +192,7 @@
 void job_table::TakeOpen(std::vector<displaced_job>& out) {
   for (record_map::iterator it = jobs_.begin(); it != jobs_.end();) {
     job_record& job = it->second;
-    if (job.state != job_state::kQueued && job.state != job_state::kRunning) {
+    if (HasEnded(job.state)) {
       ++it;
       continue;
     }
@@ -143,7 +209,7 @@
 
 const job_spec* job_table::OpenJob(std::string_view job_id) const {
   const job_record* job = FindRecord(job_id);
-  const bool open = job != nullptr && (job->state == job_state::kQueued || job->state == job_state::kRunning);
+  const bool open = job != nullptr && !HasEnded(job->state);
   return open ? &job->spec : nullptr;
 }
 
@@ -219,15 +285,15 @@
 caller_reply job_table::MakeReply(const job_record& job, instant now) const {
   caller_reply reply;
   reply.job_id = job.spec.job_id;
-  reply.state = job.state;
+  reply.state = Visible(job.state);
   reply.error = job.error;
   reply.tasks_done = job.done;
   reply.tasks_total = static_cast<std::uint32_t>(job.results.size());
   reply.ideal_time = job.ideal;
   reply.messages = job.messages;
-  const bool ended = job.state == job_state::kComplete || job.state == job_state::kFailed;
+  const bool ended = HasEnded(job.state);
   reply.response_time = (ended ? job.ended : now) - job.accepted;
-  if (job.state != job_state::kComplete) {
+  if (reply.state != job_state::kComplete) {
     return reply;
   }
   if (job.results_dropped) {
@@ -244,7 +310,7 @@
 }
 
 void job_table::WaitOrReply(job_record& job, reply_route route, duration wait_limit, instant now) {
-  const bool ended = job.state == job_state::kComplete || job.state == job_state::kFailed;
+  const bool ended = HasEnded(job.state);
   if (ended || wait_limit <= duration(0)) {
     Queue(job, route, now);
     return;
@@ -254,11 +320,10 @@
   waits_.emplace(now + wait_limit, job.spec.job_id);
 }
 
-void job_table::End(job_record& job, job_state state, instant now) {
-  job.state = state;
+void job_table::End(job_record& job, instant now) {
   job.ended = now;
   --open_jobs_;
-  if (state == job_state::kFailed) {
+  if (job.state != Chart().complete) {
     job.results.assign(job.results.size(), std::nullopt);
   }
   std::vector<routed_wait> waiters;
@@ -284,7 +349,7 @@
 void job_table::Queue(job_record& job, reply_route route, instant now) {
   routes_.erase({route.relayed, route.id});
   replies_.push_back({route, MakeReply(job, now)});
-  const bool ended = job.state == job_state::kComplete || job.state == job_state::kFailed;
+  const bool ended = HasEnded(job.state);
   if (ended && !job.delivered) {
     job.delivered = true;
     delivered_.push_back(job.spec.job_id);
@@ -294,7 +359,7 @@
 void job_table::DropResults(job_record& job) {
   retained_bytes_ -= ResultBytes(job.results);
   job.results.assign(job.results.size(), std::nullopt);
-  job.results_dropped = job.state == job_state::kComplete;
+  job.results_dropped = job.state == Chart().complete;
 }
 
 void job_table::ForgetOldest() {
