Apply the operators' limits to the running entry

Cause: found in review: limits of the document were checked and typed, but no decision used waiting_tasks, answer_retention_ms, recovery_window_ms, body_bytes and retry_budget. Change: they reach the dispatcher, the job table, the recovery and the callers' listener when a document is applied. request_send_ms still comes from the listener's own setting.

--- a/include/bamboowing/dispatch/admission.h
+++ b/include/bamboowing/dispatch/admission.h
@@ -15,6 +15,9 @@
  public:
   explicit admission_control(const dispatch_settings& settings) : settings_(settings) {}
 
+  /// Changes the bound of the queue for jobs that are admitted from now on.
+  void SetMaxWaiting(std::uint32_t tasks) { settings_.max_waiting_tasks = tasks; }
+
   /// Refuses a job that is malformed or that exceeds a bound of the queue.
   std::optional<failure> CheckBounds(const job_queue& queue, const job_spec& job, std::size_t tasks) const;
 
--- a/include/bamboowing/dispatch/dispatcher.h
+++ b/include/bamboowing/dispatch/dispatcher.h
@@ -73,6 +73,9 @@
   /// Replaces the shares of all teams. A team that is not named has weight 1, priority 0 and the whole queue.
   void SetTeams(span<const team_share> teams);
 
+  /// Changes limits for what is admitted or retried from now on.
+  void SetLimits(const dispatch_limits& limits);
+
   /// Adds a target with @p slots free slots. A target that is known already gets this number of slots.
   void AddTarget(std::string_view target, std::uint32_t slots, instant now);
 
--- a/include/bamboowing/dispatch/retry_budget.h
+++ b/include/bamboowing/dispatch/retry_budget.h
@@ -13,6 +13,9 @@
  public:
   explicit retry_budget(const retry_settings& settings) : settings_(settings) {}
 
+  /// Changes how many retries each admitted request earns from now on.
+  void SetShare(double share) { settings_.budget_share = share; }
+
   /// Records an admitted request that may be retried.
   void OnAdmitted() { available_ = std::min(available_ + settings_.budget_share, settings_.max_budget); }
 
--- a/include/bamboowing/dispatch/settings.h
+++ b/include/bamboowing/dispatch/settings.h
@@ -102,4 +102,11 @@
   retry_settings retry;
 };
 
+/// What the operators may change while a dispatcher runs.
+struct dispatch_limits {
+  std::uint32_t max_waiting_tasks = 1'000'000;  ///< bound of the queue, in tasks; what waits already stays
+  double retry_share = 0.1;                     ///< retries earned by each admitted idempotent request
+  std::uint32_t max_attempts = 3;               ///< of an idempotent request
+};
+
 }  // namespace bamboowing
--- a/include/bamboowing/entry/intent_state.h
+++ b/include/bamboowing/entry/intent_state.h
@@ -31,6 +31,9 @@
   /// Shares of the teams for the dispatcher of one shard.
   std::vector<team_share> TeamShares() const;
 
+  /// Limits of the dispatcher of one shard.
+  dispatch_limits DispatchLimits() const;
+
   /// Number of shards of a service; 1 for a service that the document does not name.
   std::uint32_t ShardCount(std::string_view service) const;
 
--- a/include/bamboowing/entry/job_table.h
+++ b/include/bamboowing/entry/job_table.h
@@ -64,6 +64,9 @@
  public:
   explicit job_table(const job_table_limits& limits) : limits_(limits) {}
 
+  /// Changes how long answers are kept, also those kept already.
+  void SetRetention(duration retention) { limits_.retention = retention; }
+
   /// Looks for the submitted job. For kNew the caller decides on admission and calls Add().
   submission Find(const job_spec& job, reply_route route, duration wait_limit, instant now);
 
--- a/include/bamboowing/entry/shard_home.h
+++ b/include/bamboowing/entry/shard_home.h
@@ -15,6 +15,7 @@
 #include "bamboowing/dispatch/dispatcher.h"
 #include "bamboowing/entry/agent_sessions.h"
 #include "bamboowing/entry/entry_settings.h"
+#include "bamboowing/entry/intent_state.h"
 #include "bamboowing/entry/io.h"
 #include "bamboowing/entry/job_table.h"
 #include "bamboowing/ownership/job_recovery.h"
@@ -68,13 +69,8 @@
   /// Gives the shard up. Jobs that have not ended are displaced.
   void Release(instant now);
 
-  void SetTeams(std::vector<team_share> teams) {
-    teams_ = std::move(teams);
-    dispatcher_->SetTeams(teams_);
-  }
-
-  /// Bound of one task's run.
-  void SetTaskTimeLimit(duration limit) { settings_.task_time_limit = limit; }
+  /// Applies the operators' configuration.
+  void SetIntent(const intent_state& intent);
 
   /// Whether the operators keep an agent's target from work.
   void SetExcluded(const std::string& agent, bool excluded, instant now);
@@ -143,6 +139,7 @@
   void DecideHeld(instant now);
   void RunOwnerActions(instant now);
   void HandleOwner(const owner_action& action, instant now);
+  void RenewDispatcher();
   void BecomeHome(instant now);
   void LoseHome();
   void AddUsableTarget(const std::string& agent, instant now);
@@ -169,6 +166,7 @@
   std::unique_ptr<shard_owner> owner_;
   std::unique_ptr<dispatcher> dispatcher_;
   std::vector<team_share> teams_;
+  dispatch_limits limits_;
   job_recovery recovery_;
   job_table jobs_;
   std::vector<held_call> held_;
--- a/include/bamboowing/ownership/job_recovery.h
+++ b/include/bamboowing/ownership/job_recovery.h
@@ -79,6 +79,9 @@
  public:
   explicit job_recovery(const recovery_settings& settings) : settings_(settings) {}
 
+  /// Changes how long a missing agent keeps jobs uncertain.
+  void SetRecoveryWindow(duration window) { settings_.recovery_window = window; }
+
   /// A claim took effect: forgets earlier inventories. @p to_account are the agents that may hold tasks.
   void Begin(span<const recorded_agent> to_account, instant now);
 
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -23,6 +23,13 @@
 
 void dispatcher::SetTeams(span<const team_share> teams) { queue_.SetTeams(teams); }
 
+void dispatcher::SetLimits(const dispatch_limits& limits) {
+  settings_.max_waiting_tasks = limits.max_waiting_tasks;
+  settings_.retry.max_attempts = limits.max_attempts;
+  admission_.SetMaxWaiting(limits.max_waiting_tasks);
+  retries_.SetShare(limits.retry_share);
+}
+
 void dispatcher::AddTarget(std::string_view target, std::uint32_t slots, instant now) {
   if (targets_.Find(target) != kNoTarget) {
     SetUsableSlots(target, slots, now);
--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -181,8 +181,7 @@
   std::unique_ptr<shard_home>& home = shards_[shard];
   if (!home) {
     home = std::make_unique<shard_home>(shard, settings_, sessions_, random_.Next(), now);
-    home->SetTeams(intent_.TeamShares());
-    home->SetTaskTimeLimit(intent_.TaskTimeLimit(shard.service).value_or(settings_.task_time_limit));
+    home->SetIntent(intent_);
   }
   return *home;
 }
@@ -262,8 +261,7 @@
 
 void entry_core::ApplyIntentToShards(instant now) {
   for (std::pair<const shard_id, std::unique_ptr<shard_home>>& item : shards_) {
-    item.second->SetTeams(intent_.TeamShares());
-    item.second->SetTaskTimeLimit(intent_.TaskTimeLimit(item.first.service).value_or(settings_.task_time_limit));
+    item.second->SetIntent(intent_);
   }
   for (std::pair<const session_id, agent_session>& item : sessions_.all()) {
     agent_session& session = item.second;
--- a/src/entry/intent_state.cc
+++ b/src/entry/intent_state.cc
@@ -37,6 +37,16 @@
   return shares;
 }
 
+dispatch_limits intent_state::DispatchLimits() const {
+  constexpr double kPercent = 100.0;
+  dispatch_limits limits;
+  limits.max_waiting_tasks =
+      static_cast<std::uint32_t>(std::min<std::uint64_t>(document_.limits.waiting_tasks, UINT32_MAX));
+  limits.retry_share = document_.retry_budget.share_percent / kPercent;
+  limits.max_attempts = document_.retry_budget.attempts_max;
+  return limits;
+}
+
 std::uint32_t intent_state::ShardCount(std::string_view service) const {
   const service_intent* found = FindService(document_, service);
   return found == nullptr ? 1 : std::max<std::uint32_t>(1, found->shards);
--- a/src/entry/shard_home.cc
+++ b/src/entry/shard_home.cc
@@ -155,11 +155,26 @@
   }
 }
 
+void shard_home::SetIntent(const intent_state& intent) {
+  settings_.task_time_limit = intent.TaskTimeLimit(shard_.service).value_or(settings_.task_time_limit);
+  jobs_.SetRetention(intent.document().limits.answer_retention);
+  recovery_.SetRecoveryWindow(intent.document().limits.recovery_window);
+  teams_ = intent.TeamShares();
+  limits_ = intent.DispatchLimits();
+  dispatcher_->SetTeams(teams_);
+  dispatcher_->SetLimits(limits_);
+}
+
+void shard_home::RenewDispatcher() {
+  dispatcher_ = std::make_unique<dispatcher>(settings_.dispatch, seed_);
+  dispatcher_->SetTeams(teams_);
+  dispatcher_->SetLimits(limits_);
+}
+
 void shard_home::BecomeHome(instant now) {
   home_ = true;
   settings_.dispatch.first_attempt = FirstAttempt(owner_->claimed_epoch());
-  dispatcher_ = std::make_unique<dispatcher>(settings_.dispatch, seed_);
-  dispatcher_->SetTeams(teams_);
+  RenewDispatcher();
   recovery_.OnHome(now);
 }
 
@@ -175,8 +190,7 @@
   }
   held_.clear();
   recovered_deadlines_.clear();
-  dispatcher_ = std::make_unique<dispatcher>(settings_.dispatch, seed_);
-  dispatcher_->SetTeams(teams_);
+  RenewDispatcher();
   agents_of_job_.clear();
   for (std::pair<const std::string, agent_state>& item : agents_) {
     item.second.target_added = false;
--- a/src/service/entry_daemon.cc
+++ b/src/service/entry_daemon.cc
@@ -7,6 +7,7 @@
 
 #include "bamboowing/base/ring.h"
 #include "bamboowing/entry/entry_core.h"
+#include "bamboowing/intent/document.h"
 #include "bamboowing/platform/http_server.h"
 #include "bamboowing/service/caller_api.h"
 #include "bamboowing/service/clock.h"
@@ -180,6 +181,7 @@
       core_.Advance(now);
       CarryOut();
       ready_.store(core_.ready());
+      body_limit_.store(core_.intent().document().limits.body_bytes);
       if (core_.drained()) {
         drained_.Open();
       }
@@ -274,6 +276,11 @@
       return;
     }
     failure why;
+    if (request.body.size() > body_limit_.load()) {
+      why = failure(error_kind::kTooLarge, "the limit is " + std::to_string(body_limit_.load()) + " bytes");
+      answer(ErrorResponse(why));
+      return;
+    }
     std::optional<caller_request> call = ParseCall(request, why);
     if (!call) {
       answer(ErrorResponse(why));
@@ -317,6 +324,7 @@
   std::set<call_id> submissions_;  ///< calls with a call_received event that were not answered
   drain_latch drained_;
   std::atomic<bool> ready_{false};
+  std::atomic<std::uint64_t> body_limit_{intent_document().limits.body_bytes};  ///< from the configuration in force
   std::unique_ptr<store_duty> store_;
   std::unique_ptr<entry_rpc> rpc_;
   std::unique_ptr<http_server> callers_;
