--- a/benchmark/decision_cost.cc
+++ b/benchmark/decision_cost.cc
@@ -117,7 +117,7 @@
   job.team = "team";
   job.deadline = std::chrono::hours(1);
   job.tasks.resize(34);
-  const auto jobs = static_cast<std::uint64_t>(state.range(0)) / job.tasks.size();
+  const std::uint64_t jobs = static_cast<std::uint64_t>(state.range(0)) / job.tasks.size();
   std::uint64_t next = 0;
   const auto admit = [&] {
     job.job_id = "job-" + std::to_string(next++);
--- a/benchmark/policy_bench/baselines.cc
+++ b/benchmark/policy_bench/baselines.cc
@@ -66,7 +66,7 @@
   std::uint32_t targets() const { return static_cast<std::uint32_t>(outstanding_.size()); }
   std::uint32_t RandomTarget() {
     while (true) {
-      const auto target = static_cast<std::uint32_t>(random_.Below(targets()));
+      const std::uint32_t target = static_cast<std::uint32_t>(random_.Below(targets()));
       if (alive_[target]) {
         return target;
       }
--- a/benchmark/policy_bench/main.cc
+++ b/benchmark/policy_bench/main.cc
@@ -28,7 +28,7 @@
 // Runs all policies of one case on the traces of all seeds.
 std::vector<policy_figures> RunCase(const bench_case& which, const run_options& options) {
   std::vector<std::vector<policy_figures>> runs(options.policies.size());
-  const auto targets = static_cast<std::uint32_t>(TargetSpeeds().size());
+  const std::uint32_t targets = static_cast<std::uint32_t>(TargetSpeeds().size());
   for (std::uint64_t seed = options.seed; seed < options.seed + options.seeds; ++seed) {
     const std::vector<bench_job> trace = MakeTrace(which, seed, options.jobs);
     const std::vector<duration> shortest = IdealResponses(trace, ideal_order::kShortest);
--- a/benchmark/policy_bench/report.cc
+++ b/benchmark/policy_bench/report.cc
@@ -20,7 +20,7 @@
   if (sorted.empty()) {
     return 0;
   }
-  const auto index = static_cast<std::size_t>(quantile * static_cast<double>(sorted.size()));
+  const std::size_t index = static_cast<std::size_t>(quantile * static_cast<double>(sorted.size()));
   return static_cast<double>(sorted[std::min(index, sorted.size() - 1)].count()) / 1e3;
 }
 
--- a/benchmark/policy_bench/simulation.cc
+++ b/benchmark/policy_bench/simulation.cc
@@ -94,7 +94,7 @@
       }
       return;
     }
-    const auto at_us = static_cast<std::int64_t>(static_cast<double>(end_us) * kFaultAt);
+    const std::int64_t at_us = static_cast<std::int64_t>(static_cast<double>(end_us) * kFaultAt);
     events_.push(Schedule(instant(duration(at_us)), sim_event_kind::kFault));
   }
 
--- a/src/dispatch/admission.cc
+++ b/src/dispatch/admission.cc
@@ -65,7 +65,7 @@
   // A team within its share waits for its own work at its own share at most, whatever the others queue.
   const double wait_us = std::min(of_all_us, of_team_us + running_work_us / capacity);
   const double own_us = job.first_work_us / capacity;
-  const auto allowed_us = static_cast<double>((job.deadline - job.arrival).count());
+  const double allowed_us = static_cast<double>((job.deadline - job.arrival).count());
   const double backlog_excess_us = wait_us + own_us - settings_.admission.backlog_share * allowed_us;
   const double end_excess_us =
       wait_us + own_us + settings_.admission.run_time_margin * job.first_longest_us - allowed_us;
--- a/src/dispatch/dispatcher_answers.cc
+++ b/src/dispatch/dispatcher_answers.cc
@@ -84,7 +84,7 @@
   }
   const queued_job& job = queue_.job(which.job);
   const queued_task& task = job.tasks[which.task];
-  const auto run_us = static_cast<double>(answer.run_time.count());
+  const double run_us = static_cast<double>(answer.run_time.count());
   const double work_us = run_us * targets_.RelativeSpeed(target);
   estimator_.Observe(job.team, task.declaration, work_us);
   queue_.ChargeShare(job.team, work_us - task.work_us, targets_.TotalCapacity(), now);
--- a/src/dispatch/job_queue.cc
+++ b/src/dispatch/job_queue.cc
@@ -31,7 +31,7 @@
   if (teams_.size() >= settings_.max_teams) {
     return static_cast<team_index>(teams_.size() - 1);
   }
-  const auto index = static_cast<team_index>(teams_.size());
+  const team_index index = static_cast<team_index>(teams_.size());
   teams_.emplace_back();
   heads_.emplace_back();
   teams_.back().name = name;
@@ -271,7 +271,7 @@
   if (order.slack_share > 0 && job.in_flight > 0) {
     place = std::max(place, job.expected_end - Micros(order.slack_share * drain_us));
   }
-  const auto allowed_us = static_cast<double>((job.deadline - job.arrival).count());
+  const double allowed_us = static_cast<double>((job.deadline - job.arrival).count());
   return std::min(place, job.arrival + Micros(order.deadline_share * allowed_us));
 }
 
--- a/src/dispatch/target_health.cc
+++ b/src/dispatch/target_health.cc
@@ -132,7 +132,7 @@
 
 health_effect target_health::Eject(target_index index, std::uint32_t targets, instant now) {
   // At least one of three targets may be ejected; a fleet of one or two is never reduced.
-  const auto bound = static_cast<std::uint32_t>(settings_.ejected_share * targets + 1e-9);
+  const std::uint32_t bound = static_cast<std::uint32_t>(settings_.ejected_share * targets + 1e-9);
   if (ejected() >= bound) {
     return health_effect::kNone;
   }
