Measure the capacity slopes on an idle machine, with the decisions alone

Cause: the first slopes came from a busy machine; idle bytes reached 5.1 KB/s at 100 agents because a heartbeat costs 1,020 RPC bytes, not 820; the cost of a decision was missing on the page. Change: the estimate of a heartbeat; decision_cost in the measurement; the page orders what gives out first by size. Conclusion: kept; the first limit is the configuration pushed to every agent.

--- a/include/bamboowing/entry/entry_settings.h
+++ b/include/bamboowing/entry/entry_settings.h
@@ -22,8 +22,8 @@
   duration busy_heartbeat = std::chrono::milliseconds(500);
   duration idle_heartbeat_min = std::chrono::milliseconds(500);  ///< of sessions without tasks in flight
   duration idle_heartbeat_max = std::chrono::seconds(60);
-  /// Bytes of a heartbeat in each direction: 820 of RPC as measured, the rest of TCP/IP.
-  std::uint32_t heartbeat_bytes = 1130;
+  /// Bytes of a heartbeat in each direction: 1,020 of RPC as measured, the rest of TCP/IP.
+  std::uint32_t heartbeat_bytes = 1400;
   std::uint32_t heartbeat_bytes_per_second = 4500;  ///< for all idle sessions together; the limit of a node is 5 KB/s
   duration query_after = std::chrono::seconds(1);   ///< silence with tasks in flight that leads to a status query
   duration close_after = std::chrono::seconds(2);   ///< silence after which a session is replaced
--- a/scripts/capacity/measure.py
+++ b/scripts/capacity/measure.py
@@ -14,7 +14,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
-from fleet import ROOT, Fleet, http, wait_until  # noqa: E402
+from fleet import BUILD, ROOT, Fleet, http, wait_until  # noqa: E402
 
 from fit import fit_line, is_poor  # noqa: E402
 
@@ -151,6 +151,15 @@
             note("store_calls_per_s", count, (store_calls(fleet) - before) / IDLE_S)
 
 
+def measure_decisions():
+    """Cost of a decision of the dispatcher alone, also at the full size."""
+    done = subprocess.run([BUILD / "benchmark/decision_cost", "--benchmark_format=json", "--benchmark_filter=StartOneTask"],
+                          stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, check=True)
+    for run in json.loads(done.stdout)["benchmarks"]:
+        name = run["name"].split("/", 1)[1]
+        note("decision_ns", name, run["cpu_time"])
+
+
 # Series that grow with their load; for the others the mean is of interest.
 FITTED = ("entry_rss_by_sessions", "entry_cpu_by_starts", "agent_cpu_by_starts", "entry_rpc_bytes_by_starts",
           "entry_rss_by_tasks", "store_calls_per_s")
@@ -178,6 +187,7 @@
         summary[name] = {"mean": sum(values) / len(values), "low": min(values), "high": max(values),
                          "at_largest": largest[1], "largest": largest[0]}
         print(f"{name}: mean {summary[name]['mean']:.6g}, {min(values):.6g} to {max(values):.6g}")
+    summary["decision_ns"] = dict(series_points("decision_ns"))
     return summary, poor
 
 
@@ -192,7 +202,7 @@
 
 def main():
     OUT.mkdir(parents=True, exist_ok=True)
-    for step in (measure_sessions, measure_starts, measure_waiting, measure_store):
+    for step in (measure_decisions, measure_sessions, measure_starts, measure_waiting, measure_store):
         print(step.__doc__.splitlines()[0], flush=True)
         step()
     with open(OUT / "raw.csv", "w", newline="") as file:
--- a/scripts/capacity/page.py
+++ b/scripts/capacity/page.py
@@ -37,7 +37,7 @@
 SETTLE_S = 1.2
 BUSY_SILENCE_S = 2.0
 AGENT_LOSS_S = 5.0
-HEARTBEAT_EXCHANGE_BYTES = 1130
+HEARTBEAT_EXCHANGE_BYTES = 1400
 HEARTBEAT_BUDGET = 4500
 HEARTBEAT_CAP_S = 60.0
 CONFIG_BATCH_BYTES = 410
@@ -70,6 +70,9 @@
     f["heartbeat_s"] = min(HEARTBEAT_CAP_S, WORKERS * HEARTBEAT_EXCHANGE_BYTES / HEARTBEAT_BUDGET)
     f["entry_idle_bytes"] = WORKERS * HEARTBEAT_EXCHANGE_BYTES / f["heartbeat_s"]
     f["heartbeat_limit_sessions"] = HEARTBEAT_CAP_S * HEARTBEAT_BUDGET / HEARTBEAT_EXCHANGE_BYTES
+    f["config_limit_sessions"] = LIMIT_BYTES * DAY_S / CHANGES_PER_DAY / CONFIG_BATCH_BYTES
+    f["memory_limit_sessions"] = (LIMIT_MEMORY - f["entry_base_mb"] * 1e6) / s["entry_rss_by_sessions"]["slope"]
+    f["decision_us"] = s["decision_ns"]["targets:3100/waiting:1000000/tasks_per_job:34"] / 1e3
     f["agent_idle_bytes"] = ENTRIES * HEARTBEAT_EXCHANGE_BYTES / f["heartbeat_s"]
     f["config_bytes"] = CHANGES_PER_DAY / DAY_S * WORKERS * CONFIG_BATCH_BYTES
     f["config_agent_bytes"] = CHANGES_PER_DAY / DAY_S * ENTRIES * CONFIG_BATCH_BYTES
@@ -121,6 +124,14 @@
     return "\n".join(rows)
 
 
+def decision_rows(s):
+    rows = ["| targets, waiting tasks, tasks a job | us for each start |", "|---|---|"]
+    for name, cost in s["decision_ns"].items():
+        sizes = [part.split(":")[1] for part in name.split("/")]
+        rows.append(f"| {int(sizes[0]):,}, {int(sizes[1]):,}, {sizes[2]} | {cost / 1e3:.1f} |")
+    return "\n".join(rows)
+
+
 def render(s):
     f = sums(s)
     return f"""# Capacity
@@ -146,6 +157,11 @@
 ![memory of the home](capacity/entry_rss_by_tasks.svg)
 ![store calls](capacity/store_calls_per_s.svg)
 
+The dispatcher alone, with admission, start and answer in each round (`build/benchmark/decision_cost`); the target is at
+most 2 us, not growing with targets and waiting tasks, and is missed beyond the smallest size:
+
+{decision_rows(s)}
+
 RPC bytes are what the process reads and writes on its RPC connections, without the headers of TCP/IP.
 
 ## Entry
@@ -193,17 +209,22 @@
 
 ## What does not reach the size
 
-1. **The holder polls give out first.** {ENTRIES} entries x {SHARDS} shards poll once a second. Reads reach 2,000 a second at
-   {LIMIT_READS // ENTRIES} shards for {ENTRIES} entries. The entry's watch sees the same keys already; polling only when the
-   watch is broken would remove them.
+1. **Configuration pushed to every agent gives out first**, at {f['config_limit_sessions']:.0f} sessions for each entry: every
+   change is one batch to each session. Telling only agents whose own drain flag changed, and the version with the next
+   heartbeat, removes it.
 2. **Every agent attaches to every entry.** Idle heartbeats stay under 5 KB/s up to {f['heartbeat_limit_sessions']:.0f}
-   sessions for each entry, then the cap of 60 s lets them grow. Attaching each agent to its home and one standby keeps
+   sessions for each entry, then the cap of 60 s lets them grow; memory reaches 128 MB at about
+   {f['memory_limit_sessions']:,.0f} sessions. Attaching each agent to its home and one standby keeps
    {2 * f['agents_per_entry']:.0f} sessions for each entry.
-3. **Every change of configuration goes to every agent** as one batch. Telling only agents whose own drain flag changed,
-   and the version with the next heartbeat, removes it.
+3. **The holder polls.** {ENTRIES} entries x {SHARDS} shards poll once a second. Reads reach 2,000 a second at
+   {LIMIT_READS // ENTRIES} shards for {ENTRIES} entries. The entry's watch sees the same keys already; polling only when the
+   watch is broken would remove them.
 4. **An agent's processor time** for each start is dominated by the HTTP call to its target. A connection kept for each
    slot and a smaller client would carry it.
-5. **One document at 8,800 changes a day** is read whole by each entry at each change, at most 1 MB each
+5. **A decision costs {f['decision_us']:.1f} us** with 3,100 targets and a million waiting tasks, over the target of 2 us; with
+   {f['starts_per_entry']:,.0f} starts a second that is {f['decision_us'] * f['starts_per_entry'] / 1e4:.0f} % of a core of the
+   entry. Flatter structures in the queue would carry it.
+6. **One document at 8,800 changes a day** is read whole by each entry at each change, at most 1 MB each
    {DAY_S / CHANGES_PER_DAY:.0f} s. A document in parts would carry it.
 
 ## Loss at this size
