--- a/scripts/capacity/page.py
+++ b/scripts/capacity/page.py
@@ -70,12 +70,11 @@
     f["heartbeat_s"] = min(HEARTBEAT_CAP_S, WORKERS * HEARTBEAT_EXCHANGE_BYTES / HEARTBEAT_BUDGET)
     f["entry_idle_bytes"] = WORKERS * HEARTBEAT_EXCHANGE_BYTES / f["heartbeat_s"]
     f["heartbeat_limit_sessions"] = HEARTBEAT_CAP_S * HEARTBEAT_BUDGET / HEARTBEAT_EXCHANGE_BYTES
-    f["config_limit_sessions"] = LIMIT_BYTES * DAY_S / CHANGES_PER_DAY / CONFIG_BATCH_BYTES
     f["memory_limit_sessions"] = (LIMIT_MEMORY - f["entry_base_mb"] * 1e6) / s["entry_rss_by_sessions"]["slope"]
     f["decision_us"] = s["decision_ns"]["targets:3100/waiting:1000000/tasks_per_job:34"] / 1e3
     f["agent_idle_bytes"] = ENTRIES * HEARTBEAT_EXCHANGE_BYTES / f["heartbeat_s"]
-    f["config_bytes"] = CHANGES_PER_DAY / DAY_S * WORKERS * CONFIG_BATCH_BYTES
-    f["config_agent_bytes"] = CHANGES_PER_DAY / DAY_S * ENTRIES * CONFIG_BATCH_BYTES
+    f["config_bytes"] = CHANGES_PER_DAY / DAY_S * CONFIG_BATCH_BYTES
+    f["config_agent_bytes"] = CHANGES_PER_DAY / DAY_S / WORKERS * ENTRIES * CONFIG_BATCH_BYTES
     per_entry = s["store_calls_per_s"]["slope"]
     f["store_today"] = per_entry * ENTRIES
     f["store_shards"] = ENTRIES * SHARDS * 1.0 + SHARDS * 1.0
@@ -177,7 +176,7 @@
 | memory: answers retained | {RETAINED_BYTES / 1e6:.0f} MB | | bound of the job table, oldest dropped first |
 | memory in all | {f['entry_mb']:.0f} MB | 128 MB: {verdict(f['entry_mb'] * 1e6, LIMIT_MEMORY)} | |
 | idle heartbeats | every {f['heartbeat_s']:.0f} s, {f['entry_idle_bytes'] / 1e3:.1f} KB/s | 5 KB/s: {verdict(f['entry_idle_bytes'], LIMIT_BYTES)} | interval grows with the sessions up to 60 s |
-| configuration to agents | {f['config_bytes'] / 1e3:.1f} KB/s | 5 KB/s: {verdict(f['config_bytes'], LIMIT_BYTES)} | one batch to each session at each change |
+| configuration to agents, if each change drains one target | {f['config_bytes']:.0f} bytes/s | 5 KB/s: {verdict(f['config_bytes'], LIMIT_BYTES)} | a batch only to agents whose drain flag changes; the version rides on the next batch |
 
 ## Agent
 
@@ -187,7 +186,7 @@
 | processor time | {100 * f['agent_cores']:.2f} % of a core | 1.3 %: {verdict(f['agent_cores'], LIMIT_CPU)} | HTTP call to the target, ledger, batches |
 | RPC | {f['agent_rpc_kb']:.0f} KB/s with the tasks' own data | work | |
 | idle heartbeats with {ENTRIES} entries | {f['agent_idle_bytes']:.0f} bytes/s | 5 KB/s: {verdict(f['agent_idle_bytes'], LIMIT_BYTES)} | |
-| configuration | {f['config_agent_bytes']:.0f} bytes/s | 5 KB/s: {verdict(f['config_agent_bytes'], LIMIT_BYTES)} | version and drain flag only |
+| configuration | {f['config_agent_bytes']:.2f} bytes/s | 5 KB/s: {verdict(f['config_agent_bytes'], LIMIT_BYTES)} | version and drain flag only |
 | memory | {f['agent_mb']:.0f} MB, and at most {AGENT_RETAINED_BYTES / 1e6:.0f} MB of retained answers | 128 MB: {verdict(f['agent_mb'] * 1e6 + AGENT_RETAINED_BYTES, LIMIT_MEMORY)} | bounded ledger |
 
 ## Key-value service
@@ -209,22 +208,19 @@
 
 ## What does not reach the size
 
-1. **Configuration pushed to every agent gives out first**, at {f['config_limit_sessions']:.0f} sessions for each entry: every
-   change is one batch to each session. Telling only agents whose own drain flag changed, and the version with the next
-   heartbeat, removes it.
-2. **Every agent attaches to every entry.** Idle heartbeats stay under 5 KB/s up to {f['heartbeat_limit_sessions']:.0f}
+1. **Every agent attaches to every entry; this gives out first.** Idle heartbeats stay under 5 KB/s up to {f['heartbeat_limit_sessions']:.0f}
    sessions for each entry, then the cap of 60 s lets them grow; memory reaches 128 MB at about
    {f['memory_limit_sessions']:,.0f} sessions. Attaching each agent to its home and one standby keeps
-   {2 * f['agents_per_entry']:.0f} sessions for each entry.
-3. **The holder polls.** {ENTRIES} entries x {SHARDS} shards poll once a second. Reads reach 2,000 a second at
+   {2 * f['agents_per_entry']:.0f} sessions for each entry, which still needs a longer cap or smaller heartbeats.
+2. **The holder polls.** {ENTRIES} entries x {SHARDS} shards poll once a second. Reads reach 2,000 a second at
    {LIMIT_READS // ENTRIES} shards for {ENTRIES} entries. The entry's watch sees the same keys already; polling only when the
    watch is broken would remove them.
-4. **An agent's processor time** for each start is dominated by the HTTP call to its target. A connection kept for each
+3. **An agent's processor time** for each start is dominated by the HTTP call to its target. A connection kept for each
    slot and a smaller client would carry it.
-5. **A decision costs {f['decision_us']:.1f} us** with 3,100 targets and a million waiting tasks, over the target of 2 us; with
+4. **A decision costs {f['decision_us']:.1f} us** with 3,100 targets and a million waiting tasks, over the target of 2 us; with
    {f['starts_per_entry']:,.0f} starts a second that is {f['decision_us'] * f['starts_per_entry'] / 1e4:.0f} % of a core of the
    entry. Flatter structures in the queue would carry it.
-6. **One document at 8,800 changes a day** is read whole by each entry at each change, at most 1 MB each
+5. **One document at 8,800 changes a day** is read whole by each entry at each change, at most 1 MB each
    {DAY_S / CHANGES_PER_DAY:.0f} s. A document in parts would carry it.
 
 ## Loss at this size
--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -268,7 +268,11 @@
     if (!session.target) {
       continue;
     }
-    session.excluded = intent_.IsExcluded(session.target->service, session.agent, session.target->failure_domain);
+    const bool excluded = intent_.IsExcluded(session.target->service, session.agent, session.target->failure_domain);
+    if (excluded == session.excluded) {
+      continue;  // nothing changes for this agent; it learns the version with the next batch
+    }
+    session.excluded = excluded;
     sessions_.Outgoing(session);
     const std::map<shard_id, std::unique_ptr<shard_home>>::iterator home = shards_.find(session.shard);
     if (home != shards_.end()) {
