--- a/tests/end_to_end/faults_test.py
+++ b/tests/end_to_end/faults_test.py
@@ -98,6 +98,22 @@
         self.assertEqual(submit(self.fleet, "entry-1", make_job("after", 12))[0], 200)
         self.assert_no_second_start()
 
+    def test_frozen_agent_fails_only_its_jobs_and_serves_again(self):
+        """Guards against a silent connection that holds up jobs for good, and against a second start after the pause."""
+        start_fleet(self.fleet, entries=1, agents=4)
+        jobs, futures = self.load(["entry-1"])
+        self.fleet.signal("agent-1", signal.SIGSTOP)
+        for job, future in zip(jobs, futures):
+            status, answer = future.result()
+            if status != 200:
+                self.assertEqual(answer["kind"], "target_lost", answer)
+                self.assertNotEqual(answer["not_run"], "yes", answer)
+        self.assertEqual(submit(self.fleet, "entry-1", make_job("during-pause", 12))[0], 200)
+        self.fleet.signal("agent-1", signal.SIGCONT)
+        wait_until(lambda: serving_targets(self.fleet) == 4, "return of the agent")
+        self.assertEqual(submit(self.fleet, "entry-1", make_job("after-pause", 40))[0], 200)
+        self.assert_no_second_start()
+
     def test_work_goes_on_while_the_store_is_down(self):
         """Guards against an outage of the store that stops accepted or new work."""
         start_fleet(self.fleet, entries=2, agents=4)
