--- a/tests/end_to_end/whole_path_test.py
+++ b/tests/end_to_end/whole_path_test.py
@@ -185,6 +185,26 @@
         self.assertEqual(self.fleet.terminate(standby), 0)
         self.check_all_answered(futures, jobs)
 
+    def test_home_and_agent_at_once(self):
+        """Guards against work that is lost or run twice when two processes shut down together."""
+        start_fleet(self.fleet, entries=2, agents=4)
+        home = home_of(self.fleet)
+        jobs, futures = self.start_load(list(self.fleet.entries))
+        self.fleet.signal(home, signal.SIGTERM)
+        self.fleet.signal("agent-2", signal.SIGTERM)
+        self.check_all_answered(futures, jobs)
+        for name in (home, "agent-2"):
+            self.assertEqual(self.fleet.processes[name].wait(timeout=60), 0)
+        self.assertEqual([key for key, count in starts_per_task(self.fleet).items() if count > 1], [])
+
+    def test_two_agents_at_once(self):
+        """Guards against a task that moves from one leaving agent to another and is cut off there."""
+        start_fleet(self.fleet, entries=1, agents=4)
+        jobs, futures = self.start_load(["entry-1"])
+        for name in ("agent-1", "agent-2"):
+            self.fleet.signal(name, signal.SIGTERM)
+        self.check_all_answered(futures, jobs)
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
