Count the starts of a resubmitted job after all of them were recorded

Cause: found in review: the test counted starts before the events were written, so an early count could be empty and the check could not fail. Change: it waits for all 30 starts, then counts, and asks the minions as well.

--- a/tests/end_to_end/whole_path_test.py
+++ b/tests/end_to_end/whole_path_test.py
@@ -51,9 +51,10 @@
         answers.append(submit(self.fleet, self.entries[1], job))
         self.assertEqual({status for status, _ in answers}, {200})
         self.assertEqual(len({json.dumps(answer["results"]) for _, answer in answers}), 1)
-        starts = {key: count for key, count in starts_per_task(self.fleet).items() if key[0] == "again"}
         wait_until(lambda: len([k for k in starts_per_task(self.fleet) if k[0] == "again"]) == 30, "start events")
+        starts = {key: count for key, count in starts_per_task(self.fleet).items() if key[0] == "again"}
         self.assertEqual([key for key, count in starts.items() if count != 1], [])
+        self.assertEqual(runs(self.fleet)[1], [], "tasks that a minion ran more than once")
 
     def test_same_id_with_other_content_is_a_conflict(self):
         """Guards against the answer of another job under a reused id."""
