Let http_server::Close() wait for handlers that have answered but not returned

Cause of the crash listed in KNOWN-RED.txt (WorkerRunner.StopsThrottlesAndMakesCheckpoints, SIGSEGV once beside load): a request stopped being counted when its answer was sent, while its handler was still running. Close() then returned and the owner of the handler was destroyed under it; the stand-in worker unlocked a mutex in freed memory.

Ruled out: the test's promise on the stack (nothing of it is used after its result is stored) and the stand-in's timers (joined first).

A request is now counted until its answer is sent and its handler has returned. Http.CloseWaitsForHandlersThatHaveAnswered failed before.

--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -84,6 +84,22 @@
   bool draining_ = false;
 };
 
+// Keeps a request counted while its answer is being made or its handler runs.
+class gate_pass {
+ public:
+  explicit gate_pass(std::shared_ptr<request_gate> gate) : gate_(std::move(gate)) {}
+  gate_pass(const gate_pass&) = delete;
+  gate_pass& operator=(const gate_pass&) = delete;
+  ~gate_pass() { gate_->Leave(begun_); }
+
+  // Says that the request has arrived completely.
+  void Begin() { begun_ = gate_->Begin(); }
+
+ private:
+  const std::shared_ptr<request_gate> gate_;
+  std::optional<instant> begun_;
+};
+
 web::http::http_response ToMessage(http_response&& response) {
   web::http::http_response message(static_cast<web::http::status_code>(response.status));
   if (response.retry_after) {
@@ -97,30 +113,31 @@
 // One request from its header to the end of its answer.
 class open_request {
  public:
-  open_request(const web::http::http_request& message, std::shared_ptr<request_gate> gate)
-      : message_(message), gate_(std::move(gate)) {}
+  open_request(const web::http::http_request& message, std::shared_ptr<gate_pass> pass)
+      : message_(message), pass_(std::move(pass)) {}
   open_request(const open_request&) = delete;
   open_request& operator=(const open_request&) = delete;
   ~open_request() { Answer(ErrorResponse(failure(error_kind::kInternal, "the request was dropped"))); }
 
-  // Says that the request has arrived completely.
-  void Begin() { begun_ = gate_->Begin(); }
+  // Valid until the answer.
+  const std::shared_ptr<gate_pass>& pass() const { return pass_; }
 
   void Answer(http_response&& response) {
     if (answered_.exchange(true)) {
       return;
     }
+    // Others may keep this object for long after its answer.
+    const std::shared_ptr<gate_pass> pass = std::move(pass_);
     const pplx::task<void> sent = message_.reply(ToMessage(std::move(response)));
     // The analyzer takes the library's reference counting in task<void>::then for a use after free; a run with
     // AddressSanitizer shows none.
 #ifndef __clang_analyzer__
-    sent.then([gate = gate_, begun = begun_](const pplx::task<void>& finished) {
+    sent.then([pass](const pplx::task<void>& finished) {
       try {
         finished.get();
       } catch (const std::exception&) {
         // The caller left before its answer; there is nobody to tell.
       }
-      gate->Leave(begun);
     });
 #endif
   }
@@ -139,9 +156,8 @@
 
  private:
   web::http::http_request message_;
-  std::shared_ptr<request_gate> gate_;
+  std::shared_ptr<gate_pass> pass_;
   std::atomic<bool> answered_ = false;
-  std::optional<instant> begun_;
   std::vector<std::uint8_t> buffer_;
   std::string body_;
 };
@@ -166,7 +182,8 @@
 
   void Take(const web::http::http_request& message) {
     const std::optional<failure> refused = gate_->Enter();
-    const std::shared_ptr<open_request> request = std::make_shared<open_request>(message, gate_);
+    const std::shared_ptr<open_request> request =
+        std::make_shared<open_request>(message, std::make_shared<gate_pass>(gate_));
     if (refused) {
       request->Answer(ErrorResponse(*refused));
       return;
@@ -216,7 +233,9 @@
   }
 
   void Handle(const std::shared_ptr<open_request>& request) {
-    request->Begin();
+    // The owner of the handler may be destroyed once no request is counted.
+    const std::shared_ptr<gate_pass> pass = request->pass();
+    pass->Begin();
     http_request plain = FromMessage(request->message(), std::move(request->body()));
     handle_(std::move(plain), [request](http_response response) { request->Answer(std::move(response)); });
   }
--- a/tests/transport/http_test.cc
+++ b/tests/transport/http_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <thread>
 
 #include "bamboowing/transport/http_client.h"
@@ -53,6 +54,26 @@
   EXPECT_EQ(why.ran, not_run::kYes) << why.reason;
 }
 
+// Guards against a server that is destroyed under a handler which has answered but not returned yet: the handler then
+// uses an owner that is gone.
+TEST(Http, CloseWaitsForHandlersThatHaveAnswered) {
+  failure why;
+  std::atomic<bool> returned = false;
+  const std::unique_ptr<http_server> server = http_server::Open(
+      "127.0.0.1:0",
+      [&returned](const http_request& /*request*/, const http_server::responder& answer) {
+        answer(http_response());
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        returned = true;
+      },
+      http_limits(), why);
+  ASSERT_NE(server, nullptr) << why.reason;
+  const std::unique_ptr<http_client> client = http_client::Open(Address(*server), why);
+  EXPECT_TRUE(client->Send({"GET", "/", {}, "", ""}, kPatience, why)) << why.reason;
+  server->Close();
+  EXPECT_TRUE(returned);
+}
+
 // Guards against addresses that need a name service, and against ports out of range.
 TEST(Http, RefusesMalformedAddresses) {
   for (const char* address : {"localhost:80", "127.0.0.1", "127.0.0.1:", "127.0.0.1:65536", "127.0.0.1:8x", ""}) {
