Let agents attach to a part of the entries when there are many

Cause: at 12 entries and 66 agents every agent kept a session with every entry (792), and heartbeats and load reports grew with the product.

An agent now attaches to one entry of each failure domain (4 to 6 entries; all, where there are at most 6), chosen by a rendezvous hash. An entry that can't be reached for 200 ms is replaced by the next of its domain; a session that is no longer needed is closed after its entry was told to send no more starts and its runs have ended. An entry that keeps fewer than 12 agents for 5 s says so in its registration, and all agents attach to it.

--- a/include/bamboowing/besteffort/run_keeper.h
+++ b/include/bamboowing/besteffort/run_keeper.h
@@ -12,6 +12,7 @@
 
 #include "bamboowing/agent/agent_settings.h"
 #include "bamboowing/agent/session_table.h"
+#include "bamboowing/besteffort/entry_selection.h"
 #include "bamboowing/besteffort/leased_target.h"
 #include "bamboowing/message/batch.h"
 
@@ -19,7 +20,7 @@
 
 /// Settings of a run_keeper.
 struct run_keeper_settings {
-  agent_settings agent;           ///< identity and sessions
+  agent_settings agent;           ///< identity and sessions; entries are learned by OnEntries
   std::uint64_t first_token = 1;  ///< fencing token of this life; raised when the target has seen a higher one
   duration lease{1'000'000};      ///< of everything that runs at the target
   duration renew_after{250'000};  ///< a lease is renewed when it is this old
@@ -36,6 +37,11 @@
   /// `report_entries`. It grows with their number, so that the reports of all agents together do not.
   duration report_interval{15'000};
   std::size_t report_entries = 4;
+  entry_selection_settings selection;
+  /// An entry without a session is replaced by another one after this time.
+  duration substitute_after{200'000};
+  /// A session that is no longer needed is closed this long after its entry was told to send no more starts.
+  duration release_linger{1'000'000};
   /// Part by which the target's clock may be slower than ours.
   double clock_drift = 0.02;
 };
@@ -89,8 +95,8 @@
   void OnSessionOpened(const std::string& entry, instant now);
   void OnSessionClosed(const std::string& entry, instant now);
   void OnBatch(const std::string& entry, const entry_batch& batch, instant now);
-  /// The addresses of all entries that are known from elsewhere.
-  void OnEntries(span<const std::string> entries, instant now);
+  /// All entries that are known. Attaches to a part of them; see entry_selection.
+  void OnEntries(span<const entry_place> entries, instant now);
 
   void OnStartAnswer(std::uint64_t call, const order_answer& answer, instant now);
   void OnStopAnswer(std::uint64_t call, const order_answer& answer, instant now);
@@ -148,7 +154,8 @@
     std::uint64_t ends_sent = 0;  ///< newest end sent in this session
     bool introduced = false;      ///< whether target and inventory were sent in this session
     bool target_changed = false;
-    resource_amount reported;  ///< committed amount in the newest report
+    std::optional<instant> released_at;  ///< when the session was found to be needless
+    resource_amount reported;            ///< committed amount in the newest report
     instant reported_at;
   };
 
@@ -185,6 +192,10 @@
   void TakeEnds(const hold_answer& answer, instant now);
   void TakeRunning(const hold_answer& answer, instant sent, instant now);
   void SettleAbsent(run_map::iterator run, instant sent, instant now);
+  void KeepSessions(instant now);
+  void SelectEntries(instant now);
+  void CloseReleased(instant now);
+  bool HasRuns(const std::string& entry) const;
   void SendReports(instant now);
   void SendReport(entry_session& session, owner& to, instant now);
   duration ReportInterval() const;
@@ -195,8 +206,11 @@
 
   run_keeper_settings settings_;
   session_table sessions_;
-  std::map<std::string, instant> attempts_;  ///< start of the newest attempt to connect, by address
-  std::map<std::string, owner> owners_;      ///< by address
+  entry_selection selection_;
+  instant selected_at_;
+  std::map<std::string, instant> attempts_;    ///< start of the newest attempt to connect, by address
+  std::map<std::string, instant> down_since_;  ///< entries without a session, by address
+  std::map<std::string, owner> owners_;        ///< by address
   run_map runs_;
   std::deque<run_key> waiting_;  ///< in the order of arrival; may name runs that are gone
   resource_amount at_target_;    ///< of runs in all states but kWaiting
--- a/include/bamboowing/besteffort/target_fleet.h
+++ b/include/bamboowing/besteffort/target_fleet.h
@@ -38,7 +38,6 @@
   speed_estimate speed;
   std::uint32_t own_runs = 0;  ///< runs of this entry there
   run_orders pending;
-  bool dirty = false;  ///< whether `pending` must be sent
 
   /// What is committed there as far as this entry knows.
   resource_amount Committed() const {
@@ -80,6 +79,9 @@
   /// Forgets targets without a session that were heard last before @p before and run nothing of ours.
   void ForgetSilent(instant before);
 
+  /// Agents with a session.
+  std::size_t sessions() const { return sessions_.size(); }
+
   target_health& health() { return health_; }
   std::map<std::string, fleet_target>& all() { return by_agent_; }
   const std::map<std::string, fleet_target>& all() const { return by_agent_; }
--- a/include/bamboowing/entry/agent_sessions.h
+++ b/include/bamboowing/entry/agent_sessions.h
@@ -39,12 +39,13 @@
 /// Since when an agent that has tasks in flight has been silent: before the first of them it had no reason to send.
 inline instant SilentSince(const agent_session& session) { return std::max(session.heard, session.busy_since); }
 
-/// Identity that this entry puts into headers.
+/// Identity that an entry registers and puts into headers.
 struct entry_identity {
   std::string id;
   incarnation life = 0;
   std::string peers_address;
   std::string failure_domain;
+  bool wants_agents = false;  ///< few agents are attached: those that prefer other entries should attach too
 };
 
 /// Holds all sessions. An agent has at most one; a newer session of the same agent replaces the older.
--- a/include/bamboowing/entry/registration.h
+++ b/include/bamboowing/entry/registration.h
@@ -25,6 +25,9 @@
   void OnTick(instant now, std::uint64_t& next_id, std::vector<entry_action>& out);
   instant next_wakeup() const { return due_; }
 
+  /// Registers whether more agents should attach; see entry_identity::wants_agents.
+  void SetWantsAgents(bool wanted, instant now);
+
   /// Ends the lease, and with it the registration.
   void Revoke(std::uint64_t& next_id, std::vector<entry_action>& out);
 
@@ -38,6 +41,7 @@
   instant due_;
   lease_id lease_ = 0;
   store_version version_ = 0;
+  bool changed_ = false;  ///< the registration differs from what was written
 };
 
 }  // namespace bamboowing
--- a/src/besteffort/dispatch_core.cc
+++ b/src/besteffort/dispatch_core.cc
@@ -242,7 +242,6 @@
   }
   at.stopping = true;
   target->pending.stops.push_back(key);
-  target->dirty = true;
 }
 
 void dispatch_core::EraseIfOver(const std::string& job_id) {
--- a/src/besteffort/dispatch_place.cc
+++ b/src/besteffort/dispatch_place.cc
@@ -279,7 +279,6 @@
   ++chosen.target->own_runs;
   fleet_.CountStart(*chosen.target, step.need);
   chosen.target->pending.starts.push_back(std::move(start));
-  chosen.target->dirty = true;
 }
 
 void dispatch_core::StopStragglers(instant now) {
--- a/src/besteffort/dispatch_runs.cc
+++ b/src/besteffort/dispatch_runs.cc
@@ -74,7 +74,6 @@
   for (const run_end& end : batch.runs.ends) {
     if (end.number > target->ends_received) {
       target->ends_received = end.number;
-      target->dirty = true;
       OnEnd(*target, end, now);
     }
   }
@@ -314,7 +313,6 @@
     send.batch.runs.starts_sent = target.starts_sent;
     send.batch.runs.ends_received = target.ends_received;
     target.pending = {};
-    target.dirty = false;
     target.sent = now;
     actions_.emplace_back(std::move(send));
   }
--- a/src/besteffort/run_keeper.cc
+++ b/src/besteffort/run_keeper.cc
@@ -1,7 +1,6 @@
 #include "bamboowing/besteffort/run_keeper.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace bamboowing {
@@ -25,6 +24,7 @@
 run_keeper::run_keeper(const run_keeper_settings& settings, std::uint64_t seed, instant now)
     : settings_(settings),
       sessions_(settings.agent, seed, now),
+      selection_(settings.agent.id, settings.selection),
       token_(settings.first_token),
       token_step_(1),
       last_now_(now) {}
@@ -33,63 +33,6 @@
   actions_.emplace_back(note_decision{std::move(what), job_id, std::move(detail)});
 }
 
-void run_keeper::OnSessionOpened(const std::string& entry, instant now) {
-  if (sessions_.Opened(entry, now) == nullptr) {
-    return;
-  }
-  owner& opened = owners_[entry];
-  // The entry answered something that was sent when the attempt began; it may have been cut off since.
-  opened.fresh = std::max(opened.fresh, attempts_[entry]);
-  opened.starts_received = 0;
-  opened.ends_sent = 0;
-  opened.introduced = false;
-}
-
-void run_keeper::OnSessionClosed(const std::string& entry, instant now) {
-  if (sessions_.Closed(entry, now)) {
-    Note("session_lost", "", "entry " + entry);
-  }
-}
-
-void run_keeper::OnEntries(span<const std::string> entries, instant now) { sessions_.Learn(entries, now); }
-
-void run_keeper::OnBatch(const std::string& entry, const entry_batch& batch, instant now) {
-  entry_session* session = sessions_.Find(entry);
-  if (session == nullptr || session->state != session_state::kOpen) {
-    return;
-  }
-  owner& from = owners_[entry];
-  if (from.life != batch.header.life) {
-    if (from.life != 0) {
-      DropOwner(entry, "the entry has started again", now);
-      from.ends.clear();
-    }
-    from.life = batch.header.life;
-  }
-  sessions_.Received(*session, batch.header, now);
-  if (batch.header.echo_life == settings_.agent.life) {
-    from.fresh = std::max(from.fresh, batch.header.echo);
-  }
-  while (!from.ends.empty() && from.ends.front().number <= batch.runs.ends_received) {
-    from.ends.pop_front();
-  }
-  from.starts_received = std::max(from.starts_received, batch.runs.starts_sent);
-  for (const run_key& key : batch.runs.stops) {
-    const run_map::iterator found = runs_.find(key);
-    if (found == runs_.end()) {
-      continue;
-    }
-    if (found->second.state == run_state::kWaiting) {
-      EndRun(found, run_outcome::kStopped, now);
-    } else {
-      RequestStop(found->second, now);
-    }
-  }
-  for (const run_start& start : batch.runs.starts) {
-    Admit(entry, start, now);
-  }
-}
-
 void run_keeper::Admit(const std::string& entry, const run_start& start, instant now) {
   if (runs_.count(start.key) != 0) {
     return;
@@ -101,8 +44,9 @@
   const run_map::iterator added = runs_.emplace(start.key, std::move(run)).first;
   AddTo(waiting_amount_, start.need);
   // An entry that was frozen sends what it decided from old reports; its callers may have gone elsewhere meanwhile.
-  const bool stale = now - owners_[entry].fresh >= settings_.stale_after;
-  if (!accepting() || stale) {
+  const owner& from = owners_[entry];
+  const bool stale = now - from.fresh >= settings_.stale_after;
+  if (!accepting() || stale || from.released_at) {
     EndRun(added, run_outcome::kUnavailable, now);
     return;
   }
@@ -136,39 +80,6 @@
   }
 }
 
-void run_keeper::DropOwner(const std::string& entry, const std::string& why, instant now) {
-  std::size_t count = 0;
-  for (run_map::iterator run = runs_.begin(); run != runs_.end();) {
-    const run_map::iterator next = std::next(run);
-    if (run->second.owner == entry) {
-      ++count;
-      if (run->second.state == run_state::kWaiting) {
-        EndRun(run, run_outcome::kStopped, now);
-      } else {
-        RequestStop(run->second, now);
-      }
-    }
-    run = next;
-  }
-  if (count > 0) {
-    Note("owner_dropped", "", "entry " + entry + ", " + why + ", runs " + std::to_string(count));
-  }
-}
-
-void run_keeper::ExpireOwners(instant now) {
-  std::set<std::string> busy;
-  for (const std::pair<const run_key, kept_run>& run : runs_) {
-    if (run.second.state != run_state::kStopping) {
-      busy.insert(run.second.owner);
-    }
-  }
-  for (const std::string& entry : busy) {
-    if (now - owners_[entry].fresh >= settings_.owner_timeout) {
-      DropOwner(entry, "not heard in time", now);
-    }
-  }
-}
-
 void run_keeper::OnDrain(instant now) {
   draining_ = true;
   for (run_map::iterator run = runs_.begin(); run != runs_.end();) {
@@ -323,17 +234,7 @@
 
 void run_keeper::Advance(instant now) {
   last_now_ = now;
-  std::vector<agent_action> session_actions;
-  sessions_.Tick(now, {}, session_actions);
-  for (const agent_action& action : session_actions) {
-    if (const open_session* open = std::get_if<open_session>(&action); open != nullptr) {
-      attempts_[open->address] = now;
-      actions_.emplace_back(*open);
-    } else if (const close_session* close = std::get_if<close_session>(&action); close != nullptr) {
-      Note("session_silent", "", "entry " + close->address);
-      actions_.emplace_back(*close);
-    }
-  }
+  KeepSessions(now);
   ExpireOwners(now);
   CheckLeaseBound(now);
   ExpireWaiting(now);
@@ -343,75 +244,4 @@
   SendReports(now);
 }
 
-duration run_keeper::ReportInterval() const {
-  const std::size_t groups = (sessions_.all().size() + settings_.report_entries - 1) / settings_.report_entries;
-  return settings_.report_interval * static_cast<std::int64_t>(std::max<std::size_t>(1, groups));
-}
-
-bool run_keeper::ReportDue(const entry_session& session, const owner& to, instant now) const {
-  if (!to.introduced || to.target_changed) {
-    return true;
-  }
-  if (!to.ends.empty() && to.ends.back().number > to.ends_sent) {
-    return true;
-  }
-  if (sessions_.HeartbeatDue(session, {}) <= now) {
-    return true;
-  }
-  resource_amount committed = at_target_;
-  AddTo(committed, waiting_amount_);
-  return !(committed == to.reported) && now - to.reported_at >= ReportInterval();
-}
-
-void run_keeper::SendReports(instant now) {
-  for (std::pair<const std::string, entry_session>& item : sessions_.all()) {
-    entry_session& session = item.second;
-    if (session.state != session_state::kOpen) {
-      continue;
-    }
-    owner& to = owners_[item.first];
-    if (ReportDue(session, to, now)) {
-      SendReport(session, to, now);
-    }
-  }
-}
-
-void run_keeper::SendReport(entry_session& session, owner& to, instant now) {
-  agent_batch batch;
-  batch.header.sender = settings_.agent.id;
-  batch.header.life = settings_.agent.life;
-  batch.header.sent_at = now;
-  batch.header.echo = session.entry_clock;
-  batch.header.echo_life = session.entry_life;
-  run_report& report = batch.runs;
-  report.committed = at_target_;
-  AddTo(report.committed, waiting_amount_);
-  report.starts_received = to.starts_received;
-  if (!to.introduced || to.target_changed) {
-    report.has_target = true;
-    report.target = target_;
-    report.target.draining = !accepting();
-  }
-  if (!to.introduced) {
-    report.has_inventory = true;
-    for (const std::pair<const run_key, kept_run>& run : runs_) {
-      if (run.second.owner == session.address) {
-        report.held.push_back(run.first);
-      }
-    }
-  }
-  for (const run_end& end : to.ends) {
-    if (end.number > to.ends_sent) {
-      report.ends.push_back(end);
-    }
-  }
-  to.introduced = true;
-  to.target_changed = false;
-  to.reported = report.committed;
-  to.reported_at = now;
-  to.ends_sent = to.last_end;
-  session.last_sent = now;
-  actions_.emplace_back(send_batch{session.address, std::move(batch)});
-}
-
 }  // namespace bamboowing
--- a/src/entry/directory.cc
+++ b/src/entry/directory.cc
@@ -38,6 +38,9 @@
   json["life"] = entry.life;
   json["peers_address"] = entry.peers_address;
   json["failure_domain"] = entry.failure_domain;
+  if (entry.wants_agents) {
+    json["wants_agents"] = true;
+  }
   return json.dump();
 }
 
@@ -54,6 +57,7 @@
   if (json.contains("failure_domain") && json["failure_domain"].is_string()) {
     entry.failure_domain = json["failure_domain"].get<std::string>();
   }
+  entry.wants_agents = json.value("wants_agents", nlohmann::json()) == true;
   return entry;
 }
 
--- a/src/entry/registration.cc
+++ b/src/entry/registration.cc
@@ -49,6 +49,9 @@
   if (step_ == step::kEnded || call_ != 0 || now < due_) {
     return;
   }
+  if (step_ == step::kRenew && changed_) {
+    step_ = step::kRead;
+  }
   const std::string key = RegistrationKey(settings_.self.id);
   call_store call;
   call.id = ++next_id;
@@ -64,6 +67,7 @@
       break;
     case step::kWrite:
       call.call = store_swap{0, key, version_, FormatRegistration(settings_.self), lease_};
+      changed_ = false;
       break;
     case step::kRenew:
       call.call = lease_renew{0, lease_};
@@ -74,6 +78,17 @@
   out.emplace_back(std::move(call));
 }
 
+void registration::SetWantsAgents(bool wanted, instant now) {
+  if (settings_.self.wants_agents == wanted || step_ == step::kEnded) {
+    return;
+  }
+  settings_.self.wants_agents = wanted;
+  changed_ = true;
+  if (call_ == 0) {
+    due_ = now;
+  }
+}
+
 void registration::Revoke(std::uint64_t& next_id, std::vector<entry_action>& out) {
   if (lease_ != 0) {
     out.emplace_back(call_store{++next_id, lease_revoke{0, lease_}});
--- a/src/service/best_effort_agent.cc
+++ b/src/service/best_effort_agent.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <map>
 #include <thread>
 #include <utility>
 #include <variant>
@@ -85,7 +86,6 @@
   keeper.agent.id = settings.id;
   keeper.agent.life = RandomNumber();
   keeper.agent.failure_domain = settings.failure_domain;
-  keeper.agent.entries = settings.entries;
   keeper.agent.heartbeat_interval = kHeartbeat;
   keeper.agent.idle_heartbeat_interval = kHeartbeat;
   keeper.agent.silence_limit = kSilenceLimit;
@@ -152,6 +152,7 @@
 
  private:
   void Run() {
+    LearnEntries(Now());
     while (!ring_.closed()) {
       const instant before = Now();
       const std::optional<instant> core_due = core_.next_wakeup();
@@ -198,12 +199,22 @@
       return;
     }
     directory_.Apply(what.update);
-    std::vector<std::string> entries = settings_.entries;
+    LearnEntries(now);
+  }
+
+  void LearnEntries(instant now) {
+    std::vector<entry_place> entries;
+    // An entry whose registration has lapsed may live: it stays a candidate, in the failure domain that it had.
+    for (const std::string& seed : settings_.entries) {
+      entries.push_back({seed, domains_[seed], false});
+    }
     for (const std::pair<const std::string, entry_identity>& item : directory_.entries()) {
-      entries.push_back(item.second.peers_address);
+      domains_[item.second.peers_address] = item.second.failure_domain;
+      entries.push_back({item.second.peers_address, item.second.failure_domain, item.second.wants_agents});
     }
     core_.OnEntries(entries, now);
   }
+
   void Handle(drain_requested& /*what*/, instant now) { core_.OnDrain(now); }
 
   void WatchDirectory(instant now) {
@@ -255,6 +266,7 @@
   run_keeper core_;
   store_watcher watcher_;
   directory directory_;
+  std::map<std::string, std::string> domains_;  ///< failure domain by address of an entry that was registered
   std::uint64_t last_store_call_ = 0;
   detail::drain_latch drained_;
   std::string target_address_;
--- a/src/service/best_effort_entry.cc
+++ b/src/service/best_effort_entry.cc
@@ -8,6 +8,7 @@
 #include <variant>
 
 #include "bamboowing/base/ring.h"
+#include "bamboowing/besteffort/agent_demand.h"
 #include "bamboowing/entry/registration.h"
 #include "bamboowing/observe/metrics.h"
 #include "bamboowing/service/clock.h"
@@ -97,6 +98,7 @@
         answers_(answers),
         ring_(kRingCapacity),
         core_(CoreSettings(settings, life_), RandomNumber(), Now()),
+        demand_(Now()),
         registration_(RegistrationSettings(settings, life_)) {}
 
   best_effort_entry_impl(const best_effort_entry_impl&) = delete;
@@ -232,12 +234,9 @@
     for (const std::pair<const run_outcome, std::uint64_t>& item : core_.run_ends()) {
       metrics_.Set(metric::kRunEnds, RunOutcomeName(item.first), static_cast<double>(item.second));
     }
-    const auto sessions =
-        std::count_if(core_.fleet().all().begin(), core_.fleet().all().end(),
-                      [](const std::pair<const std::string, fleet_target>& item) { return item.second.session != 0; });
     metrics_.Set(metric::kQueueDepth, "best_effort", static_cast<double>(core_.waiting_tasks()));
     metrics_.Set(metric::kTasksInFlight, "best_effort", static_cast<double>(core_.runs()));
-    metrics_.Set(metric::kSessions, "agent", static_cast<double>(sessions));
+    metrics_.Set(metric::kSessions, "agent", static_cast<double>(core_.fleet().sessions()));
     metrics_.Set(metric::kReady, Ready() ? 1 : 0);
     metrics_.Set(metric::kControlCpu, std::chrono::duration<double>(ProcessCpuTime()).count());
     if (const std::shared_ptr<const queue_table> queues = Queues(); queues) {
@@ -246,6 +245,11 @@
   }
 
   void KeepRegistration(instant now) {
+    if (demand_.Update(core_.fleet().sessions(), now)) {
+      Log(log_level::kInfo, demand_.wanted() ? "agents_wanted" : "agents_suffice",
+          {{"sessions", std::to_string(core_.fleet().sessions())}});
+      registration_.SetWantsAgents(demand_.wanted(), now);
+    }
     std::vector<entry_action> calls;
     registration_.OnTick(now, last_store_call_, calls);
     CallStore(calls);
@@ -290,6 +294,7 @@
   job_answers& answers_;
   bounded_ring<entry_input> ring_;
   dispatch_core core_;
+  agent_demand demand_;
   registration registration_;
   std::uint64_t last_store_call_ = 0;
   bool draining_ = false;
--- a/tests/besteffort/cluster_sim.cc
+++ b/tests/besteffort/cluster_sim.cc
@@ -11,6 +11,7 @@
 constexpr duration kOrderTimeout = std::chrono::milliseconds(200);
 constexpr duration kHeartbeat = std::chrono::milliseconds(1500);
 constexpr std::uint32_t kCores = 4;
+constexpr std::size_t kDomains = 4;
 const char* const kService = "inspect";
 
 std::string Describe(const run_record& run) {
@@ -21,7 +22,8 @@
 
 }  // namespace
 
-cluster_sim::cluster_sim(std::size_t entries, std::size_t targets, std::uint64_t seed) : random_(seed), seed_(seed) {
+cluster_sim::cluster_sim(std::size_t entries, std::size_t targets, std::uint64_t seed)
+    : random_(seed), seed_(seed), targets_(targets) {
   for (std::size_t i = 0; i < entries; ++i) {
     entries_.push_back(std::make_unique<entry_node>());
     StartEntry(i);
@@ -82,12 +84,14 @@
   settings.agent.connect_timeout = std::chrono::milliseconds(500);
   settings.agent.backoff_min = std::chrono::milliseconds(30);
   settings.agent.backoff_max = std::chrono::milliseconds(800);
-  for (std::size_t i = 0; i < entries_.size(); ++i) {
-    settings.agent.entries.push_back(Address(i));
-  }
   settings.first_token = 100 + settings.agent.life;
   agents_[agent]->life = settings.agent.life;
   agents_[agent]->core = std::make_unique<run_keeper>(settings, seed_ + settings.agent.life, now_);
+  std::vector<entry_place> places;
+  for (std::size_t i = 0; i < entries_.size(); ++i) {
+    places.push_back({Address(i), "domain-" + std::to_string(i % kDomains), WantsAgents()});
+  }
+  agents_[agent]->core->OnEntries(places, now_);
 }
 
 void cluster_sim::Announce(std::size_t agent) {
--- a/tests/besteffort/cluster_sim.h
+++ b/tests/besteffort/cluster_sim.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "bamboowing/base/random.h"
+#include "bamboowing/besteffort/agent_demand.h"
 #include "bamboowing/besteffort/dispatch_core.h"
 #include "bamboowing/besteffort/run_keeper.h"
 #include "fake_target.h"
@@ -63,6 +64,9 @@
   std::size_t reports = 0;                             ///< batches that agents have sent
   std::function<void(const std::string& line)> trace;  ///< receives the decisions that the processes note; may be empty
 
+  /// Open sessions of an agent.
+  std::size_t SessionsOf(std::size_t agent) const { return agents_[agent]->sessions.size(); }
+
   /// Tasks that ran twice at the same time, one line each.
   std::vector<std::string> OverlappingRuns() const;
   /// Jobs that were refused as not run and have a run.
@@ -89,6 +93,8 @@
   };
 
   static std::string Address(std::size_t entry) { return "10.0.0." + std::to_string(entry) + ":7000"; }
+  /// As the entries register after a while.
+  bool WantsAgents() const { return targets_ < agent_demand::kFewest; }
   static std::string AgentId(std::size_t agent) { return "agent-" + std::to_string(agent); }
   void StartEntry(std::size_t entry);
   void StartAgent(std::size_t agent);
@@ -112,6 +118,7 @@
   instant now_{std::chrono::seconds(1000)};
   seeded_random random_;
   std::uint64_t seed_;
+  std::size_t targets_;
   std::multimap<instant, std::function<void()>> events_;
   std::vector<std::unique_ptr<entry_node>> entries_;
   std::vector<std::unique_ptr<agent_node>> agents_;
--- a/tests/besteffort/cluster_test.cc
+++ b/tests/besteffort/cluster_test.cc
@@ -11,14 +11,16 @@
 namespace {
 
 constexpr std::size_t kEntries = 3;
+constexpr std::size_t kManyEntries = 9;
 constexpr std::size_t kTargets = 5;
+constexpr std::size_t kManyTargets = 14;
 
 std::string JobId(int number) { return "job" + std::to_string(number); }
 
-void InjectFault(cluster_sim& sim) {
+void InjectFault(cluster_sim& sim, std::size_t entries, std::size_t targets) {
   seeded_random& random = sim.random();
-  const std::size_t entry = random.Below(kEntries);
-  const std::size_t agent = random.Below(kTargets);
+  const std::size_t entry = random.Below(entries);
+  const std::size_t agent = random.Below(targets);
   const duration time = std::chrono::milliseconds(200) + duration(random.Below(3'500'000));
   switch (random.Below(8)) {
     case 0:
@@ -48,10 +50,10 @@
 }
 
 /// Submits again, elsewhere, what a caller has lost: after the retransmission time of the platform.
-void ResubmitLost(cluster_sim& sim, std::size_t job, int work_ms) {
+void ResubmitLost(cluster_sim& sim, std::size_t entries, std::size_t job, int work_ms) {
   constexpr duration kPatience = std::chrono::milliseconds(1500);
   constexpr duration kRetransmit = std::chrono::milliseconds(1300);
-  sim.After(kPatience, [&sim, job, work_ms] {
+  sim.After(kPatience, [&sim, entries, job, work_ms] {
     const sim_job lost = sim.jobs()[job];
     if (lost.verdict && *lost.verdict != job_verdict::kUnknown) {
       return;
@@ -59,27 +61,26 @@
     if (!lost.verdict && !lost.gone) {
       sim.LeaveCaller(job);
     }
-    sim.After(kRetransmit, [&sim, lost, work_ms] { sim.Submit((lost.entry + 1) % kEntries, lost.id, 3, work_ms); });
+    sim.After(kRetransmit,
+              [&sim, entries, lost, work_ms] { sim.Submit((lost.entry + 1) % entries, lost.id, 3, work_ms); });
   });
 }
 
-class cluster : public testing::TestWithParam<int> {};
-
-TEST_P(cluster, KeepsItsPromisesUnderRandomFaults) {
-  cluster_sim sim(kEntries, kTargets, static_cast<std::uint64_t>(GetParam()));
+void PlayRandomFaults(std::size_t entries, std::size_t targets, int seed) {
+  cluster_sim sim(entries, targets, static_cast<std::uint64_t>(seed));
   if (std::getenv("CLUSTER_TRACE") != nullptr) {
     sim.trace = [&sim](const std::string& line) {
       std::cout << sim.now().time_since_epoch().count() / 1000 << " " << line << "\n";
     };
   }
-  sim.faults.late_orders = GetParam() % 3 == 0 ? 0.06 : 0;
+  sim.faults.late_orders = seed % 3 == 0 ? 0.06 : 0;
   sim.RunFor(std::chrono::seconds(2));
   for (int i = 0; i < 200; ++i) {
     const int work_ms = i % 4 == 0 ? 900 : 60;
-    const std::size_t job = sim.Submit(sim.random().Below(kEntries), JobId(i), 3, work_ms);
-    ResubmitLost(sim, job, work_ms);
+    const std::size_t job = sim.Submit(sim.random().Below(entries), JobId(i), 3, work_ms);
+    ResubmitLost(sim, entries, job, work_ms);
     if (i % 12 == 5) {
-      InjectFault(sim);
+      InjectFault(sim, entries, targets);
     }
     sim.RunFor(std::chrono::milliseconds(20) + duration(sim.random().Below(60'000)));
   }
@@ -94,14 +95,24 @@
   // Nothing is left behind, and work is served again.
   const std::size_t last = sim.Submit(0, "last", 3, 60);
   sim.RunFor(std::chrono::seconds(1));
-  EXPECT_TRUE(sim.jobs()[last].verdict == job_verdict::kCompleted) << "seed " << GetParam();
-  for (std::size_t i = 0; i < kTargets; ++i) {
+  EXPECT_TRUE(sim.jobs()[last].verdict == job_verdict::kCompleted) << "seed " << seed;
+  for (std::size_t i = 0; i < targets; ++i) {
     EXPECT_EQ(sim.target(i).running(), 0U);
     EXPECT_EQ(sim.keeper(i)->runs(), 0U);
   }
 }
 
+class cluster : public testing::TestWithParam<int> {};
+
+TEST_P(cluster, KeepsItsPromisesUnderRandomFaults) { PlayRandomFaults(kEntries, kTargets, GetParam()); }
+
+class large_cluster : public testing::TestWithParam<int> {};
+
+// With so many entries an agent attaches to a part of them, and changes it while faults come.
+TEST_P(large_cluster, KeepsItsPromisesUnderRandomFaults) { PlayRandomFaults(kManyEntries, kManyTargets, GetParam()); }
+
 INSTANTIATE_TEST_SUITE_P(Seeds, cluster, testing::Range(1, 121));
+INSTANTIATE_TEST_SUITE_P(Seeds, large_cluster, testing::Range(1, 61));
 
 // Seeds that failed once:
 // - 1312: the stop of a run was lost with its session, and the run went on after its caller had left.
--- a/tests/besteffort/keeper_test.cc
+++ b/tests/besteffort/keeper_test.cc
@@ -11,6 +11,8 @@
 class keeper_rig : public testing::Test {
  protected:
   keeper_rig() : keeper(Settings(), 1, now) {
+    const entry_place entry{kEntry, "zone", false};
+    keeper.OnEntries({&entry, 1}, now);
     target_description target;
     target.service = "inspect";
     target.capacity = {4000, 4096, 0};
@@ -31,7 +33,6 @@
     run_keeper_settings settings;
     settings.agent.id = "agent";
     settings.agent.life = 9;
-    settings.agent.entries = {kEntry};
     settings.agent.backoff_min = std::chrono::milliseconds(30);
     settings.first_token = 50;
     return settings;
--- /dev/null
+++ b/tests/entry/registration_test.cc
@@ -0,0 +1,57 @@
+#include "bamboowing/entry/registration.h"
+
+#include <gtest/gtest.h>
+
+namespace bamboowing {
+namespace {
+
+class RegistrationTest : public testing::Test {
+ protected:
+  static entry_settings Settings() {
+    entry_settings settings;
+    settings.self = {"entry-a", 7, "10.0.0.1:7000", "zone", false};
+    return settings;
+  }
+
+  // Lets the registration make its calls, each of which succeeds. Returns the value written last.
+  std::string Play(int calls) {
+    std::string written;
+    for (int i = 0; i < calls; ++i) {
+      std::vector<entry_action> out;
+      registered.OnTick(now, last_call, out);
+      for (const entry_action& action : out) {
+        const call_store& call = std::get<call_store>(action);
+        if (const store_swap* swap = std::get_if<store_swap>(&call.call); swap != nullptr) {
+          written = swap->value;
+        }
+        store_result result;
+        result.outcome = store_outcome::kOk;
+        result.lease = 3;
+        registered.OnResult(call.id, result, now);
+      }
+    }
+    return written;
+  }
+
+  instant now{std::chrono::seconds(1000)};
+  std::uint64_t last_call = 0;
+  registration registered{Settings()};
+};
+
+// Guards against an entry whose request for agents stays with itself until its registration is made anew.
+TEST_F(RegistrationTest, WritesAgainWhenItWantsAgents) {
+  const std::optional<entry_identity> first = ParseRegistration(Play(4));
+  ASSERT_TRUE(first);
+  EXPECT_FALSE(first->wants_agents);
+  EXPECT_EQ(Play(4), "") << "nothing has changed";
+  registered.SetWantsAgents(true, now);
+  const std::optional<entry_identity> second = ParseRegistration(Play(4));
+  ASSERT_TRUE(second);
+  EXPECT_TRUE(second->wants_agents);
+  EXPECT_EQ(second->peers_address, "10.0.0.1:7000");
+  registered.SetWantsAgents(true, now);
+  EXPECT_EQ(Play(4), "");
+}
+
+}  // namespace
+}  // namespace bamboowing
