Keep entries that lost only their registration among the entries to attach to

An entry of an earlier list stays a candidate while it has a session, and for 30 s after. Ruled out: keeping such entries for good (agents would try the addresses of replaced machines for ever).

Tests: a keeper whose entry is no longer listed (failed before), and one whose entry is gone.

--- a/include/bamboowing/besteffort/run_keeper.h
+++ b/include/bamboowing/besteffort/run_keeper.h
@@ -40,6 +40,8 @@
   entry_selection_settings selection;
   /// An entry without a session is replaced by another one after this time.
   duration substitute_after{200'000};
+  /// An entry that is not listed is forgotten when it has been without a session for this long.
+  duration forget_after{30'000'000};
   /// A session that is no longer needed is closed this long after its entry was told to send no more starts.
   duration release_linger{1'000'000};
   /// Part by which the target's clock may be slower than ours.
@@ -95,7 +97,8 @@
   void OnSessionOpened(const std::string& entry, instant now);
   void OnSessionClosed(const std::string& entry, instant now);
   void OnBatch(const std::string& entry, const entry_batch& batch, instant now);
-  /// All entries that are known. Attaches to a part of them; see entry_selection.
+  /// All entries that are registered or named in the settings. Attaches to a part of them; see entry_selection. An
+  /// entry that is no longer listed stays a candidate while it can be reached.
   void OnEntries(span<const entry_place> entries, instant now);
 
   void OnStartAnswer(std::uint64_t call, const order_answer& answer, instant now);
@@ -194,6 +197,8 @@
   void SettleAbsent(run_map::iterator run, instant sent, instant now);
   void KeepSessions(instant now);
   void SelectEntries(instant now);
+  void ForgetUnlisted(instant now);
+  void UpdateCandidates();
   void CloseReleased(instant now);
   bool HasRuns(const std::string& entry) const;
   void SendReports(instant now);
@@ -206,6 +211,8 @@
 
   run_keeper_settings settings_;
   session_table sessions_;
+  std::vector<entry_place> listed_;              ///< newest list of entries
+  std::map<std::string, entry_place> unlisted_;  ///< entries of earlier lists, by address
   entry_selection selection_;
   instant selected_at_;
   std::map<std::string, instant> attempts_;    ///< start of the newest attempt to connect, by address
--- a/src/besteffort/run_keeper_entries.cc
+++ b/src/besteffort/run_keeper_entries.cc
@@ -15,17 +15,52 @@
 }  // namespace
 
 void run_keeper::OnEntries(span<const entry_place> entries, instant now) {
-  selection_.SetEntries(entries);
+  // An entry may be cut off from the store alone, and then lose its registration while it serves.
+  for (entry_place& place : listed_) {
+    unlisted_[place.address] = std::move(place);
+  }
+  listed_.assign(entries.begin(), entries.end());
+  for (const entry_place& place : listed_) {
+    unlisted_.erase(place.address);
+  }
+  for (std::pair<const std::string, entry_place>& place : unlisted_) {
+    // Without a session it is forgotten after a while, also if no attempt to connect was made.
+    if (sessions_.Find(place.first) == nullptr) {
+      down_since_.emplace(place.first, now);
+    }
+  }
+  UpdateCandidates();
+  SelectEntries(now);
+}
+
+void run_keeper::UpdateCandidates() {
+  std::vector<entry_place> candidates = listed_;
+  for (const std::pair<const std::string, entry_place>& place : unlisted_) {
+    candidates.push_back(place.second);
+  }
+  selection_.SetEntries(candidates);
   for (std::map<std::string, instant>::iterator down = down_since_.begin(); down != down_since_.end();) {
-    const bool known = std::any_of(entries.begin(), entries.end(),
+    const bool known = std::any_of(candidates.begin(), candidates.end(),
                                    [down](const entry_place& entry) { return entry.address == down->first; });
     down = known ? std::next(down) : down_since_.erase(down);
   }
-  SelectEntries(now);
+}
+
+void run_keeper::ForgetUnlisted(instant now) {
+  const std::size_t before = unlisted_.size();
+  for (std::map<std::string, entry_place>::iterator place = unlisted_.begin(); place != unlisted_.end();) {
+    const std::map<std::string, instant>::const_iterator down = down_since_.find(place->first);
+    const bool gone = down != down_since_.end() && now - down->second >= settings_.forget_after;
+    place = gone ? unlisted_.erase(place) : std::next(place);
+  }
+  if (unlisted_.size() != before) {
+    UpdateCandidates();
+  }
 }
 
 void run_keeper::SelectEntries(instant now) {
   selected_at_ = now;
+  ForgetUnlisted(now);
   const std::vector<std::string> selected = selection_.Select([this, now](const std::string& address) {
     const std::map<std::string, instant>::const_iterator down = down_since_.find(address);
     return down == down_since_.end() || now - down->second < settings_.substitute_after;
--- a/tests/besteffort/keeper_test.cc
+++ b/tests/besteffort/keeper_test.cc
@@ -211,6 +211,46 @@
   EXPECT_GT(Taken<call_start>().back().order.context.token, 50U);
 }
 
+// Guards against an entry that loses its targets when only its registration is lost: it may be cut off from the store
+// alone (1,000 refusals in 6 s of a day).
+TEST_F(keeper_rig, KeepsTheSessionOfAnEntryThatIsNoLongerRegistered) {
+  keeper.OnEntries({}, now);
+  for (int i = 0; i < 20; ++i) {
+    Order({});  // a heartbeat
+    AnswerHolds({});
+    now += std::chrono::milliseconds(100);
+  }
+  EXPECT_FALSE(HasAction<close_session>());
+  run_orders orders;
+  orders.starts.push_back(Start("a"));
+  Order(orders);
+  EXPECT_EQ(Taken<call_start>().size(), 1U);
+  // A short loss of the connection is no reason either.
+  keeper.OnSessionClosed(kEntry, now);
+  keeper.OnEntries({}, now);
+  taken.clear();
+  for (int i = 0; i < 10; ++i) {
+    now += std::chrono::milliseconds(20);
+    Step();
+  }
+  EXPECT_TRUE(HasAction<open_session>());
+}
+
+// Guards against attempts to connect to an entry that is gone, for ever.
+TEST_F(keeper_rig, ForgetsAnEntryThatIsNeitherRegisteredNorReachable) {
+  keeper.OnEntries({}, now);
+  keeper.OnSessionClosed(kEntry, now);
+  for (int i = 0; i < 320; ++i) {
+    now += std::chrono::milliseconds(100);
+    keeper.OnSessionClosed(kEntry, now);
+    Step();
+  }
+  taken.clear();
+  now += std::chrono::seconds(5);
+  Step();
+  EXPECT_FALSE(HasAction<open_session>());
+}
+
 // Guards against runs that outlive an entry which is cut off: the caller may have submitted the job elsewhere.
 TEST_F(keeper_rig, StopsTheRunsOfAnEntryThatIsNotHeard) {
   run_orders orders;
