Say why a session of an agent or entry ended

The lines session_lost, session_closed and agent_detached named no reason. The reason now comes through the rpc listeners: the error of a failed attempt to connect, "the connection ended", "left by the agent" or "closed by the entry". Calls that fail for another reason than a broken connection (a batch with a value out of range) were swallowed; they are logged as rpc_failed. The test of a killed entry on processes checks the reason in the log of an agent.

--- a/include/bamboowing/besteffort/dispatch_core.h
+++ b/include/bamboowing/besteffort/dispatch_core.h
@@ -100,7 +100,7 @@
   std::uint32_t PendingOf(const std::string& queue) const;
 
   void OnSessionOpened(session_id session, const std::string& agent, instant now);
-  void OnSessionClosed(session_id session, instant now);
+  void OnSessionClosed(session_id session, const std::string& why, instant now);
   void OnReport(session_id session, const agent_batch& batch, instant now);
 
   /// Starts tasks, gives up what is due, and completes the batches. Call once after a group of inputs.
--- a/include/bamboowing/besteffort/run_keeper.h
+++ b/include/bamboowing/besteffort/run_keeper.h
@@ -95,7 +95,7 @@
   void OnTargetLeft(const std::string& id, instant now);
 
   void OnSessionOpened(const std::string& entry, instant now);
-  void OnSessionClosed(const std::string& entry, instant now);
+  void OnSessionClosed(const std::string& entry, const std::string& why, instant now);
   void OnBatch(const std::string& entry, const entry_batch& batch, instant now);
   /// All entries that are registered or named in the settings. Attaches to a part of them; see entry_selection. An
   /// entry that is no longer listed stays a candidate while it can be reached.
--- a/src/besteffort/dispatch_runs.cc
+++ b/src/besteffort/dispatch_runs.cc
@@ -52,9 +52,9 @@
   }
 }
 
-void dispatch_core::OnSessionClosed(session_id session, instant /*now*/) {
+void dispatch_core::OnSessionClosed(session_id session, const std::string& why, instant /*now*/) {
   if (const fleet_target* target = fleet_.Close(session); target != nullptr) {
-    Note("agent_detached", "", "agent " + target->agent + ", runs " + std::to_string(target->own_runs));
+    Note("agent_detached", "", "agent " + target->agent + ", runs " + std::to_string(target->own_runs) + ", " + why);
   }
 }
 
--- a/src/besteffort/run_keeper_entries.cc
+++ b/src/besteffort/run_keeper_entries.cc
@@ -113,9 +113,9 @@
   opened.introduced = false;
 }
 
-void run_keeper::OnSessionClosed(const std::string& entry, instant now) {
+void run_keeper::OnSessionClosed(const std::string& entry, const std::string& why, instant now) {
   if (sessions_.Closed(entry, now)) {
-    Note("session_lost", "", "entry " + entry);
+    Note("session_lost", "", "entry " + entry + ", " + why);
     down_since_.emplace(entry, now);
   }
 }
@@ -199,7 +199,7 @@
       down_since_.emplace(open->address, now);
       actions_.emplace_back(*open);
     } else if (const close_session* close = std::get_if<close_session>(&action); close != nullptr) {
-      Note("session_silent", "", "entry " + close->address);
+      Note("session_silent", "", "entry " + close->address + ", nothing was received in time");
       down_since_.emplace(close->address, now);
       actions_.emplace_back(*close);
     }
--- a/src/service/agent_daemon.cc
+++ b/src/service/agent_daemon.cc
@@ -29,6 +29,7 @@
 };
 struct session_closed {
   std::string address;
+  std::string why;
 };
 struct batch_arrived {
   std::string address;
@@ -85,7 +86,9 @@
   bool WaitDrained(duration limit) override { return drained_.WaitFor(limit); }
 
   void OnSessionOpened(std::string address) override { ring_.Push(session_opened{std::move(address)}); }
-  void OnSessionClosed(std::string address) override { ring_.Push(session_closed{std::move(address)}); }
+  void OnSessionClosed(std::string address, std::string why) override {
+    ring_.Push(session_closed{std::move(address), std::move(why)});
+  }
   void OnEntryBatch(std::string address, entry_batch batch) override {
     ring_.Push(batch_arrived{std::move(address), std::move(batch)});
   }
@@ -137,7 +140,7 @@
     core_.OnSessionOpened(what.address, now);
   }
   void Handle(const session_closed& what, instant now) {
-    Log(log_level::kInfo, "session_closed", {{"entry", what.address}});
+    Log(log_level::kInfo, "session_closed", {{"entry", what.address}, {"reason", what.why}});
     core_.OnSessionClosed(what.address, now);
   }
   void Handle(const batch_arrived& what, instant now) { core_.OnBatch(what.address, what.batch, now); }
--- a/src/service/agent_rpc.cc
+++ b/src/service/agent_rpc.cc
@@ -10,6 +10,7 @@
 #include <utility>
 #include <variant>
 
+#include "bamboowing/service/log.h"
 #include "bamboowing/wire/codec.h"
 #include "mailbox.h"
 
@@ -71,10 +72,11 @@
     const std::uint64_t generation = ++last_generation_;
     entry_slot& slot = slots_[open.address];
     slot.generation = generation;
-    slot.opening =
-        Open(open.address, generation)
-            .catch_([this, address = open.address, generation](kj::Exception&&) { ReportClosed(address, generation); })
-            .eagerlyEvaluate(nullptr);
+    slot.opening = Open(open.address, generation)
+                       .catch_([this, address = open.address, generation](kj::Exception&& error) {
+                         ReportClosed(address, generation, error.getDescription().cStr());
+                       })
+                       .eagerlyEvaluate(nullptr);
   }
 
   void Handle(close_entry_session& close) { Drop(close.address); }
@@ -92,7 +94,12 @@
     }
   }
 
-  void taskFailed(kj::Exception&&) override {}  // a broken connection is reported by its disconnect event
+  // A broken connection is reported by its disconnect event.
+  void taskFailed(kj::Exception&& error) override {
+    if (error.getType() != kj::Exception::Type::DISCONNECTED) {
+      Log(log_level::kWarning, "rpc_failed", {{"reason", error.getDescription().cStr()}});
+    }
+  }
 
  private:
   kj::Promise<void> Open(const std::string& address, std::uint64_t generation) {
@@ -113,7 +120,7 @@
     entry_slot& slot = slots_[address];
     slot.connection = kj::heap<entry_connection>(kj::mv(stream));
     tasks_.add(slot.connection->client.onDisconnect().then(
-        [this, address, generation]() { ReportClosed(address, generation); }));
+        [this, address, generation]() { ReportClosed(address, generation, "the connection ended"); }));
     rpc::EntryPort::Client port = slot.connection->client.bootstrap().castAs<rpc::EntryPort>();
     capnp::Request<rpc::EntryPort::AttachParams, rpc::EntryPort::AttachResults> request = port.attachRequest();
     request.setAgentId(agent_id_);
@@ -128,11 +135,11 @@
     });
   }
 
-  void ReportClosed(const std::string& address, std::uint64_t generation) {
+  void ReportClosed(const std::string& address, std::uint64_t generation, std::string why) {
     const std::map<std::string, entry_slot>::iterator found = slots_.find(address);
     if (found != slots_.end() && found->second.generation == generation) {
       Drop(address);
-      listener_.OnSessionClosed(address);
+      listener_.OnSessionClosed(address, std::move(why));
     }
   }
 
--- a/src/service/best_effort_agent.cc
+++ b/src/service/best_effort_agent.cc
@@ -39,6 +39,7 @@
 };
 struct session_closed {
   std::string address;
+  std::string why;
 };
 struct orders_arrived {
   std::string address;
@@ -145,7 +146,9 @@
   bool WaitDrained(duration limit) override { return drained_.WaitFor(limit); }
 
   void OnSessionOpened(std::string address) override { ring_.Push(session_opened{std::move(address)}); }
-  void OnSessionClosed(std::string address) override { ring_.Push(session_closed{std::move(address)}); }
+  void OnSessionClosed(std::string address, std::string why) override {
+    ring_.Push(session_closed{std::move(address), std::move(why)});
+  }
   void OnEntryBatch(std::string address, entry_batch batch) override {
     ring_.Push(orders_arrived{std::move(address), std::move(batch)});
   }
@@ -177,7 +180,7 @@
     Log(log_level::kInfo, "session_opened", {{"entry", what.address}});
     core_.OnSessionOpened(what.address, now);
   }
-  void Handle(session_closed& what, instant now) { core_.OnSessionClosed(what.address, now); }
+  void Handle(session_closed& what, instant now) { core_.OnSessionClosed(what.address, what.why, now); }
   void Handle(orders_arrived& what, instant now) { core_.OnBatch(what.address, what.batch, now); }
   void Handle(target_announced& what, instant now) {
     if (target_ == nullptr || what.address != target_address_) {
--- a/src/service/best_effort_entry.cc
+++ b/src/service/best_effort_entry.cc
@@ -54,6 +54,7 @@
 };
 struct session_closed {
   session_id session = 0;
+  std::string why;
 };
 struct report_arrived {
   session_id session = 0;
@@ -161,7 +162,9 @@
   void OnSessionOpened(session_id session, std::string agent) override {
     ring_.Push(session_opened{session, std::move(agent)});
   }
-  void OnSessionClosed(session_id session) override { ring_.Push(session_closed{session}); }
+  void OnSessionClosed(session_id session, std::string why) override {
+    ring_.Push(session_closed{session, std::move(why)});
+  }
   void OnAgentBatch(session_id session, agent_batch batch) override {
     ring_.Push(report_arrived{session, std::move(batch)});
   }
@@ -214,7 +217,7 @@
   void Handle(phase_asked& what, instant /*now*/) { answers_.OnPhase(what.call, core_.PhaseOf(what.job_id)); }
   void Handle(pending_asked& what, instant /*now*/) { answers_.OnPending(what.call, core_.PendingOf(what.queue)); }
   void Handle(session_opened& what, instant now) { core_.OnSessionOpened(what.session, what.agent, now); }
-  void Handle(session_closed& what, instant now) { core_.OnSessionClosed(what.session, now); }
+  void Handle(session_closed& what, instant now) { core_.OnSessionClosed(what.session, what.why, now); }
   void Handle(report_arrived& what, instant now) { core_.OnReport(what.session, what.batch, now); }
   void Handle(store_answered& what, instant now) { registration_.OnResult(what.call, what.result, now); }
   void Handle(metrics_asked& what, instant /*now*/) {
--- a/src/service/entry_daemon.cc
+++ b/src/service/entry_daemon.cc
@@ -36,6 +36,7 @@
 };
 struct session_closed {
   session_id session;
+  std::string why;
 };
 struct batch_arrived {
   session_id session;
@@ -133,7 +134,9 @@
   void OnSessionOpened(session_id session, std::string agent) override {
     ring_.Push(session_opened{session, std::move(agent)});
   }
-  void OnSessionClosed(session_id session) override { ring_.Push(session_closed{session}); }
+  void OnSessionClosed(session_id session, std::string why) override {
+    ring_.Push(session_closed{session, std::move(why)});
+  }
   void OnAgentBatch(session_id session, agent_batch batch) override {
     ring_.Push(batch_arrived{session, std::move(batch)});
   }
@@ -193,7 +196,10 @@
     core_.OnCall(what.call, std::move(what.request), now);
   }
   void Handle(session_opened& what, instant now) { core_.OnSessionOpened(what.session, std::move(what.agent), now); }
-  void Handle(session_closed& what, instant now) { core_.OnSessionClosed(what.session, now); }
+  void Handle(session_closed& what, instant now) {
+    Log(log_level::kInfo, "session_closed", {{"session", std::to_string(what.session)}, {"reason", what.why}});
+    core_.OnSessionClosed(what.session, now);
+  }
   void Handle(batch_arrived& what, instant now) { core_.OnAgentBatch(what.session, what.batch, now); }
   void Handle(relay_arrived& what, instant now) { core_.OnRelayRequest(what.relay, std::move(what.request), now); }
   void Handle(relay_ended& what, instant now) { core_.OnRelayReply(what.relay, std::move(what.reply), now); }
--- a/src/service/entry_rpc.cc
+++ b/src/service/entry_rpc.cc
@@ -11,6 +11,7 @@
 #include <utility>
 #include <variant>
 
+#include "bamboowing/service/log.h"
 #include "bamboowing/wire/codec.h"
 #include "mailbox.h"
 
@@ -102,7 +103,7 @@
   void Handle(close_agent_session& close) {
     const std::map<session_id, kj::Own<attached_agent>>::iterator found = sessions_.find(close.session);
     if (found != sessions_.end()) {
-      DropConnection(found->second->connection);
+      DropConnection(found->second->connection, "closed by the entry");
     }
   }
 
@@ -147,9 +148,9 @@
     return id;
   }
 
-  void RemoveSession(session_id session) {
+  void RemoveSession(session_id session, std::string why) {
     if (sessions_.erase(session) > 0) {
-      listener_.OnSessionClosed(session);
+      listener_.OnSessionClosed(session, std::move(why));
     }
   }
 
@@ -163,7 +164,12 @@
 
   entry_rpc_listener& listener() { return listener_; }
 
-  void taskFailed(kj::Exception&&) override {}  // a broken connection is reported by the end of its session
+  // A broken connection is reported by the end of its session.
+  void taskFailed(kj::Exception&& error) override {
+    if (error.getType() != kj::Exception::Type::DISCONNECTED) {
+      Log(log_level::kWarning, "rpc_failed", {{"reason", error.getDescription().cStr()}});
+    }
+  }
 
  private:
   struct outgoing_relay {
@@ -183,11 +189,11 @@
     const std::uint64_t id = ++last_id_;
     kj::Own<connection> added = kj::heap<connection>(kj::mv(stream), kj::heap<entry_port_server>(*this, id));
     // The connection must not be destroyed from within its own event, so its removal is a separate event.
-    tasks_.add(added->network.onDisconnect().then([this, id]() { DropConnection(id); }));
+    tasks_.add(added->network.onDisconnect().then([this, id]() { DropConnection(id, "the connection ended"); }));
     connections_.emplace(id, kj::mv(added));
   }
 
-  void DropConnection(std::uint64_t id) {
+  void DropConnection(std::uint64_t id, const std::string& why) {
     const std::map<std::uint64_t, kj::Own<connection>>::iterator found = connections_.find(id);
     if (found == connections_.end()) {
       return;
@@ -199,7 +205,7 @@
       const bool ends = it->second->connection == id;
       ++it;
       if (ends) {
-        RemoveSession(session);
+        RemoveSession(session, why);
       }
     }
   }
@@ -275,7 +281,7 @@
   kj::TaskSet tasks_;
 };
 
-agent_session_server::~agent_session_server() noexcept(false) { loop_.RemoveSession(session_); }
+agent_session_server::~agent_session_server() noexcept(false) { loop_.RemoveSession(session_, "left by the agent"); }
 
 kj::Promise<void> agent_session_server::deliver(DeliverContext context) {
   std::optional<agent_batch> batch = Read(context.getParams().getBatch());
--- a/tests/besteffort/cluster_sim.cc
+++ b/tests/besteffort/cluster_sim.cc
@@ -222,12 +222,12 @@
   }
   if (tell_entry) {
     After(kNetworkDelay, [this, entry, id = gone.mapped()] {
-      ToEntry(entry, [=](dispatch_core& core) { core.OnSessionClosed(id, now_); });
+      ToEntry(entry, [=](dispatch_core& core) { core.OnSessionClosed(id, "closed", now_); });
     });
   }
   if (tell_agent) {
     After(kNetworkDelay, [this, agent, entry] {
-      ToAgent(agent, [=](run_keeper& core) { core.OnSessionClosed(Address(entry), now_); });
+      ToAgent(agent, [=](run_keeper& core) { core.OnSessionClosed(Address(entry), "closed", now_); });
     });
   }
 }
@@ -247,8 +247,9 @@
     return;
   }
   if (!entries_[entry]->core) {
-    After(kNetworkDelay,
-          [this, agent, address] { ToAgent(agent, [=](run_keeper& core) { core.OnSessionClosed(address, now_); }); });
+    After(kNetworkDelay, [this, agent, address] {
+      ToAgent(agent, [=](run_keeper& core) { core.OnSessionClosed(address, "refused", now_); });
+    });
     return;
   }
   const session_id id = ++last_session_;
--- a/tests/besteffort/keeper_test.cc
+++ b/tests/besteffort/keeper_test.cc
@@ -226,7 +226,7 @@
   Order(orders);
   EXPECT_EQ(Taken<call_start>().size(), 1U);
   // A short loss of the connection is no reason either.
-  keeper.OnSessionClosed(kEntry, now);
+  keeper.OnSessionClosed(kEntry, "closed", now);
   keeper.OnEntries({}, now);
   taken.clear();
   for (int i = 0; i < 10; ++i) {
@@ -239,10 +239,10 @@
 // Guards against attempts to connect to an entry that is gone, for ever.
 TEST_F(keeper_rig, ForgetsAnEntryThatIsNeitherRegisteredNorReachable) {
   keeper.OnEntries({}, now);
-  keeper.OnSessionClosed(kEntry, now);
+  keeper.OnSessionClosed(kEntry, "closed", now);
   for (int i = 0; i < 320; ++i) {
     now += std::chrono::milliseconds(100);
-    keeper.OnSessionClosed(kEntry, now);
+    keeper.OnSessionClosed(kEntry, "closed", now);
     Step();
   }
   taken.clear();
--- a/tests/end_to_end/platform_test.py
+++ b/tests/end_to_end/platform_test.py
@@ -250,6 +250,9 @@
         timer.start()
         self.load(1, lambda i: "entry-1", work_ms=3000)
         wait_until(lambda: not any(m.running for m in self.fleet.platform_minions), "the end of all runs", 1.3)
+        lines = [json.loads(line) for line in self.fleet.output("agent-1").splitlines()]
+        lost = [line for line in lines if line["event"] == "session_lost"]
+        self.assertTrue(lost and all("the connection ended" in line["detail"] for line in lost), lost)
 
     def test_a_terminated_entry_answers_what_it_has_accepted(self):
         """Guards against callers that are cut off by planned work."""
