--- a/include/bamboowing/besteffort/dispatch_core.h
+++ b/include/bamboowing/besteffort/dispatch_core.h
@@ -24,16 +24,14 @@
 
 /// Settings of a dispatch_core.
 struct dispatch_core_settings {
-  std::string id;        ///< of the entry
-  incarnation life = 0;  ///< this life of the entry, not 0
-  std::string failure_domain;
+  std::string id;                   ///< of the entry
+  incarnation life = 0;             ///< this life of the entry, not 0
   duration heartbeat{150'000};      ///< longest pause in sending to an agent
   duration silent_after{900'000};   ///< a session that is silent for this long is closed
   duration owner_timeout{700'000};  ///< an agent stops our runs when it has not heard us for this long
   duration lease{1'000'000};        ///< longest lease of what runs at a target
   duration loss_margin{150'000};    ///< added to both before a lost agent's runs count as ended
   duration room_wait{12'000};       ///< how long a start may wait at the agent for room that was thought to be free
-  duration queue_wait{120'000};     ///< the same for a start that was sent to wait
   /// A job of which nothing has started after this multiple of its objective is refused, so that its caller can turn
   /// elsewhere.
   double start_limit = 1;
@@ -135,7 +133,7 @@
     task_state state = task_state::kBlocked;
     std::uint32_t attempt = 0;  ///< of the newest start
     std::uint32_t failures = 0;
-    std::uint32_t restarts = 0;      ///< starts beyond the first
+    std::uint32_t restarts = 0;      ///< starts that no failure of the task made necessary
     target_index avoid = kNoTarget;  ///< target on which it did not succeed
   };
 
@@ -183,8 +181,6 @@
   struct choice {
     fleet_target* target = nullptr;
     double run_us = 0;
-    double wait_us = 0;  ///< for room
-    double end_us() const { return wait_us + run_us; }
   };
 
   /// Of all usable targets, in thousandths of a core.
@@ -250,8 +246,7 @@
   double waiting_work_us_ = 0;
   double waiting_cpu_ = 0;
   std::int64_t waiting_tasks_ = 0;
-  double typical_us_ = 200'000;  ///< mean work of the tasks started lately
-  double started_work_us_ = 0;   ///< decaying sum; see kRateWindow
+  double started_work_us_ = 0;  ///< decaying sum; see kRateWindow
   instant decayed_at_;
   instant checked_at_;
   instant last_now_;
--- a/src/besteffort/dispatch_place.cc
+++ b/src/besteffort/dispatch_place.cc
@@ -25,11 +25,6 @@
 constexpr double kMillisecondUs = 1000;
 // Part of the fleet that an entry reckons with when it has started little itself.
 constexpr double kLeastShare = 0.2;
-// A target may hold this part of its capacity in starts that wait for room, so that room is used the moment it appears
-// and not a round trip later.
-constexpr double kQueuedShare = 0;
-// Weight of the newest start in the mean work of a task.
-constexpr double kTypicalWeight = 0.02;
 
 double Micros(duration time) { return static_cast<double>(time.count()); }
 
@@ -38,22 +33,6 @@
   return std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
-/// Cores that would have to become free before the task can start, in thousandths.
-double MissingCpu(const fleet_target& target, const resource_amount& need) {
-  const double wanted = static_cast<double>(target.Committed().cpu_millicores) + need.cpu_millicores;
-  return std::max(0.0, wanted - target.description.capacity.cpu_millicores);
-}
-
-/// Whether the task fits, now or after a short wait.
-bool FitsSoon(const fleet_target& target, const resource_amount& need) {
-  resource_amount capacity = target.description.capacity;
-  if (!FitsBeside(need, {}, capacity)) {
-    return false;
-  }
-  capacity.cpu_millicores += static_cast<std::uint32_t>(kQueuedShare * capacity.cpu_millicores);
-  return FitsBeside(need, target.Committed(), capacity);
-}
-
 double UsedShare(const fleet_target& target) {
   const double capacity = target.description.capacity.cpu_millicores;
   return capacity > 0 ? target.Committed().cpu_millicores / capacity : 1;
@@ -177,12 +156,9 @@
     const double run_us = work_us * distance / fleet_.RelativeSpeed(target);
     fastest_us = std::min(fastest_us, run_us);
     const bool avoided = task.avoid == target.index && fleet_.all().size() > 1;
-    if (!avoided && FitsSoon(target, step.need)) {
-      // Room appears once in the mean run time of a task, divided by the tasks that run there.
-      const double missing = MissingCpu(target, step.need) / target.description.capacity.cpu_millicores;
-      const choice candidate{&target, run_us, missing * typical_us_};
-      best_us = std::min(best_us, candidate.end_us());
-      free.push_back(candidate);
+    if (!avoided && FitsBeside(step.need, target.Committed(), target.description.capacity)) {
+      best_us = std::min(best_us, run_us);
+      free.push_back({&target, run_us});
     }
   }
   if (free.empty()) {
@@ -196,7 +172,7 @@
   double best_load = std::numeric_limits<double>::max();
   for (const choice& candidate : free) {
     const double load = UsedShare(*candidate.target) + kRandomShare * random_.Unit();
-    if (candidate.end_us() <= best_us * (1 + kEqualSpeed) && load < best_load) {
+    if (candidate.run_us <= best_us * (1 + kEqualSpeed) && load < best_load) {
       best = candidate;
       best_load = load;
     }
@@ -254,14 +230,13 @@
   job.first_start = job.first_start.value_or(now);
   started_work_us_ *= std::exp(-Micros(now - decayed_at_) / kRateWindowUs);
   started_work_us_ += estimate.mean_us;
-  typical_us_ += kTypicalWeight * (estimate.mean_us - typical_us_);
   decayed_at_ = now;
 
   run_start start;
   start.key = {job.spec.id, task.step, task.index, task.attempt};
   start.payload = job.spec.payload;
   start.need = step.need;
-  start.start_within = chosen.wait_us > 0 ? settings_.queue_wait : settings_.room_wait;
+  start.start_within = settings_.room_wait;
 
   flight at;
   at.target = chosen.target->index;
--- a/src/service/best_effort_entry.cc
+++ b/src/service/best_effort_entry.cc
@@ -77,7 +77,6 @@
   dispatch_core_settings core;
   core.id = settings.id;
   core.life = life;
-  core.failure_domain = settings.failure_domain;
   core.lease = settings.best_effort.lease;
   core.health.first_ejection = kFirstEjection;
   return core;
