--- a/tests/besteffort/cluster_sim.h
+++ b/tests/besteffort/cluster_sim.h
@@ -16,6 +16,9 @@
 
 namespace bamboowing {
 
+/// The service of all targets.
+constexpr const char* kSimService = "inspect";
+
 /// What happens to messages and orders, as shares from 0 to 1.
 struct sim_faults {
   double late_orders = 0;  ///< orders that get no answer and are carried out seconds later
--- /dev/null
+++ b/tests/besteffort/cluster_sim_inputs.cc
@@ -0,0 +1,129 @@
+// What tests do to a simulated deployment, and what they read from it.
+
+#include <algorithm>
+
+#include "cluster_sim.h"
+
+namespace bamboowing {
+namespace {
+
+std::string Describe(const run_record& run) {
+  const auto ms = [](instant at) { return std::to_string(at.time_since_epoch().count() / 1000); };
+  return "attempt " + std::to_string(run.key.attempt) + " on " + run.target + " from " + ms(run.from) + " to " +
+         ms(run.to);
+}
+
+}  // namespace
+
+std::size_t cluster_sim::Submit(std::size_t entry, const std::string& id, std::uint32_t tasks, int work_ms) {
+  sim_job submitted;
+  submitted.id = id;
+  submitted.call = jobs_.size() + 1;
+  submitted.entry = entry;
+  submitted.work_ms = work_ms;
+  submitted.sent = now_;
+  submitted.gone = !entries_[entry]->core;
+  jobs_.push_back(submitted);
+  best_effort_job job;
+  job.id = id;
+  job.payload = std::to_string(work_ms);
+  job_step step;
+  step.count = tasks;
+  step.need = {task_millicores, 64, 0};
+  step.estimate = std::chrono::milliseconds(work_ms);
+  job.steps.push_back(step);
+  queue_rule rule;
+  rule.name = "queue-" + id.substr(0, id.find_first_of("0123456789"));
+  rule.service = kSimService;
+  rule.max_attempts = 3;
+  rule.slack_factor = 1.6;
+  rule.target_latency = std::chrono::milliseconds(60);
+  ToEntry(entry, [=](dispatch_core& core) { core.OnSubmit(submitted.call, job, rule, now_); });
+  return jobs_.size() - 1;
+}
+
+void cluster_sim::LeaveCaller(std::size_t job) {
+  jobs_[job].gone = true;
+  ToEntry(jobs_[job].entry, [=](dispatch_core& core) { core.OnCallerGone(jobs_[job].call, now_); });
+}
+
+void cluster_sim::KillEntry(std::size_t entry, duration down) {
+  entries_[entry]->core.reset();
+  entries_[entry]->held.clear();
+  for (sim_job& job : jobs_) {
+    job.gone = job.gone || (job.entry == entry && !job.verdict);
+  }
+  for (std::size_t agent = 0; agent < agents_.size(); ++agent) {
+    CloseSession(entry, agent, false, cuts_[{entry, agent}] <= now_);
+  }
+  After(down, [this, entry] { StartEntry(entry); });
+}
+
+void cluster_sim::FreezeEntry(std::size_t entry, duration time) { entries_[entry]->frozen_until = now_ + time; }
+
+void cluster_sim::KillAgent(std::size_t agent, duration down) {
+  agents_[agent]->core.reset();
+  agents_[agent]->held.clear();
+  agents_[agent]->life = 0;
+  for (std::size_t entry = 0; entry < entries_.size(); ++entry) {
+    CloseSession(entry, agent, cuts_[{entry, agent}] <= now_, false);
+  }
+  After(down, [this, agent] { StartAgent(agent); });
+}
+
+void cluster_sim::FreezeAgent(std::size_t agent, duration time) { agents_[agent]->frozen_until = now_ + time; }
+
+void cluster_sim::Cut(std::size_t entry, std::size_t agent, duration time) { cuts_[{entry, agent}] = now_ + time; }
+
+void cluster_sim::ResetSession(std::size_t entry, std::size_t agent) { CloseSession(entry, agent, true, true); }
+
+void cluster_sim::CrashTarget(std::size_t target, duration down) {
+  agents_[target]->target->Restart(now_);
+  agents_[target]->target_down_until = now_ + down;
+}
+
+void cluster_sim::SilenceTarget(std::size_t target, duration time) {
+  agents_[target]->target_silent_until = now_ + time;
+}
+
+std::vector<std::string> cluster_sim::OverlappingRuns() const {
+  std::map<std::string, std::vector<const run_record*>> by_task;
+  for (const run_record& run : history_) {
+    by_task[run.task].push_back(&run);
+  }
+  std::vector<std::string> found;
+  for (std::pair<const std::string, std::vector<const run_record*>>& item : by_task) {
+    std::sort(item.second.begin(), item.second.end(),
+              [](const run_record* a, const run_record* b) { return a->from < b->from; });
+    for (std::size_t i = 1; i < item.second.size(); ++i) {
+      if (item.second[i]->from < item.second[i - 1]->to) {
+        found.push_back(item.first + ": " + Describe(*item.second[i - 1]) + " and " + Describe(*item.second[i]));
+      }
+    }
+  }
+  return found;
+}
+
+std::vector<std::string> cluster_sim::RefusedThatRan() const {
+  std::vector<std::string> found;
+  for (std::size_t i = 0; i < jobs_.size(); ++i) {
+    const sim_job& job = jobs_[i];
+    if (job.verdict != job_verdict::kRefused) {
+      continue;
+    }
+    // Runs before the submission belong to an earlier copy of the job, which got another answer or none.
+    instant next = instant::max();
+    for (std::size_t later = i + 1; later < jobs_.size(); ++later) {
+      next = jobs_[later].id == job.id ? std::min(next, jobs_[later].sent) : next;
+    }
+    const bool ran = std::any_of(history_.begin(), history_.end(), [&job, next](const run_record& run) {
+      return run.key.job_id == job.id && run.from >= job.sent && run.from < next;
+    });
+    if (ran) {
+      found.push_back(job.id);
+    }
+  }
+  return found;
+}
+
+}  // namespace bamboowing
