--- a/tests/besteffort/keeper_test.cc
+++ b/tests/besteffort/keeper_test.cc
@@ -278,5 +278,25 @@
   EXPECT_FALSE(keeper.accepting()) << "what runs there has to be looked at first";
 }
 
+// Guards against a run that is reported as lost while it goes on: a target that has started again under its id accepts
+// starts that were meant for its earlier life.
+TEST_F(keeper_rig, ARunThatTheNextLifeHasAcceptedIsStoppedBeforeItIsReported) {
+  run_orders orders;
+  orders.starts.push_back(Start("a"));
+  Order(orders);
+  keeper.OnStartAnswer(Taken<call_start>()[0].call, {order_result::kAccepted, target_time(3)}, now);
+  Step();
+  const std::vector<call_hold> holds = Taken<call_hold>();
+  ASSERT_FALSE(holds.empty());
+  hold_answer answer;
+  answer.result = order_result::kAccepted;
+  answer.born = 6;
+  answer.clock = target_time(5);
+  answer.running.push_back({"a", 0, 0, 1});
+  keeper.OnHoldAnswer(holds.back().call, answer, now);
+  Step();
+  EXPECT_TRUE(Ends().empty()) << "it runs in the next life";
+}
+
 }  // namespace
 }  // namespace bamboowing
