--- /dev/null
+++ b/tests/packaging/packaging_test.py
@@ -0,0 +1,147 @@
+#!/usr/bin/env python3
+"""Tests of the check of the build's packages, on made-up packages: no build, no look at this machine's packages."""
+
+import os
+import pathlib
+import sys
+import tempfile
+import unittest
+
+from package_audit import HEADER, LIBRARY, TOOL, UsedFile, audit, kind_of, outside_of
+from package_database import Package, closure, link_chain, parse_relation
+from traced_build import BuildRecord, read_trace
+
+PACKAGES = {
+    "libc6": Package(essential=True),
+    "g++": Package(depends=(("g++-12",),)),
+    "g++-12": Package(depends=(("libc6",), ("binutils",))),
+    "binutils": Package(depends=(("libc6",),)),
+    "cmake": Package(depends=(("libcurl4-gnutls", "libcurl4"),)),
+    "libcurl4": Package(),
+    "libjson-dev": Package(),
+    "libschema-dev": Package(depends=(("libjson-dev",),)),
+    "libfast-dev": Package(depends=(("libfast1",), ("libc-dev",))),
+    "libfast1": Package(),
+    "libc6-dev": Package(provides=("libc-dev",)),
+    "libmeta-dev": Package(depends=(("libmeta1.74-dev",),)),
+    "libmeta1.74-dev": Package(),
+    "llvm-plugin": Package(depends=(("libllvm",),)),
+    "libllvm": Package(),
+    "ccache": Package(),
+}
+LISTED = ["g++", "cmake", "libjson-dev", "libschema-dev", "libfast-dev", "libmeta-dev"]
+INCLUDED = {"json.hpp", "schema/schema.hpp", "fast.h", "meta/meta.hpp"}
+
+
+def used(path: str, kind: str, owner: str) -> UsedFile:
+    return UsedFile(path, kind, frozenset([owner]))
+
+
+USED = [
+    used("/usr/bin/g++", TOOL, "g++"),
+    used("/usr/bin/ld", TOOL, "binutils"),
+    used("/usr/bin/cmake", TOOL, "cmake"),
+    used("/usr/lib/libcurl.so.4", LIBRARY, "libcurl4"),
+    used("/usr/include/json.hpp", HEADER, "libjson-dev"),
+    used("/usr/include/schema/schema.hpp", HEADER, "libschema-dev"),
+    used("/usr/include/fast.h", HEADER, "libfast-dev"),
+    used("/usr/lib/libfast.so.1", LIBRARY, "libfast1"),
+    used("/usr/include/meta/meta.hpp", HEADER, "libmeta1.74-dev"),
+    used("/usr/include/stdio.h", HEADER, "libc6-dev"),
+]
+
+
+def audited(listed=LISTED, files=USED):
+    return [str(one) for one in audit(listed, INCLUDED, files, PACKAGES)]
+
+
+class Audit(unittest.TestCase):
+    def test_accepts_a_complete_list(self):
+        self.assertEqual(audited(), [])
+
+    def test_turns_red_for_each_package_taken_off_the_list(self):
+        """Guards against the fault of the third landing: headers came from a package that only the tests' list named."""
+        for name in LISTED:
+            with self.subTest(name):
+                self.assertNotEqual(audited([one for one in LISTED if one != name]), [])
+
+    def test_names_the_header_that_no_listed_package_brings(self):
+        findings = audited([one for one in LISTED if one != "libschema-dev"])
+        self.assertEqual(findings, ["libschema-dev: neither listed nor a dependency of a listed package: "
+                                    "header /usr/include/schema/schema.hpp"])
+
+    def test_names_the_library_that_no_listed_package_brings(self):
+        findings = audited([one for one in LISTED if one != "libfast-dev"])
+        self.assertIn("libfast1: neither listed nor a dependency of a listed package: library /usr/lib/libfast.so.1", findings)
+
+    def test_names_the_tool_that_no_listed_package_brings(self):
+        """Guards against a tool that is used where it is found, such as a compiler cache."""
+        findings = audited(files=[*USED, used("/usr/bin/ccache", TOOL, "ccache")])
+        self.assertEqual(findings, ["ccache: neither listed nor a dependency of a listed package: tool /usr/bin/ccache"])
+
+    def test_a_package_that_our_sources_include_must_be_listed_itself(self):
+        """Guards against a header that is there only as long as another package depends on its package."""
+        findings = audited([one for one in LISTED if one != "libjson-dev"])
+        self.assertEqual(findings, ["libjson-dev: included by our sources, but not listed itself: header /usr/include/json.hpp"])
+
+    def test_a_file_of_no_package_is_a_finding(self):
+        """Guards against headers and libraries that somebody installed by hand."""
+        findings = audited(files=[*USED, UsedFile("/usr/local/include/own.h", HEADER, frozenset())])
+        self.assertEqual(findings, ["no package: neither listed nor a dependency of a listed package: "
+                                    "header /usr/local/include/own.h"])
+
+    def test_a_listed_package_without_use_is_a_finding(self):
+        self.assertEqual(audited([*LISTED, "ccache"]), ["ccache: listed, but the build uses nothing of it"])
+
+    def test_excuses_libraries_of_linker_plugins_and_nothing_else_of_them(self):
+        files = [used("/usr/lib/bfd-plugins/plugin.so", LIBRARY, "llvm-plugin"), used("/usr/lib/libllvm.so", LIBRARY, "libllvm")]
+        self.assertEqual(outside_of(LISTED, [*USED, *files], PACKAGES), [])
+        header = used("/usr/include/llvm.h", HEADER, "libllvm")
+        self.assertEqual(len(outside_of(LISTED, [*USED, *files, header], PACKAGES)), 1)
+
+    def test_tells_kinds_apart(self):
+        self.assertEqual(kind_of("/usr/bin/ld", {"/usr/bin/ld"}), TOOL)
+        self.assertEqual(kind_of("/usr/lib/libssl.so.3", set()), LIBRARY)
+        self.assertEqual(kind_of("/usr/include/c++/12/string", set()), HEADER)
+
+
+class Closure(unittest.TestCase):
+    def test_holds_essential_listed_and_their_dependencies(self):
+        self.assertEqual(closure(["g++"], PACKAGES), {"libc6", "g++", "g++-12", "binutils"})
+
+    def test_takes_the_first_alternative_that_is_installed(self):
+        self.assertIn("libcurl4", closure(["cmake"], PACKAGES))
+
+    def test_follows_virtual_packages(self):
+        self.assertIn("libc6-dev", closure(["libfast-dev"], PACKAGES))
+
+    def test_parses_versions_architectures_and_alternatives(self):
+        self.assertEqual(parse_relation("a (>= 1.2), b:any | c (= 3), "), (("a",), ("b", "c")))
+        self.assertEqual(parse_relation(""), ())
+
+
+class Trace(unittest.TestCase):
+    def test_reads_opened_files_tools_and_connections(self):
+        with tempfile.TemporaryDirectory(dir=pathlib.Path(__file__).parent) as directory:
+            header = pathlib.Path(directory) / "own.h"
+            header.touch()
+            record = BuildRecord()
+            read_trace([f'openat(AT_FDCWD<{directory}>, "own.h", O_RDONLY) = 3<{header}>',
+                        f'openat(AT_FDCWD</elsewhere>, "{directory}/missing.h", O_RDONLY) = 3',
+                        f'execve("{sys.executable}", ["python3"], 0x7 /* 3 vars */) = 0',
+                        'connect(3<socket:[1]>, {sa_family=AF_INET, sin_port=htons(80)}, 16) = -1 EINPROGRESS'], record)
+        self.assertEqual(record.read, {str(header)})
+        self.assertEqual(record.executed, {sys.executable})
+        self.assertEqual(len(record.connections), 1)
+
+    def test_follows_the_link_of_a_development_package_to_the_library(self):
+        with tempfile.TemporaryDirectory() as directory:
+            library = pathlib.Path(os.path.realpath(directory)) / "libone.so.1"
+            library.touch()
+            link = library.with_name("libone.so")
+            link.symlink_to(library.name)
+            self.assertEqual(link_chain(str(link)), [str(link), str(library)])
+
+
+if __name__ == "__main__":
+    unittest.main()
