--- a/tests/packaging/packaging_test.py
+++ b/tests/packaging/packaging_test.py
@@ -3,13 +3,15 @@
 
 import os
 import pathlib
+import re
+import subprocess
 import sys
 import tempfile
 import unittest
 
 from package_audit import HEADER, LIBRARY, TOOL, UsedFile, audit, kind_of, outside_of
 from package_database import Package, closure, link_chain, parse_relation
-from traced_build import BuildRecord, read_trace
+from traced_build import ROOT, BuildRecord, deploy_settings, read_trace
 
 PACKAGES = {
     "libc6": Package(essential=True),
@@ -143,5 +145,20 @@
             self.assertEqual(link_chain(str(link)), [str(link), str(library)])
 
 
+class Lists(unittest.TestCase):
+    def test_scripts_name_no_package_of_the_build(self):
+        """Guards against a second list that drifts from the one that the users' machines get."""
+        for name in ("check_tools.txt", "tools.txt"):
+            own = (ROOT / "tests/packaging" / name).read_text().split()
+            self.assertEqual(set(own) & set(deploy_settings()["packages"]), set())
+        script = (ROOT / "scripts/packages").read_text()
+        named = [name for name in deploy_settings()["packages"] if re.search(rf"\b{re.escape(name)}(?![\w-])", script)]
+        self.assertEqual(named, [])
+
+    def test_the_script_reads_the_list_of_the_build(self):
+        shown = subprocess.run([ROOT / "scripts/packages", "--print", "build"], check=True, capture_output=True, text=True).stdout
+        self.assertEqual(shown.split(), deploy_settings()["packages"])
+
+
 if __name__ == "__main__":
     unittest.main()
