Ignore a late answer to a stop that was sent to an earlier target

A target that had just announced itself would be taken as gone for up to 1.5 s, until its next heartbeat, and its waiting starts refused.

Cause: run_keeper::OnStopAnswer took "another life" or "nothing listens" as a statement on the present target before it looked whether the stop belongs to it.

Evidence: ALateAnswerOfTheEarlierTargetSaysNothingOfTheNewOne fails without the change and passes with it. Answers to stops of an earlier target are dropped now, as those to starts and holds already were.

--- a/src/besteffort/run_keeper.cc
+++ b/src/besteffort/run_keeper.cc
@@ -214,6 +214,9 @@
 
 void run_keeper::OnStopAnswer(std::uint64_t call, const order_answer& answer, instant now) {
   const std::map<std::uint64_t, run_key>::node_type known = stop_calls_.extract(call);
+  if (known.empty()) {
+    return;
+  }
   TakeAnswer(answer, now);
   if (answer.result == order_result::kFenced) {
     RaiseToken();
@@ -222,7 +225,7 @@
     ForgetTarget("a stop met no target", now);
     return;
   }
-  const run_map::iterator run = known.empty() ? runs_.end() : runs_.find(known.mapped());
+  const run_map::iterator run = runs_.find(known.mapped());
   if (run == runs_.end() || run->second.state != run_state::kStopping) {
     return;
   }
--- a/tests/besteffort/keeper_test.cc
+++ b/tests/besteffort/keeper_test.cc
@@ -13,10 +13,7 @@
   keeper_rig() : keeper(Settings(), 1, now) {
     const entry_place entry{kEntry, "zone", false};
     keeper.OnEntries({&entry, 1}, now);
-    target_description target;
-    target.service = "inspect";
-    target.capacity = {4000, 4096, 0};
-    keeper.OnTarget({"minion", 5}, target, target_time(1000), now);
+    keeper.OnTarget({"minion", 5}, Description(), target_time(1000), now);
     Step();
     AnswerHolds({});
     // The first attempt to connect comes after a pause with jitter.
@@ -38,6 +35,13 @@
     return settings;
   }
 
+  static target_description Description() {
+    target_description target;
+    target.service = "inspect";
+    target.capacity = {4000, 4096, 0};
+    return target;
+  }
+
   void Step() {
     keeper.Advance(now);
     for (const run_action& action : keeper.actions()) {
@@ -75,6 +79,25 @@
     Step();
   }
 
+  /// Answers the newest hold in the name of the life @p born.
+  void AnswerNewestHold(std::uint64_t born, hold_answer answer) {
+    ASSERT_TRUE(HasAction<call_hold>());
+    answer.result = order_result::kAccepted;
+    answer.clock = target_time(1000);
+    answer.born = born;
+    keeper.OnHoldAnswer(Taken<call_hold>().back().call, answer, now);
+    Step();
+  }
+
+  /// Starts a run that the target accepts.
+  void StartAccepted(const std::string& job) {
+    run_orders orders;
+    orders.starts.push_back(Start(job));
+    Order(orders);
+    keeper.OnStartAnswer(Taken<call_start>().back().call, {order_result::kAccepted, target_time(1001)}, now);
+    Step();
+  }
+
   void Order(const run_orders& orders) {
     entry_batch batch;
     batch.header.sender = "entry";
@@ -264,14 +287,8 @@
 
 // Guards against runs that are counted as going on after the target's process has started again under its id.
 TEST_F(keeper_rig, AllRunsEndWithTheLifeOfTheTarget) {
-  run_orders orders;
-  orders.starts.push_back(Start("a"));
-  Order(orders);
-  keeper.OnStartAnswer(Taken<call_start>()[0].call, {order_result::kAccepted, target_time(1001)}, now);
-  target_description target;
-  target.service = "inspect";
-  target.capacity = {4000, 4096, 0};
-  keeper.OnTarget({"minion", 6}, target, target_time(10), now);
+  StartAccepted("a");
+  keeper.OnTarget({"minion", 6}, Description(), target_time(10), now);
   Step();
   ASSERT_EQ(Ends().size(), 1U);
   EXPECT_EQ(Ends()[0].outcome, run_outcome::kLost);
@@ -298,5 +315,21 @@
   EXPECT_TRUE(Ends().empty()) << "it runs in the next life";
 }
 
+// Guards against a new target that is forgotten because an order to the earlier one is answered late.
+TEST_F(keeper_rig, ALateAnswerOfTheEarlierTargetSaysNothingOfTheNewOne) {
+  StartAccepted("a");
+  run_orders stop;
+  stop.stops.push_back({"a", 0, 0, 1});
+  Order(stop);
+  ASSERT_EQ(Taken<call_stop>().size(), 1U);
+  keeper.OnTarget({"other", 7}, Description(), target_time(10), now);
+  Step();
+  AnswerNewestHold(7, {});
+  ASSERT_TRUE(keeper.accepting());
+  keeper.OnStopAnswer(Taken<call_stop>()[0].call, {order_result::kOtherLife, std::nullopt}, now);
+  Step();
+  EXPECT_TRUE(keeper.accepting());
+}
+
 }  // namespace
 }  // namespace bamboowing
