Let the list of a restarted target decide what became of its runs

Cause: a target that starts again under its id accepts starts that were sent to its earlier life. When the agent learned of the next life, it reported every run as lost, and the entry started these tasks elsewhere.

Change: run_keeper tells three cases apart. - Another id is there: an order for the earlier id is refused, all runs are over. - Nothing listens: runs that the target had accepted before the refused order was sent are over; starts that are under way are kept until their answer, the next life or the bound of their lease. - The same id has started again: its list of runs decides. A run on the list goes on, one that was accepted before the list was made and is not on it is over, and an unanswered start is forbidden there before it is reported.

AllRunsEndWithTheLifeOfTheTarget expected the runs to be reported as lost at the announcement of the next life; that expectation was the fault. It now expects the report after the first list of the next life, and no start before it.

--- a/include/bamboowing/besteffort/run_keeper.h
+++ b/include/bamboowing/besteffort/run_keeper.h
@@ -125,7 +125,7 @@
   /// What the agent knows of its target.
   enum class phase : std::uint8_t {
     kUnknown,    ///< no announcement yet, or the target has left
-    kSurveying,  ///< runs of an earlier agent may be there; nothing is started and no lease renewed
+    kSurveying,  ///< it is not known what runs there; nothing is started and no lease renewed
     kServing,
   };
 
@@ -142,7 +142,7 @@
     std::string owner;  ///< address of the entry
     run_state state = run_state::kWaiting;
     instant since;                       ///< when the state began
-    instant started;                     ///< when the target is known to have it
+    instant started;                     ///< when the target was first known to have accepted it
     std::optional<instant> stop_sent;    ///< newest stop
     std::optional<instant> stop_agreed;  ///< when the target accepted a stop
   };
@@ -163,6 +163,11 @@
   };
 
   using run_map = std::map<run_key, kept_run>;
+  /// A start or stop that has not been answered.
+  struct pending_order {
+    run_key key;
+    instant sent;
+  };
   struct pending_hold {
     instant sent;
     bool waits = false;
@@ -173,12 +178,23 @@
   order_context Context() const { return {life_.id, token_}; }
   std::optional<target_time> LeaseEnd(instant now) const;
   void SampleClock(const std::optional<target_time>& clock, instant now);
+  void TakeStartAnswer(run_map::iterator run, order_result result, instant now);
   void TakeAnswer(const order_answer& answer, instant now);
   void NoteOrder(instant now);
   void NoteAnswer(instant now);
   void RaiseToken();
-  void ForgetTarget(const std::string& why, instant now);
+  /// Another life with another id is there, so nothing of the earlier one goes on.
+  void ReplaceTarget(const std::string& why, instant now);
+  /// Nothing listened when an order was sent at @p refused_at. The target may come back under its id and then accept a
+  /// start that is under way, so only runs that it had accepted before are certain to be over.
+  void LoseTarget(const std::string& why, instant refused_at, instant now);
+  /// The target has started again under its id. What it had may be over, and starts that are under way may be accepted
+  /// by the new life: its list of runs decides.
+  void BeginNextLife(const target_life& life, instant now);
   void BeginSurvey();
+  /// Ends the waiting runs and tells all entries that the target takes no starts.
+  void SuspendAdmission(instant now);
+  bool KnowsAll(span<const run_key> listed) const;
   void Admit(const std::string& entry, const run_start& start, instant now);
   void EndRun(run_map::iterator run, run_outcome outcome, instant now);
   void EndAll(run_outcome outcome, instant now);
@@ -191,6 +207,7 @@
   void RepeatStops(instant now);
   void ScheduleHold(instant now);
   void SendHold(duration wait, instant now);
+  instant LeaseBound() const;
   void CheckLeaseBound(instant now);
   void TakeEnds(const hold_answer& answer, instant now);
   void TakeRunning(const hold_answer& answer, instant sent, instant now);
@@ -226,6 +243,7 @@
   phase phase_ = phase::kUnknown;
   target_life life_;
   target_description target_;
+  bool described_ = false;  ///< whether target_ is what this life said of itself
   std::uint64_t token_ = 0;
   std::uint64_t token_step_ = 1;
   std::optional<target_time> clock_;  ///< newest sample of the target's clock
@@ -241,8 +259,8 @@
   bool draining_ = false;
 
   std::uint64_t last_call_ = 0;
-  std::map<std::uint64_t, run_key> start_calls_;
-  std::map<std::uint64_t, run_key> stop_calls_;
+  std::map<std::uint64_t, pending_order> start_calls_;
+  std::map<std::uint64_t, pending_order> stop_calls_;
   std::map<std::uint64_t, pending_hold> holds_;
   bool look_now_ = false;  ///< a hold without a wait is needed
   instant last_now_;
--- a/src/besteffort/run_keeper.cc
+++ b/src/besteffort/run_keeper.cc
@@ -135,7 +135,7 @@
     AddTo(at_target_, run.start.need);
     run.state = run_state::kOrdered;
     run.since = now;
-    start_calls_.emplace(++last_call_, key);
+    start_calls_.emplace(++last_call_, pending_order{key, now});
     actions_.emplace_back(call_start{last_call_, {Context(), key, std::move(run.start.payload), *lease_end}});
     run.start.payload.clear();
     leased_at_ = now;
@@ -144,17 +144,27 @@
 }
 
 void run_keeper::OnStartAnswer(std::uint64_t call, const order_answer& answer, instant now) {
-  const std::map<std::uint64_t, run_key>::node_type known = start_calls_.extract(call);
+  const std::map<std::uint64_t, pending_order>::node_type known = start_calls_.extract(call);
+  if (known.empty()) {
+    return;
+  }
   TakeAnswer(answer, now);
   if (answer.result == order_result::kFenced) {
     RaiseToken();
   }
-  const run_map::iterator run = known.empty() ? runs_.end() : runs_.find(known.mapped());
-  if (run == runs_.end()) {
-    return;
+  if (const run_map::iterator run = runs_.find(known.mapped().key); run != runs_.end()) {
+    TakeStartAnswer(run, answer.result, now);
+  }
+  if (answer.result == order_result::kOtherLife) {
+    ReplaceTarget("a start met another life", now);
+  } else if (answer.result == order_result::kNotThere) {
+    LoseTarget("a start met no target", known.mapped().sent, now);
   }
+}
+
+void run_keeper::TakeStartAnswer(run_map::iterator run, order_result result, instant now) {
   kept_run& ordered = run->second;
-  switch (answer.result) {
+  switch (result) {
     case order_result::kAccepted:
       ordered.started = ordered.started == instant{} ? now : ordered.started;
       if (ordered.state == run_state::kOrdered || ordered.state == run_state::kDoubtful) {
@@ -172,10 +182,10 @@
       return;
     case order_result::kOtherLife:
     case order_result::kNotThere:
-      ForgetTarget("a start met no target", now);
+      EndRun(run, run_outcome::kLost, now);
       return;
     default:
-      EndRun(run, OutcomeOfRefusal(answer.result), now);
+      EndRun(run, OutcomeOfRefusal(result), now);
   }
 }
 
@@ -198,11 +208,14 @@
 
 void run_keeper::SendStop(const run_key& key, instant now) {
   NoteOrder(now);
-  stop_calls_.emplace(++last_call_, key);
+  stop_calls_.emplace(++last_call_, pending_order{key, now});
   actions_.emplace_back(call_stop{last_call_, {Context(), key}});
 }
 
 void run_keeper::RepeatStops(instant now) {
+  if (phase_ == phase::kUnknown) {
+    return;
+  }
   for (std::pair<const run_key, kept_run>& item : runs_) {
     kept_run& run = item.second;
     if (run.state == run_state::kStopping && !run.stop_agreed && now - *run.stop_sent >= settings_.stop_retry) {
@@ -213,7 +226,7 @@
 }
 
 void run_keeper::OnStopAnswer(std::uint64_t call, const order_answer& answer, instant now) {
-  const std::map<std::uint64_t, run_key>::node_type known = stop_calls_.extract(call);
+  const std::map<std::uint64_t, pending_order>::node_type known = stop_calls_.extract(call);
   if (known.empty()) {
     return;
   }
@@ -221,11 +234,15 @@
   if (answer.result == order_result::kFenced) {
     RaiseToken();
   }
-  if (answer.result == order_result::kOtherLife || answer.result == order_result::kNotThere) {
-    ForgetTarget("a stop met no target", now);
+  if (answer.result == order_result::kOtherLife) {
+    ReplaceTarget("a stop met another life", now);
+    return;
+  }
+  if (answer.result == order_result::kNotThere) {
+    LoseTarget("a stop met no target", known.mapped().sent, now);
     return;
   }
-  const run_map::iterator run = runs_.find(known.mapped());
+  const run_map::iterator run = runs_.find(known.mapped().key);
   if (run == runs_.end() || run->second.state != run_state::kStopping) {
     return;
   }
--- a/src/besteffort/run_keeper_target.cc
+++ b/src/besteffort/run_keeper_target.cc
@@ -22,19 +22,20 @@
 void run_keeper::OnTarget(const target_life& life, const target_description& target, std::optional<target_time> clock,
                           instant now) {
   const bool other_life = life != life_;
-  if (other_life) {
-    if (!life_.id.empty()) {
-      ForgetTarget("another life announced itself", now);
-    }
+  const bool was_unknown = phase_ == phase::kUnknown;
+  if (other_life && life.id == life_.id) {
+    BeginNextLife(life, now);
+  } else if (other_life) {
+    ReplaceTarget("another life announced itself", now);
     life_ = life;
-    clock_.reset();
   }
-  const bool changed = other_life || phase_ == phase::kUnknown || target.draining != target_.draining ||
+  described_ = true;
+  const bool changed = other_life || was_unknown || target.draining != target_.draining ||
                        !(target.capacity == target_.capacity) || target.labels != target_.labels ||
                        target.service != target_.service;
   target_ = target;
   SampleClock(clock, now);
-  if (phase_ == phase::kUnknown) {
+  if (other_life || was_unknown) {
     BeginSurvey();
     Note("target_known", "", "target " + life.id + ", service " + target.service);
   } else if (changed) {
@@ -49,24 +50,61 @@
 
 void run_keeper::OnTargetLeft(const std::string& id, instant now) {
   if (id == life_.id) {
-    ForgetTarget("the target has left", now);
+    LoseTarget("the target has left", now, now);
   }
 }
 
-void run_keeper::ForgetTarget(const std::string& why, instant now) {
-  if (phase_ == phase::kUnknown) {
+void run_keeper::ReplaceTarget(const std::string& why, instant now) {
+  if (life_.id.empty()) {
     return;
   }
   Note("target_lost", "", "target " + life_.id + ", " + why + ", runs " + std::to_string(runs_.size()));
   phase_ = phase::kUnknown;
   EndAll(run_outcome::kLost, now);
   life_ = {};
+  clock_.reset();
+  start_calls_.clear();
+  SuspendAdmission(now);
+}
+
+void run_keeper::LoseTarget(const std::string& why, instant refused_at, instant now) {
+  if (phase_ == phase::kUnknown) {
+    return;
+  }
+  Note("target_lost", "", "target " + life_.id + ", " + why + ", runs " + std::to_string(runs_.size()));
+  phase_ = phase::kUnknown;
+  SuspendAdmission(now);
+  for (run_map::iterator run = runs_.begin(); run != runs_.end();) {
+    const run_map::iterator ending = run++;
+    if (ending->second.started != instant{} && ending->second.started <= refused_at) {
+      EndRun(ending, run_outcome::kLost, now);
+    }
+  }
+}
+
+void run_keeper::BeginNextLife(const target_life& life, instant now) {
+  Note("target_restarted", "", "target " + life.id + ", runs " + std::to_string(runs_.size()));
+  life_ = life;
+  clock_.reset();
+  described_ = false;
+  SuspendAdmission(now);
+  for (std::pair<const run_key, kept_run>& run : runs_) {
+    // The new life knows nothing of a stop that the earlier one has accepted.
+    run.second.stop_agreed.reset();
+  }
+  BeginSurvey();
+}
+
+void run_keeper::SuspendAdmission(instant now) {
   unanswered_since_.reset();
   holds_.clear();
-  start_calls_.clear();
   stop_calls_.clear();
-  last_listed_ = 0;
-  acknowledged_ = 0;
+  for (const run_key& key : std::exchange(waiting_, {})) {
+    const run_map::iterator run = runs_.find(key);
+    if (run != runs_.end() && run->second.state == run_state::kWaiting) {
+      EndRun(run, run_outcome::kUnavailable, now);
+    }
+  }
   for (std::pair<const std::string, owner>& to : owners_) {
     to.second.target_changed = true;
   }
@@ -120,14 +158,15 @@
   return at_target_.cpu_millicores > 0 || at_target_.memory_mb > 0 || at_target_.accelerators > 0;
 }
 
-void run_keeper::CheckLeaseBound(instant now) {
-  if (phase_ != phase::kServing || !AnythingThere()) {
-    return;
-  }
+instant run_keeper::LeaseBound() const {
   // Without an answer for this long the lease has run out at the target even if every order arrived late.
   const duration lease(
       static_cast<std::int64_t>(static_cast<double>(settings_.lease.count()) * (1 + 2 * settings_.clock_drift)));
-  if (now - leased_at_ >= lease + kOrderDelay) {
+  return leased_at_ + lease + kOrderDelay;
+}
+
+void run_keeper::CheckLeaseBound(instant now) {
+  if (AnythingThere() && now >= LeaseBound()) {
     for (run_map::iterator run = runs_.begin(); run != runs_.end();) {
       const run_map::iterator ending = run++;
       if (ending->second.state != run_state::kWaiting) {
@@ -135,7 +174,9 @@
       }
     }
     Note("lease_lapsed", "", "the target did not answer");
-    BeginSurvey();
+    if (phase_ == phase::kServing) {
+      BeginSurvey();
+    }
     for (std::pair<const std::string, owner>& to : owners_) {
       to.second.target_changed = true;
     }
@@ -202,8 +243,10 @@
       RaiseToken();
       return;
     case order_result::kOtherLife:
+      ReplaceTarget("a hold met another life", now);
+      return;
     case order_result::kNotThere:
-      ForgetTarget("a hold met no target", now);
+      LoseTarget("a hold met no target", known.mapped().sent, now);
       return;
     default:
       look_now_ = true;
@@ -211,13 +254,14 @@
   }
   NoteAnswer(now);
   if (answer.born && life_.born != 0 && *answer.born != life_.born) {
-    ForgetTarget("the target has started again", now);
-    return;
+    BeginNextLife({life_.id, *answer.born}, now);
+    SampleClock(answer.clock, now);
+  } else {
+    acknowledged_ = std::max(acknowledged_, known.mapped().acknowledged);
   }
-  acknowledged_ = std::max(acknowledged_, known.mapped().acknowledged);
   TakeEnds(answer, now);
   TakeRunning(answer, known.mapped().sent, now);
-  if (phase_ == phase::kSurveying && answer.running.empty() && clock_) {
+  if (phase_ == phase::kSurveying && described_ && clock_ && KnowsAll(answer.running)) {
     phase_ = phase::kServing;
     Note("target_usable", "", "target " + life_.id);
     for (std::pair<const std::string, owner>& to : owners_) {
@@ -226,6 +270,10 @@
   }
 }
 
+bool run_keeper::KnowsAll(span<const run_key> listed) const {
+  return std::all_of(listed.begin(), listed.end(), [this](const run_key& key) { return runs_.count(key) != 0; });
+}
+
 void run_keeper::TakeEnds(const hold_answer& answer, instant now) {
   for (const listed_end& end : answer.ended) {
     if (end.number <= last_listed_) {
@@ -282,6 +330,12 @@
 
 void run_keeper::SettleAbsent(run_map::iterator run, instant sent, instant now) {
   kept_run& absent = run->second;
+  // Only the runs of an earlier life are kept in a survey. One that was accepted before the list was made, and isn't on
+  // it, has ended with that life.
+  if (phase_ == phase::kSurveying && absent.started != instant{} && sent >= absent.started) {
+    EndRun(run, run_outcome::kLost, now);
+    return;
+  }
   switch (absent.state) {
     case run_state::kDoubtful:
       if (sent >= absent.since) {
@@ -312,7 +366,10 @@
   if (phase_ == phase::kSurveying && holds_.empty()) {
     next = std::min(next, survey_due_);
   }
-  if (AnythingThere() || !TargetAnswers(last_now_)) {
+  if (AnythingThere()) {
+    next = std::min(next, LeaseBound());
+  }
+  if (phase_ == phase::kServing && (AnythingThere() || !TargetAnswers(last_now_))) {
     next = std::min(next, std::max(leased_at_ + settings_.renew_after, looked_at_ + settings_.look_interval));
     next = std::min(next, last_now_ + settings_.stop_retry);
   }
--- a/tests/besteffort/keeper_test.cc
+++ b/tests/besteffort/keeper_test.cc
@@ -290,9 +290,11 @@
   StartAccepted("a");
   keeper.OnTarget({"minion", 6}, Description(), target_time(10), now);
   Step();
+  EXPECT_FALSE(keeper.accepting()) << "what runs there has to be looked at first";
+  AnswerNewestHold(6, {});
   ASSERT_EQ(Ends().size(), 1U);
   EXPECT_EQ(Ends()[0].outcome, run_outcome::kLost);
-  EXPECT_FALSE(keeper.accepting()) << "what runs there has to be looked at first";
+  EXPECT_TRUE(keeper.accepting());
 }
 
 // Guards against a run that is reported as lost while it goes on: a target that has started again under its id accepts
@@ -315,6 +317,97 @@
   EXPECT_TRUE(Ends().empty()) << "it runs in the next life";
 }
 
+// The same, when the target's announcement is what tells of the next life. The run is its entry's: it goes on.
+TEST_F(keeper_rig, ARunThatTheNextLifeHasAcceptedGoesOnUntilItsEnd) {
+  StartAccepted("a");
+  keeper.OnTarget({"minion", 6}, Description(), target_time(10), now);
+  Step();
+  EXPECT_TRUE(Ends().empty());
+  hold_answer answer;
+  answer.running.push_back({"a", 0, 0, 1});
+  AnswerNewestHold(6, answer);
+  EXPECT_TRUE(Ends().empty());
+  EXPECT_TRUE(keeper.accepting());
+  now += std::chrono::milliseconds(50);
+  Step();
+  answer.running.clear();
+  answer.ended.push_back({1, {"a", 0, 0, 1}, listed_outcome::kDone});
+  AnswerNewestHold(6, answer);
+  ASSERT_EQ(Ends().size(), 1U);
+  EXPECT_EQ(Ends()[0].outcome, run_outcome::kDone);
+}
+
+// Guards against a start that is carried out by the next life after it was reported as lost.
+TEST_F(keeper_rig, AnUnansweredStartIsForbiddenInTheNextLifeBeforeItIsReported) {
+  run_orders orders;
+  orders.starts.push_back(Start("a"));
+  Order(orders);
+  const call_start start = Taken<call_start>()[0];
+  keeper.OnTarget({"minion", 6}, Description(), target_time(10), now);
+  Step();
+  AnswerNewestHold(6, {});
+  EXPECT_TRUE(Ends().empty());
+  keeper.OnStartAnswer(start.call, {order_result::kNoAnswer, std::nullopt}, now);
+  Step();
+  AnswerNewestHold(6, {});
+  ASSERT_EQ(Taken<call_stop>().size(), 1U);
+  EXPECT_TRUE(Ends().empty());
+  keeper.OnStopAnswer(Taken<call_stop>()[0].call, {order_result::kAccepted, target_time(60)}, now);
+  Step();
+  AnswerNewestHold(6, {});
+  ASSERT_EQ(Ends().size(), 1U);
+  EXPECT_EQ(Ends()[0].outcome, run_outcome::kStopped);
+}
+
+// Guards against a stop that the earlier life has accepted, taken as one that binds the next.
+TEST_F(keeper_rig, AStopIsRepeatedInTheNextLife) {
+  run_orders orders;
+  orders.starts.push_back(Start("a"));
+  Order(orders);
+  run_orders stop;
+  stop.stops.push_back({"a", 0, 0, 1});
+  Order(stop);
+  ASSERT_EQ(Taken<call_stop>().size(), 1U);
+  keeper.OnStopAnswer(Taken<call_stop>()[0].call, {order_result::kAccepted, target_time(1001)}, now);
+  Step();
+  keeper.OnTarget({"minion", 6}, Description(), target_time(10), now);
+  now += Settings().stop_retry;
+  Step();
+  AnswerNewestHold(6, {});
+  EXPECT_TRUE(Ends().empty()) << "the start may still arrive";
+  EXPECT_EQ(Taken<call_stop>().size(), 2U);
+}
+
+// Guards against a second spent on runs of a target that has crashed: what it had accepted is over.
+TEST_F(keeper_rig, ARefusedConnectionEndsWhatWasAcceptedBefore) {
+  StartAccepted("a");
+  now += std::chrono::milliseconds(5);
+  run_orders orders;
+  orders.starts = {Start("b")};
+  orders.starts[0].need = {500, 64, 0};
+  Order(orders);
+  keeper.OnStartAnswer(Taken<call_start>().back().call, {order_result::kNotThere, std::nullopt}, now);
+  Step();
+  ASSERT_EQ(Ends().size(), 2U);
+  EXPECT_EQ(Ends()[0].outcome, run_outcome::kLost);
+  EXPECT_EQ(Ends()[1].outcome, run_outcome::kLost);
+  EXPECT_FALSE(keeper.accepting());
+}
+
+// Guards against runs that nobody reports when the target crashes while their start is under way and stays away.
+TEST_F(keeper_rig, AStartUnderWayToALostTargetEndsWithItsLease) {
+  run_orders orders;
+  orders.starts.push_back(Start("a"));
+  Order(orders);
+  keeper.OnTargetLeft("minion", now);
+  Step();
+  EXPECT_TRUE(Ends().empty()) << "the target may come back under its id before the start arrives";
+  now += std::chrono::milliseconds(1100);
+  Step();
+  ASSERT_EQ(Ends().size(), 1U);
+  EXPECT_EQ(Ends()[0].outcome, run_outcome::kLost);
+}
+
 // Guards against a new target that is forgotten because an order to the earlier one is answered late.
 TEST_F(keeper_rig, ALateAnswerOfTheEarlierTargetSaysNothingOfTheNewOne) {
   StartAccepted("a");
