Send a start that gets no answer again before giving it up

Change: the agent sends the same start again 12 and 24 ms after the first. The target takes it for the same run, so this is safe: a start that is there already is accepted, and one that comes after the end is refused as stale. When a repeated start is refused, an earlier one may still be carried out, so the run is forbidden before it is reported; when it is stale, the end that the target lists counts.

Tests: four of keeper_rig and one of load fail without the change.

--- a/include/bamboowing/besteffort/run_keeper.h
+++ b/include/bamboowing/besteffort/run_keeper.h
@@ -27,8 +27,11 @@
   duration hold_wait{200'000};    ///< how long the target may wait for an end before it answers
   /// A target that answers nothing while an order has been waiting for this long gets no starts and no renewals.
   duration silent_after{120'000};
-  duration look_interval{50'000};   ///< pause between looks at a target that is silent
-  duration stop_retry{60'000};      ///< pause between repeated stops of the same run
+  duration look_interval{50'000};  ///< pause between looks at a target that is silent
+  duration stop_retry{60'000};     ///< pause between repeated stops of the same run
+  /// A start that has no answer after this time is sent again. The target takes the second as the first.
+  duration start_retry{12'000};
+  std::uint32_t most_starts = 3;    ///< orders to start one run, the first included
   duration owner_timeout{700'000};  ///< runs of an entry that has not been heard for this long are stopped
   /// A start is refused when its entry answers only reports that are this old. Heartbeats and a slow processor must
   /// fit.
@@ -142,6 +145,8 @@
     std::string owner;  ///< address of the entry
     run_state state = run_state::kWaiting;
     instant since;                       ///< when the state began
+    std::uint32_t starts_sent = 0;       ///< orders to start it
+    instant start_sent;                  ///< when the newest of them was sent
     instant started;                     ///< when the target was first known to have accepted it
     std::optional<instant> stop_sent;    ///< newest stop
     std::optional<instant> stop_agreed;  ///< when the target accepted a stop
@@ -179,6 +184,8 @@
   std::optional<target_time> LeaseEnd(instant now) const;
   void SampleClock(const std::optional<target_time>& clock, instant now);
   void TakeStartAnswer(run_map::iterator run, order_result result, instant now);
+  static void NoteStarted(kept_run& run, instant now);
+  void TakeUnansweredStart(run_map::iterator run, instant now);
   void TakeAnswer(const order_answer& answer, instant now);
   void NoteOrder(instant now);
   void NoteAnswer(instant now);
@@ -204,6 +211,9 @@
   void ExpireOwners(instant now);
   void ExpireWaiting(instant now);
   void StartWaiting(instant now);
+  void SendStart(const run_key& key, kept_run& run, target_time lease_end, instant now);
+  void RepeatStarts(instant now);
+  bool MayRepeatStart(const kept_run& run) const;
   void RepeatStops(instant now);
   void ScheduleHold(instant now);
   void SendHold(duration wait, instant now);
--- a/src/besteffort/run_keeper.cc
+++ b/src/besteffort/run_keeper.cc
@@ -13,6 +13,8 @@
     case order_result::kStaleAttempt:
       return run_outcome::kStaleAttempt;
     case order_result::kTooLate:
+    case order_result::kOtherLife:
+    case order_result::kNotThere:
       return run_outcome::kLost;
     default:
       return run_outcome::kUnavailable;
@@ -135,11 +137,34 @@
     AddTo(at_target_, run.start.need);
     run.state = run_state::kOrdered;
     run.since = now;
-    start_calls_.emplace(++last_call_, pending_order{key, now});
-    actions_.emplace_back(call_start{last_call_, {Context(), key, std::move(run.start.payload), *lease_end}});
-    run.start.payload.clear();
-    leased_at_ = now;
-    NoteOrder(now);
+    SendStart(key, run, *lease_end, now);
+  }
+}
+
+void run_keeper::SendStart(const run_key& key, kept_run& run, target_time lease_end, instant now) {
+  ++run.starts_sent;
+  run.start_sent = now;
+  start_calls_.emplace(++last_call_, pending_order{key, now});
+  actions_.emplace_back(call_start{last_call_, {Context(), key, run.start.payload, lease_end}});
+  leased_at_ = now;
+  NoteOrder(now);
+}
+
+bool run_keeper::MayRepeatStart(const kept_run& run) const {
+  return run.state == run_state::kOrdered && run.starts_sent < settings_.most_starts;
+}
+
+void run_keeper::RepeatStarts(instant now) {
+  const std::optional<target_time> lease_end = LeaseEnd(now);
+  if (phase_ != phase::kServing || !lease_end || !TargetAnswers(now)) {
+    return;
+  }
+  for (std::pair<const run_key, kept_run>& item : runs_) {
+    kept_run& run = item.second;
+    if (MayRepeatStart(run) && now - run.start_sent >= settings_.start_retry) {
+      Note("start_repeated", item.first.job_id, "attempt " + std::to_string(item.first.attempt));
+      SendStart(item.first, run, *lease_end, now);
+    }
   }
 }
 
@@ -164,29 +189,47 @@
 
 void run_keeper::TakeStartAnswer(run_map::iterator run, order_result result, instant now) {
   kept_run& ordered = run->second;
-  switch (result) {
-    case order_result::kAccepted:
-      ordered.started = ordered.started == instant{} ? now : ordered.started;
-      if (ordered.state == run_state::kOrdered || ordered.state == run_state::kDoubtful) {
-        ordered.state = run_state::kRunning;
-        ordered.since = now;
-      }
-      return;
-    case order_result::kNoAnswer:
-      if (ordered.state == run_state::kOrdered) {
-        ordered.state = run_state::kDoubtful;
-        ordered.since = now;
-      }
-      look_now_ = true;
-      Note("start_unanswered", run->first.job_id, "attempt " + std::to_string(run->first.attempt));
-      return;
-    case order_result::kOtherLife:
-    case order_result::kNotThere:
-      EndRun(run, run_outcome::kLost, now);
-      return;
-    default:
-      EndRun(run, OutcomeOfRefusal(result), now);
+  const bool repeated = ordered.starts_sent > 1;
+  if (result == order_result::kAccepted || (repeated && result == order_result::kStaleAttempt)) {
+    // When a repeated start is stale, an earlier one was carried out; the target lists its end.
+    NoteStarted(ordered, now);
+    return;
+  }
+  if (result == order_result::kNoAnswer) {
+    TakeUnansweredStart(run, now);
+    return;
+  }
+  if (!repeated) {
+    EndRun(run, OutcomeOfRefusal(result), now);
+    return;
+  }
+  // An earlier order may still be carried out. What becomes of it when no target is there, LoseTarget() decides.
+  const bool starting = ordered.state == run_state::kOrdered || ordered.state == run_state::kDoubtful;
+  if (starting && result != order_result::kNotThere) {
+    RequestStop(ordered, now);
+  }
+}
+
+void run_keeper::NoteStarted(kept_run& run, instant now) {
+  run.started = run.started == instant{} ? now : run.started;
+  run.start.payload.clear();
+  if (run.state == run_state::kOrdered || run.state == run_state::kDoubtful) {
+    run.state = run_state::kRunning;
+    run.since = now;
+  }
+}
+
+void run_keeper::TakeUnansweredStart(run_map::iterator run, instant now) {
+  const bool under_way = std::any_of(
+      start_calls_.begin(), start_calls_.end(),
+      [run](const std::pair<const std::uint64_t, pending_order>& call) { return call.second.key == run->first; });
+  if (under_way || run->second.state != run_state::kOrdered) {
+    return;
   }
+  run->second.state = run_state::kDoubtful;
+  run->second.since = now;
+  look_now_ = true;
+  Note("start_unanswered", run->first.job_id, "attempt " + std::to_string(run->first.attempt));
 }
 
 void run_keeper::TakeAnswer(const order_answer& answer, instant now) {
@@ -259,6 +302,7 @@
   CheckLeaseBound(now);
   ExpireWaiting(now);
   StartWaiting(now);
+  RepeatStarts(now);
   RepeatStops(now);
   ScheduleHold(now);
   SendReports(now);
--- a/src/besteffort/run_keeper_target.cc
+++ b/src/besteffort/run_keeper_target.cc
@@ -312,12 +312,7 @@
       SendStop(key, now);
       continue;
     }
-    kept_run& kept = run->second;
-    if (kept.state == run_state::kOrdered || kept.state == run_state::kDoubtful) {
-      kept.started = kept.started == instant{} ? now : kept.started;
-      kept.state = run_state::kRunning;
-      kept.since = now;
-    }
+    NoteStarted(run->second, now);
   }
   for (run_map::iterator run = runs_.begin(); run != runs_.end();) {
     const run_map::iterator present = run++;
@@ -373,6 +368,12 @@
     next = std::min(next, std::max(leased_at_ + settings_.renew_after, looked_at_ + settings_.look_interval));
     next = std::min(next, last_now_ + settings_.stop_retry);
   }
+  const bool may_start = phase_ == phase::kServing && TargetAnswers(last_now_);
+  for (const std::pair<const run_key, kept_run>& run : runs_) {
+    if (may_start && MayRepeatStart(run.second)) {
+      next = std::min(next, run.second.start_sent + settings_.start_retry);
+    }
+  }
   for (const run_key& key : waiting_) {
     const run_map::const_iterator run = runs_.find(key);
     if (run != runs_.end()) {
--- a/tests/besteffort/keeper_test.cc
+++ b/tests/besteffort/keeper_test.cc
@@ -183,6 +183,78 @@
   EXPECT_EQ(Ends()[0].outcome, run_outcome::kStopped);
 }
 
+// Guards against a job that misses its objective because one order got no answer: the task was stopped and given to
+// another target, some 60 ms later.
+TEST_F(keeper_rig, AnUnansweredStartIsSentAgain) {
+  run_orders orders;
+  orders.starts.push_back(Start("a"));
+  Order(orders);
+  now += Settings().start_retry;
+  Step();
+  const std::vector<call_start> starts = Taken<call_start>();
+  ASSERT_EQ(starts.size(), 2U);
+  EXPECT_EQ(starts[1].order.key, starts[0].order.key) << "the target takes it for the same run";
+  EXPECT_EQ(starts[1].order.payload, "text");
+  keeper.OnStartAnswer(starts[1].call, {order_result::kAccepted, target_time(1013)}, now);
+  keeper.OnStartAnswer(starts[0].call, {order_result::kNoAnswer, std::nullopt}, now);
+  Step();
+  hold_answer answer;
+  answer.ended.push_back({1, {"a", 0, 0, 1}, listed_outcome::kDone});
+  AnswerHolds(answer);
+  EXPECT_FALSE(HasAction<call_stop>());
+  ASSERT_EQ(Ends().size(), 1U);
+  EXPECT_EQ(Ends()[0].outcome, run_outcome::kDone);
+}
+
+// Guards against a run that is reported as refused while an earlier order to start it may still be carried out.
+TEST_F(keeper_rig, ARunIsForbiddenWhenARepeatedStartIsRefused) {
+  run_orders orders;
+  orders.starts.push_back(Start("a"));
+  Order(orders);
+  now += Settings().start_retry;
+  Step();
+  ASSERT_EQ(Taken<call_start>().size(), 2U);
+  keeper.OnStartAnswer(Taken<call_start>()[1].call, {order_result::kNoRoom, target_time(1013)}, now);
+  Step();
+  EXPECT_TRUE(Ends().empty());
+  ASSERT_EQ(Taken<call_stop>().size(), 1U);
+  keeper.OnStopAnswer(Taken<call_stop>()[0].call, {order_result::kAccepted, target_time(1014)}, now);
+  Step();
+  AnswerHolds({});
+  ASSERT_EQ(Ends().size(), 1U);
+  EXPECT_EQ(Ends()[0].outcome, run_outcome::kStopped);
+}
+
+// Guards against a finished task that is run again, because the second order to start it came after its end.
+TEST_F(keeper_rig, AStaleRepeatedStartWaitsForTheEndOfTheRun) {
+  run_orders orders;
+  orders.starts.push_back(Start("a"));
+  Order(orders);
+  now += Settings().start_retry;
+  Step();
+  ASSERT_EQ(Taken<call_start>().size(), 2U);
+  keeper.OnStartAnswer(Taken<call_start>()[1].call, {order_result::kStaleAttempt, target_time(1013)}, now);
+  Step();
+  EXPECT_TRUE(Ends().empty());
+  hold_answer answer;
+  answer.ended.push_back({1, {"a", 0, 0, 1}, listed_outcome::kDone});
+  AnswerHolds(answer);
+  ASSERT_EQ(Ends().size(), 1U);
+  EXPECT_EQ(Ends()[0].outcome, run_outcome::kDone);
+}
+
+// Guards against orders to a target that does not answer at all.
+TEST_F(keeper_rig, AStartIsRepeatedAFewTimesOnly) {
+  run_orders orders;
+  orders.starts.push_back(Start("a"));
+  Order(orders);
+  for (int i = 0; i < 20; ++i) {
+    now += std::chrono::milliseconds(5);
+    Step();
+  }
+  EXPECT_EQ(Taken<call_start>().size(), Settings().most_starts);
+}
+
 // Guards against an agent that asks its idle target without a pause (169,187 looks in a day of 58 s).
 TEST_F(keeper_rig, AnIdleAgentAsksNothing) {
   run_orders orders;
--- a/tests/besteffort/load_test.cc
+++ b/tests/besteffort/load_test.cc
@@ -216,5 +216,13 @@
   }
 }
 
+// Pattern: the same, one order in seven, as on a day with restarted targets. The bound is the aim for the days, 0.87 of
+// what callers asked for. Guards against a start that is sent once only: of the short jobs, 0.68 were in time.
+TEST(load, ManyOrdersThatAreCarriedOutLateDelayFewJobs) {
+  for (const outcome_count& kind : PlaySeeds(0.9, 0.15)) {
+    EXPECT_GE(Share(kind.in_time, kind), 0.87);
+  }
+}
+
 }  // namespace
 }  // namespace bamboowing
