End a start at once when its target is found gone after it was given up

A start whose connection broke as its target crashed was kept until its lease had run out (0.8 s), because the next life might accept it.

Cause: run_keeper::LoseTarget kept every start without an answer. One that was given up before the order that met no target was sent can only have reached a process that is gone.

Test: ARefusedConnectionEndsAStartThatWasGivenUpBefore fails without the change.

--- a/include/bamboowing/besteffort/run_keeper.h
+++ b/include/bamboowing/besteffort/run_keeper.h
@@ -150,6 +150,7 @@
     std::uint32_t starts_sent = 0;       ///< orders to start it
     instant start_sent;                  ///< when the newest of them was sent
     instant started;                     ///< when the target was first known to have accepted it
+    instant unanswered;                  ///< when a start was given up last that had no answer
     std::optional<instant> stop_sent;    ///< newest stop
     std::optional<instant> stop_agreed;  ///< when the target accepted a stop
   };
@@ -186,6 +187,8 @@
   std::optional<target_time> LeaseEnd(instant now) const;
   void SampleClock(const std::optional<target_time>& clock, instant now);
   void TakeStartAnswer(run_map::iterator run, order_result result, instant now);
+  /// Whether a start of the run is under way.
+  bool StartUnderWay(const run_key& key) const;
   static void NoteStarted(kept_run& run, instant now);
   void TakeUnansweredStart(run_map::iterator run, instant now);
   void TakeAnswer(const order_answer& answer, instant now);
@@ -195,7 +198,7 @@
   /// Another life with another id is there, so nothing of the earlier one goes on.
   void ReplaceTarget(const std::string& why, instant now);
   /// Nothing listened when an order was sent at @p refused_at. The target may come back under its id and then accept a
-  /// start that is under way, so only runs that it had accepted before are certain to be over.
+  /// start that is under way, so only runs whose starts were settled before are certain to be over.
   void LoseTarget(const std::string& why, instant refused_at, instant now);
   /// The target has started again under its id. What it had may be over, and starts that are under way may be accepted
   /// by the new life: its list of runs decides.
--- a/src/besteffort/run_keeper.cc
+++ b/src/besteffort/run_keeper.cc
@@ -219,15 +219,20 @@
   }
 }
 
-void run_keeper::TakeUnansweredStart(run_map::iterator run, instant now) {
-  const bool under_way = std::any_of(
+bool run_keeper::StartUnderWay(const run_key& key) const {
+  return std::any_of(
       start_calls_.begin(), start_calls_.end(),
-      [run](const std::pair<const std::uint64_t, pending_order>& call) { return call.second.key == run->first; });
-  if (under_way || run->second.state != run_state::kOrdered) {
+      [&key](const std::pair<const std::uint64_t, pending_order>& call) { return call.second.key == key; });
+}
+
+void run_keeper::TakeUnansweredStart(run_map::iterator run, instant now) {
+  kept_run& ordered = run->second;
+  ordered.unanswered = now;
+  if (ordered.state != run_state::kOrdered || StartUnderWay(run->first)) {
     return;
   }
-  run->second.state = run_state::kDoubtful;
-  run->second.since = now;
+  ordered.state = run_state::kDoubtful;
+  ordered.since = now;
   look_now_ = true;
   Note("start_unanswered", run->first.job_id, "attempt " + std::to_string(run->first.attempt));
 }
--- a/tests/besteffort/keeper_test.cc
+++ b/tests/besteffort/keeper_test.cc
@@ -481,6 +481,22 @@
   EXPECT_FALSE(keeper.accepting());
 }
 
+// Guards against a second spent on a start whose connection broke as the target crashed: it ended before nothing
+// listened.
+TEST_F(keeper_rig, ARefusedConnectionEndsAStartThatWasGivenUpBefore) {
+  run_orders orders;
+  orders.starts.push_back(Start("a"));
+  Order(orders);
+  keeper.OnStartAnswer(Taken<call_start>()[0].call, {order_result::kNoAnswer, std::nullopt}, now);
+  Step();
+  hold_answer refused;
+  refused.result = order_result::kNotThere;
+  keeper.OnHoldAnswer(Taken<call_hold>().back().call, refused, now);
+  Step();
+  ASSERT_EQ(Ends().size(), 1U);
+  EXPECT_EQ(Ends()[0].outcome, run_outcome::kLost);
+}
+
 // Guards against runs that nobody reports when the target crashes while their start is under way and stays away.
 TEST_F(keeper_rig, AStartUnderWayToALostTargetEndsWithItsLease) {
   run_orders orders;
