--- a/tests/packaging/packaging_test.py
+++ b/tests/packaging/packaging_test.py
@@ -124,14 +124,18 @@
 
 class Trace(unittest.TestCase):
     def test_reads_opened_files_tools_and_connections(self):
-        with tempfile.TemporaryDirectory(dir=pathlib.Path(__file__).parent) as directory:
+        with tempfile.TemporaryDirectory() as directory:
+            work = pathlib.Path(directory) / "work"
             header = pathlib.Path(directory) / "own.h"
+            work.mkdir()
             header.touch()
+            (work / "made.h").touch()
             record = BuildRecord()
             read_trace([f'openat(AT_FDCWD<{directory}>, "own.h", O_RDONLY) = 3<{header}>',
+                        f'openat(AT_FDCWD<{work}>, "made.h", O_RDONLY) = 3<{work}/made.h>',
                         f'openat(AT_FDCWD</elsewhere>, "{directory}/missing.h", O_RDONLY) = 3',
                         f'execve("{sys.executable}", ["python3"], 0x7 /* 3 vars */) = 0',
-                        'connect(3<socket:[1]>, {sa_family=AF_INET, sin_port=htons(80)}, 16) = -1 EINPROGRESS'], record)
+                        'connect(3<socket:[1]>, {sa_family=AF_INET, sin_port=htons(80)}, 16) = -1 EINPROGRESS'], str(work), record)
         self.assertEqual(record.read, {str(header)})
         self.assertEqual(record.executed, {sys.executable})
         self.assertEqual(len(record.connections), 1)
--- a/tests/packaging/traced_build.py
+++ b/tests/packaging/traced_build.py
@@ -15,8 +15,7 @@
 UNPRIVILEGED_USER = "nobody"
 # The variables that the users' machines pass to the build.
 KEPT_VARIABLES = ("PATH", "LANG")
-# Kernel interfaces, and files that the build made itself.
-NOT_SYSTEM_FILES = ("/proc/", "/dev/", "/sys/", "/tmp/")
+KERNEL_INTERFACES = ("/proc/", "/dev/", "/sys/")
 
 OPENED = re.compile(r'^open(?:at)?\((?:AT_FDCWD<(?P<cwd>[^>]*)>, |\d+<(?P<dir>[^>]*)>, )?"(?P<path>[^"]*)"')
 EXECUTED = re.compile(r'^execve\("(?P<path>/[^"]*)"')
@@ -59,21 +58,25 @@
         shutil.chown(path, user=UNPRIVILEGED_USER)
 
 
-def is_system_file(path: str) -> bool:
-    return not path.startswith(NOT_SYSTEM_FILES) and os.path.isfile(path)
+def is_system_file(path: str, work: str) -> bool:
+    """Whether the path is a file that was there before the build, which works in the directory `work`.
 
+    Temporary files of the compiler are gone when this is asked.
+    """
+    return not path.startswith((*KERNEL_INTERFACES, work + "/")) and os.path.isfile(path)
 
-def read_trace(lines: list[str], record: BuildRecord) -> None:
-    """Adds the successful calls of one process to the record."""
+
+def read_trace(lines: list[str], work: str, record: BuildRecord) -> None:
+    """Adds the successful calls of one process of a build in the directory `work` to the record."""
     for line in lines:
         opened = OPENED.match(line)
         if opened:
             path = os.path.join(opened["cwd"] or opened["dir"] or "/", opened["path"])
-            if is_system_file(path):
+            if is_system_file(path, work):
                 record.read.add(path)
             continue
         executed = EXECUTED.match(line)
-        if executed and is_system_file(executed["path"]):
+        if executed and is_system_file(executed["path"], work):
             record.executed.add(executed["path"])
         elif CONNECTED.match(line):
             record.connections.append(line)
@@ -102,7 +105,7 @@
         record.exit_code = done.returncode
         record.output = done.stdout
         for trace in traces.iterdir():
-            read_trace(trace.read_text(errors="replace").splitlines(), record)
+            read_trace(trace.read_text(errors="replace").splitlines(), work, record)
         after = snapshot(checkout)
         record.changed_outside_target = sorted(name for name in before.keys() | after.keys()
                                                if before.get(name) != after.get(name))
