Count attempts to connect, not only connections, when the build is traced

What was seen: found by reading. The trace left out calls that fail, and a connection that does not block is reported as failed (EINPROGRESS) while it is still under way, so a download by such a client would not have been noticed.

Change: the trace has all calls; failed ones are left out for files and programs only. The unit test now has the line as strace prints it.

--- a/tests/packaging/packaging_test.py
+++ b/tests/packaging/packaging_test.py
@@ -134,8 +134,9 @@
             read_trace([f'openat(AT_FDCWD<{directory}>, "own.h", O_RDONLY) = 3<{header}>',
                         f'openat(AT_FDCWD<{work}>, "made.h", O_RDONLY) = 3<{work}/made.h>',
                         f'openat(AT_FDCWD</elsewhere>, "{directory}/missing.h", O_RDONLY) = 3',
+                        f'openat(AT_FDCWD<{directory}>, "work/../own.h", O_RDONLY) = -1 EACCES (Permission denied)',
                         f'execve("{sys.executable}", ["python3"], 0x7 /* 3 vars */) = 0',
-                        'connect(3<socket:[1]>, {sa_family=AF_INET, sin_port=htons(80)}, 16) = -1 EINPROGRESS'], str(work), record)
+                        'connect(3<socket:[1]>, {sa_family=AF_INET, sin_port=htons(80)}, 16) = -1 EINPROGRESS (Operation now in progress)'], str(work), record)
         self.assertEqual(record.read, {str(header)})
         self.assertEqual(record.executed, {sys.executable})
         self.assertEqual(len(record.connections), 1)
--- a/tests/packaging/traced_build.py
+++ b/tests/packaging/traced_build.py
@@ -19,7 +19,9 @@
 
 OPENED = re.compile(r'^open(?:at)?\((?:AT_FDCWD<(?P<cwd>[^>]*)>, |\d+<(?P<dir>[^>]*)>, )?"(?P<path>[^"]*)"')
 EXECUTED = re.compile(r'^execve\("(?P<path>/[^"]*)"')
+# An attempt counts, whatever came of it: a connection that does not block is still under way when the call returns.
 CONNECTED = re.compile(r"^connect\(.*sa_family=AF_INET6?,.*")
+FAILED = re.compile(r" = -1 E[A-Z]+ \([^)]*\)$")
 
 
 @dataclasses.dataclass
@@ -67,8 +69,12 @@
 
 
 def read_trace(lines: list[str], work: str, record: BuildRecord) -> None:
-    """Adds the successful calls of one process of a build in the directory `work` to the record."""
+    """Adds what one process of a build in the directory `work` opened, ran and connected to."""
     for line in lines:
+        if CONNECTED.match(line):
+            record.connections.append(line)
+        if FAILED.search(line):
+            continue
         opened = OPENED.match(line)
         if opened:
             path = os.path.join(opened["cwd"] or opened["dir"] or "/", opened["path"])
@@ -78,8 +84,6 @@
         executed = EXECUTED.match(line)
         if executed and is_system_file(executed["path"], work):
             record.executed.add(executed["path"])
-        elif CONNECTED.match(line):
-            record.connections.append(line)
 
 
 def traced_build() -> BuildRecord:
@@ -97,7 +101,7 @@
             give_to_unprivileged_user(pathlib.Path(work))
         environment = {name: os.environ[name] for name in KEPT_VARIABLES if name in os.environ}
         environment["HOME"] = work
-        command = ["strace", "-ff", "--seccomp-bpf", "-qq", "-y", "-z", "-s", "4096", "-o", str(traces / "process"),
+        command = ["strace", "-ff", "--seccomp-bpf", "-qq", "-y", "-s", "4096", "-o", str(traces / "process"),
                    "-e", "trace=open,openat,execve,connect", "sh", "-c", deploy_settings()["build"]]
         done = subprocess.run(command, cwd=checkout, env=environment, stdin=subprocess.DEVNULL, check=False,
                               stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True, timeout=BUILD_LIMIT_S,
