Do not end a start by its lease when the target has started again meanwhile

Cause: a start sent at 0 ms was not answered. The target crashed and started again at 0.2 s, and carried the start out at about 0.74 s. The time of the lease in the order was one on the clock of the earlier life, so the new one took it for far ahead and cut it to 1 s. At 0.78 s the agent reported the run as lost, by the bound of its lease, and its entry started the task elsewhere.

Ruled out: an effect of load alone. The load made the start late, but the bound was wrong for any start that crosses two lives of a target.

Change: a run that is kept while the life of its target changes is settled by what the next life lists or by a stop that it accepts; the bound of such a run is 15 s, the time after which no order is carried out any more.

Tests: AnUnansweredStartOutlivesItsLeaseWhenTheTargetHasStartedAgain fails without the change.

--- a/include/bamboowing/besteffort/run_keeper.h
+++ b/include/bamboowing/besteffort/run_keeper.h
@@ -146,11 +146,14 @@
     run_start start;
     std::string owner;  ///< address of the entry
     run_state state = run_state::kWaiting;
-    instant since;                       ///< when the state began
-    std::uint32_t starts_sent = 0;       ///< orders to start it
-    instant start_sent;                  ///< when the newest of them was sent
-    instant started;                     ///< when the target was first known to have accepted it
-    instant unanswered;                  ///< when a start was given up last that had no answer
+    instant since;                  ///< when the state began
+    std::uint32_t starts_sent = 0;  ///< orders to start it
+    instant start_sent;             ///< when the newest of them was sent
+    instant started;                ///< when the target was first known to have accepted it
+    instant unanswered;             ///< when a start was given up last that had no answer
+    /// Kept while the target's life changed. The next life may take an order of the earlier one at any later time, and
+    /// reads its lease on another clock.
+    bool crosses_lives = false;
     std::optional<instant> stop_sent;    ///< newest stop
     std::optional<instant> stop_agreed;  ///< when the target accepted a stop
   };
@@ -206,6 +209,7 @@
   void BeginSurvey();
   /// Ends the waiting runs and tells all entries that the target takes no starts.
   void SuspendAdmission(instant now);
+  void MarkCrossing();
   bool KnowsAll(span<const run_key> listed) const;
   void Admit(const std::string& entry, const run_start& start, instant now);
   void EndRun(run_map::iterator run, run_outcome outcome, instant now);
@@ -224,7 +228,8 @@
   void SendHold(duration wait, instant now);
   /// When the target is asked again although an answer is still awaited.
   instant LookDue() const;
-  instant LeaseBound() const;
+  /// When the run has ended for want of a lease, if the target answers nothing.
+  instant LeaseBound(const kept_run& run) const;
   void CheckLeaseBound(instant now);
   void TakeEnds(const hold_answer& answer, instant now);
   void TakeRunning(const hold_answer& answer, instant sent, instant now);
--- a/src/besteffort/run_keeper_lives.cc
+++ b/src/besteffort/run_keeper_lives.cc
@@ -70,6 +70,7 @@
       EndRun(ending, run_outcome::kLost, now);
     }
   }
+  MarkCrossing();
 }
 
 void run_keeper::BeginNextLife(const target_life& life, instant now) {
@@ -82,9 +83,16 @@
     // The new life knows nothing of a stop that the earlier one has accepted.
     run.second.stop_agreed.reset();
   }
+  MarkCrossing();
   BeginSurvey();
 }
 
+void run_keeper::MarkCrossing() {
+  for (std::pair<const run_key, kept_run>& run : runs_) {
+    run.second.crosses_lives = true;
+  }
+}
+
 void run_keeper::SuspendAdmission(instant now) {
   unanswered_since_.reset();
   holds_.clear();
--- a/src/besteffort/run_keeper_target.cc
+++ b/src/besteffort/run_keeper_target.cc
@@ -14,6 +14,8 @@
 constexpr duration kListDelay = std::chrono::milliseconds(200);
 // Bound of the time from sending an order to its arrival at a target on the same machine.
 constexpr duration kOrderDelay = std::chrono::milliseconds(50);
+// Bound of the time from sending an order to its execution at a target that leaves orders unanswered.
+constexpr duration kLongestOrderDelay = std::chrono::seconds(15);
 constexpr duration kShortestSleep = std::chrono::milliseconds(1);
 constexpr std::uint64_t kLargestTokenStep = 1ULL << 40U;
 
@@ -60,21 +62,26 @@
   return at_target_.cpu_millicores > 0 || at_target_.memory_mb > 0 || at_target_.accelerators > 0;
 }
 
-instant run_keeper::LeaseBound() const {
-  // Without an answer for this long the lease has run out at the target even if every order arrived late.
+instant run_keeper::LeaseBound(const kept_run& run) const {
   const duration lease(
       static_cast<std::int64_t>(static_cast<double>(settings_.lease.count()) * (1 + 2 * settings_.clock_drift)));
+  if (run.crosses_lives) {
+    return run.start_sent + kLongestOrderDelay + lease;
+  }
+  // Without an answer for this long the lease has run out at the target even if every order arrived late.
   return leased_at_ + lease + kOrderDelay;
 }
 
 void run_keeper::CheckLeaseBound(instant now) {
-  if (AnythingThere() && now >= LeaseBound()) {
-    for (run_map::iterator run = runs_.begin(); run != runs_.end();) {
-      const run_map::iterator ending = run++;
-      if (ending->second.state != run_state::kWaiting) {
-        EndRun(ending, run_outcome::kLost, now);
-      }
+  bool lapsed = false;
+  for (run_map::iterator run = runs_.begin(); run != runs_.end();) {
+    const run_map::iterator ending = run++;
+    if (ending->second.state != run_state::kWaiting && now >= LeaseBound(ending->second)) {
+      EndRun(ending, run_outcome::kLost, now);
+      lapsed = true;
     }
+  }
+  if (lapsed) {
     Note("lease_lapsed", "", "the target did not answer");
     if (phase_ == phase::kServing) {
       BeginSurvey();
@@ -270,8 +277,10 @@
   if (phase_ == phase::kSurveying && holds_.empty()) {
     next = std::min(next, survey_due_);
   }
-  if (AnythingThere()) {
-    next = std::min(next, LeaseBound());
+  for (const std::pair<const run_key, kept_run>& run : runs_) {
+    if (run.second.state != run_state::kWaiting) {
+      next = std::min(next, LeaseBound(run.second));
+    }
   }
   if (phase_ == phase::kServing && (AnythingThere() || !TargetAnswers(last_now_))) {
     next = std::min(next, LookDue());
