Log why runs are reported as ended, restarts of tasks, and pauses of processes

- run_released (agent): outcome, reason, state of the run, its start requests, acceptance, and the age of the contact with its entry.
Only for runs that were sent to the target and have no result, so the volume follows the faults.
- task_restarted (entry): task, attempt, agent; first starts are not logged.
- target_known, target_lost and target_restarted name the start of the incarnation.
- process_paused (all daemons): how long a round of the event loop was late, and how much of that the steady clock did not count (a suspended machine).

--- a/include/bamboowing/besteffort/dispatch_core.h
+++ b/include/bamboowing/besteffort/dispatch_core.h
@@ -78,8 +78,7 @@
   std::string detail;  ///< the inputs of the decision
 };
 
-/// Name of an outcome or verdict in logs and metrics.
-std::string_view RunOutcomeName(run_outcome outcome);
+/// Name of a verdict in logs and metrics.
 std::string_view JobVerdictName(job_verdict verdict);
 
 using dispatch_action = std::variant<answer_job, send_run_batch, close_run_session, log_dispatch_event>;
--- a/include/bamboowing/besteffort/job.h
+++ b/include/bamboowing/besteffort/job.h
@@ -72,4 +72,7 @@
   kUnknown,  ///< abandoned; tasks may have run
 };
 
+/// Name of an outcome in logs and metrics.
+std::string_view RunOutcomeName(run_outcome outcome);
+
 }  // namespace bamboowing
--- a/include/bamboowing/besteffort/run_manager.h
+++ b/include/bamboowing/besteffort/run_manager.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -215,8 +216,14 @@
   void MarkRunsSpanningIncarnations();
   bool HasAllRuns(span<const run_key> listed) const;
   void Admit(const std::string& entry, const run_start& start, instant now);
-  void EndRun(run_map::iterator run, run_outcome outcome, instant now);
-  void EndAllRuns(run_outcome outcome, instant now);
+  /// Reports the run as ended. @p reason says why, for the log.
+  void EndRun(run_map::iterator run, run_outcome outcome, std::string_view reason, instant now);
+  void EndAllRuns(run_outcome outcome, std::string_view reason, instant now);
+  static std::string_view RunStateName(run_state state);
+  /// The state of a run and the ages of the facts that decide what becomes of it, for the log.
+  std::string DescribeRun(const run_key& key, const managed_run& run, instant now) const;
+  /// The agent's clock in the newest message that the entry has certainly received.
+  instant LastContact(const std::string& entry) const;
   void RequestStop(managed_run& run, instant now);
   void SendStop(const run_key& key, instant now);
   void StopRunsOfOwner(const std::string& entry, const std::string& reason, instant now);
--- a/include/bamboowing/service/clock.h
+++ b/include/bamboowing/service/clock.h
@@ -11,6 +11,12 @@
 /// Current time of the monotonic clock.
 instant Now();
 
+/// Current time of the steady clock, which stops while the machine is suspended.
+instant SteadyNow();
+
+/// Current time since the machine started, including the time in which it was suspended.
+instant BootNow();
+
 /// Returns a non-zero random number, for incarnations and seeds.
 std::uint64_t RandomNumber();
 
--- a/src/besteffort/dispatch_place.cc
+++ b/src/besteffort/dispatch_place.cc
@@ -255,6 +255,11 @@
   };
   run.straggler_deadline = after(settings_.straggler_factor);
   run.lone_straggler_deadline = after(settings_.lone_straggler_factor);
+  if (task.attempt > 1) {
+    LogEvent("task_restarted", job.spec.id,
+             "task " + std::to_string(task.step) + "." + std::to_string(task.index) + " attempt " +
+                 std::to_string(task.attempt) + " at " + chosen.target->agent);
+  }
   runs_.emplace(start.key, run);
   ++chosen.target->own_runs;
   fleet_.CountStart(*chosen.target, step.need);
--- a/src/besteffort/dispatch_runs.cc
+++ b/src/besteffort/dispatch_runs.cc
@@ -26,26 +26,6 @@
 
 }  // namespace
 
-std::string_view RunOutcomeName(run_outcome outcome) {
-  switch (outcome) {
-    case run_outcome::kDone:
-      return "done";
-    case run_outcome::kFailed:
-      return "failed";
-    case run_outcome::kStopped:
-      return "stopped";
-    case run_outcome::kLost:
-      return "lost";
-    case run_outcome::kNoRoom:
-      return "no_room";
-    case run_outcome::kUnavailable:
-      return "unavailable";
-    case run_outcome::kStaleAttempt:
-      break;
-  }
-  return "stale_attempt";
-}
-
 void dispatch_core::OnSessionOpened(session_id session, const std::string& agent, instant now) {
   if (const std::optional<session_id> replaced = fleet_.OpenSession(session, agent, now); replaced) {
     actions_.emplace_back(close_run_session{*replaced});
--- a/src/besteffort/job.cc
+++ b/src/besteffort/job.cc
@@ -13,4 +13,24 @@
   return best;
 }
 
+std::string_view RunOutcomeName(run_outcome outcome) {
+  switch (outcome) {
+    case run_outcome::kDone:
+      return "done";
+    case run_outcome::kFailed:
+      return "failed";
+    case run_outcome::kStopped:
+      return "stopped";
+    case run_outcome::kLost:
+      return "lost";
+    case run_outcome::kNoRoom:
+      return "no_room";
+    case run_outcome::kUnavailable:
+      return "unavailable";
+    case run_outcome::kStaleAttempt:
+      break;
+  }
+  return "stale_attempt";
+}
+
 }  // namespace bamboowing
--- a/src/besteffort/run_manager.cc
+++ b/src/besteffort/run_manager.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "bamboowing/besteffort/job.h"
+
 namespace bamboowing {
 namespace {
 
@@ -21,8 +23,26 @@
   }
 }
 
+std::string Milliseconds(duration time) { return std::to_string(time.count() / 1000) + " ms"; }
+
 }  // namespace
 
+std::string_view run_manager::RunStateName(run_state state) {
+  switch (state) {
+    case run_state::kWaiting:
+      return "waiting";
+    case run_state::kStarting:
+      return "starting";
+    case run_state::kUnconfirmed:
+      return "unconfirmed";
+    case run_state::kRunning:
+      return "running";
+    case run_state::kStopping:
+      break;
+  }
+  return "stopping";
+}
+
 run_manager::run_manager(const run_manager_settings& settings, std::uint64_t seed, instant now)
     : settings_(settings),
       sessions_(settings.agent, seed, now),
@@ -49,18 +69,45 @@
   const owner& from = owners_[entry];
   const bool stale = now - from.last_echoed_at >= settings_.max_report_age;
   if (!accepting() || stale || from.released_at) {
-    EndRun(added, run_outcome::kUnavailable, now);
+    EndRun(added, run_outcome::kUnavailable, stale ? "the entry's view is outdated" : "no starts are accepted", now);
     return;
   }
   if (!FitsWithin(start.need, {}, target_.capacity)) {
-    EndRun(added, run_outcome::kNoRoom, now);
+    EndRun(added, run_outcome::kNoRoom, "larger than the target", now);
     return;
   }
   waiting_.push_back(start.key);
 }
 
-void run_manager::EndRun(run_map::iterator run, run_outcome outcome, instant now) {
+std::string run_manager::DescribeRun(const run_key& key, const managed_run& run, instant now) const {
+  std::string text = "task " + std::to_string(key.step) + "." + std::to_string(key.index) + " attempt " +
+                     std::to_string(key.attempt) + ", " + std::string(RunStateName(run.state)) + " for " +
+                     Milliseconds(now - run.state_since) + ", entry " + run.owner + ", start requests " +
+                     std::to_string(run.start_requests);
+  if (run.start_requests > 0) {
+    text += ", the newest " + Milliseconds(now - run.last_start_request_at) + " ago";
+  }
+  text += HasPendingStart(key) ? ", one pending" : "";
+  text +=
+      run.accepted_at == instant{} ? ", never accepted" : ", accepted " + Milliseconds(now - run.accepted_at) + " ago";
+  text += run.stop_accepted_at ? ", stop accepted " + Milliseconds(now - *run.stop_accepted_at) + " ago" : "";
+  text += run.spans_incarnations ? ", spans incarnations of the target" : "";
+  return text + ", contact with the entry " + Milliseconds(now - LastContact(run.owner)) + " ago";
+}
+
+instant run_manager::LastContact(const std::string& entry) const {
+  const std::map<std::string, owner>::const_iterator found = owners_.find(entry);
+  return found == owners_.end() ? instant{} : found->second.last_echoed_at;
+}
+
+void run_manager::EndRun(run_map::iterator run, run_outcome outcome, std::string_view reason, instant now) {
   managed_run& ended = run->second;
+  // A run that was sent to the target and has no result there: the entry may start its task again.
+  if (ended.state != run_state::kWaiting && (outcome == run_outcome::kLost || outcome == run_outcome::kStopped)) {
+    LogEvent(
+        "run_released", run->first.job_id,
+        std::string(RunOutcomeName(outcome)) + ", " + std::string(reason) + ": " + DescribeRun(run->first, ended, now));
+  }
   SubtractFrom(ended.state == run_state::kWaiting ? waiting_amount_ : committed_at_target_, ended.start.need);
   owner& to = owners_[ended.owner];
   run_result end;
@@ -75,10 +122,10 @@
   runs_.erase(run);
 }
 
-void run_manager::EndAllRuns(run_outcome outcome, instant now) {
+void run_manager::EndAllRuns(run_outcome outcome, std::string_view reason, instant now) {
   for (run_map::iterator run = runs_.begin(); run != runs_.end();) {
     const run_map::iterator ending = run++;
-    EndRun(ending, ending->second.state == run_state::kWaiting ? run_outcome::kUnavailable : outcome, now);
+    EndRun(ending, ending->second.state == run_state::kWaiting ? run_outcome::kUnavailable : outcome, reason, now);
   }
 }
 
@@ -87,7 +134,7 @@
   for (run_map::iterator run = runs_.begin(); run != runs_.end();) {
     const run_map::iterator next = std::next(run);
     if (run->second.state == run_state::kWaiting) {
-      EndRun(run, run_outcome::kUnavailable, now);
+      EndRun(run, run_outcome::kUnavailable, "the agent drains", now);
     }
     run = next;
   }
@@ -111,9 +158,9 @@
       continue;
     }
     if (!TargetResponsive(now)) {
-      EndRun(found, run_outcome::kUnavailable, now);
+      EndRun(found, run_outcome::kUnavailable, "the target does not respond", now);
     } else if (now - found->second.state_since >= found->second.start.start_within) {
-      EndRun(found, run_outcome::kNoRoom, now);
+      EndRun(found, run_outcome::kNoRoom, "no free capacity in time", now);
     } else {
       still_waiting.push_back(key);
     }
@@ -200,7 +247,7 @@
     return;
   }
   if (!retried) {
-    EndRun(run, OutcomeOfRefusal(status), now);
+    EndRun(run, OutcomeOfRefusal(status), "the target refused the start", now);
     return;
   }
   // An earlier request may still be executed. HandleTargetLoss() handles refused connections.
--- a/src/besteffort/run_manager_entries.cc
+++ b/src/besteffort/run_manager_entries.cc
@@ -153,7 +153,7 @@
       continue;
     }
     if (found->second.state == run_state::kWaiting) {
-      EndRun(found, run_outcome::kStopped, now);
+      EndRun(found, run_outcome::kStopped, "stopped by the entry", now);
     } else {
       RequestStop(found->second, now);
     }
@@ -170,7 +170,7 @@
     if (run->second.owner == entry) {
       ++count;
       if (run->second.state == run_state::kWaiting) {
-        EndRun(run, run_outcome::kStopped, now);
+        EndRun(run, run_outcome::kStopped, reason, now);
       } else {
         RequestStop(run->second, now);
       }
--- a/src/besteffort/run_manager_incarnations.cc
+++ b/src/besteffort/run_manager_incarnations.cc
@@ -6,6 +6,13 @@
 #include "bamboowing/besteffort/run_manager.h"
 
 namespace bamboowing {
+namespace {
+
+std::string Describe(const target_incarnation& incarnation) {
+  return "target " + incarnation.id + " started at " + std::to_string(incarnation.start_id);
+}
+
+}  // namespace
 
 void run_manager::OnTargetAnnounced(const target_incarnation& announced, const target_description& target,
                                     std::optional<target_time> clock, instant now) {
@@ -14,7 +21,7 @@
   if (other_incarnation && announced.id == target_incarnation_.id) {
     HandleTargetRestart(announced, now);
   } else if (other_incarnation) {
-    ReplaceTarget("another incarnation announced itself", now);
+    ReplaceTarget("another incarnation announced itself, " + Describe(announced), now);
     target_incarnation_ = announced;
   }
   target_described_ = true;
@@ -25,7 +32,7 @@
   SampleClock(clock, now);
   if (other_incarnation || was_unknown) {
     BeginReconciliation();
-    LogEvent("target_known", "", "target " + announced.id + ", service " + target.service);
+    LogEvent("target_known", "", Describe(announced) + ", service " + target.service);
   } else if (changed) {
     LogEvent("target_changed", "", "target " + announced.id + (target.draining ? ", draining" : ""));
   }
@@ -46,10 +53,9 @@
   if (target_incarnation_.id.empty()) {
     return;
   }
-  LogEvent("target_lost", "",
-           "target " + target_incarnation_.id + ", " + reason + ", runs " + std::to_string(runs_.size()));
+  LogEvent("target_lost", "", Describe(target_incarnation_) + ", " + reason + ", runs " + std::to_string(runs_.size()));
   phase_ = phase::kUnknown;
-  EndAllRuns(run_outcome::kLost, now);
+  EndAllRuns(run_outcome::kLost, reason, now);
   target_incarnation_ = {};
   target_clock_.reset();
   pending_starts_.clear();
@@ -60,22 +66,23 @@
   if (phase_ == phase::kUnknown) {
     return;
   }
-  LogEvent("target_lost", "",
-           "target " + target_incarnation_.id + ", " + reason + ", runs " + std::to_string(runs_.size()));
+  LogEvent("target_lost", "", Describe(target_incarnation_) + ", " + reason + ", runs " + std::to_string(runs_.size()));
   phase_ = phase::kUnknown;
   SuspendAdmission(now);
   for (run_map::iterator run = runs_.begin(); run != runs_.end();) {
     const run_map::iterator ending = run++;
     const instant settled = std::max(ending->second.accepted_at, ending->second.start_unanswered_at);
     if (settled <= refused_at && !HasPendingStart(ending->first)) {
-      EndRun(ending, run_outcome::kLost, now);
+      EndRun(ending, run_outcome::kLost, reason, now);
     }
   }
   MarkRunsSpanningIncarnations();
 }
 
 void run_manager::HandleTargetRestart(const target_incarnation& restarted, instant now) {
-  LogEvent("target_restarted", "", "target " + restarted.id + ", runs " + std::to_string(runs_.size()));
+  LogEvent(
+      "target_restarted", "",
+      Describe(restarted) + ", before " + Describe(target_incarnation_) + ", runs " + std::to_string(runs_.size()));
   target_incarnation_ = restarted;
   target_clock_.reset();
   target_described_ = false;
@@ -101,7 +108,7 @@
   for (const run_key& key : std::exchange(waiting_, {})) {
     const run_map::iterator run = runs_.find(key);
     if (run != runs_.end() && run->second.state == run_state::kWaiting) {
-      EndRun(run, run_outcome::kUnavailable, now);
+      EndRun(run, run_outcome::kUnavailable, "the target accepts no starts", now);
     }
   }
   for (std::pair<const std::string, owner>& to : owners_) {
--- a/src/besteffort/run_manager_target.cc
+++ b/src/besteffort/run_manager_target.cc
@@ -79,7 +79,7 @@
   for (run_map::iterator run = runs_.begin(); run != runs_.end();) {
     const run_map::iterator ending = run++;
     if (ending->second.state != run_state::kWaiting && now >= LeaseExpiryBound(ending->second)) {
-      EndRun(ending, run_outcome::kLost, now);
+      EndRun(ending, run_outcome::kLost, "its lease expired without a response", now);
       lapsed = true;
     }
   }
@@ -204,16 +204,16 @@
     }
     switch (finished.outcome) {
       case target_outcome::kDone:
-        EndRun(run, run_outcome::kDone, now);
+        EndRun(run, run_outcome::kDone, "done", now);
         break;
       case target_outcome::kFailed:
-        EndRun(run, run_outcome::kFailed, now);
+        EndRun(run, run_outcome::kFailed, "failed", now);
         break;
       case target_outcome::kStopped:
-        EndRun(run, run_outcome::kStopped, now);
+        EndRun(run, run_outcome::kStopped, "stopped at the target", now);
         break;
       case target_outcome::kInterrupted:
-        EndRun(run, run_outcome::kLost, now);
+        EndRun(run, run_outcome::kLost, "interrupted at the target", now);
         break;
     }
   }
@@ -226,7 +226,9 @@
     const run_map::iterator run = runs_.find(key);
     if (run == runs_.end()) {
       // The run belongs to an earlier agent process, or its start was executed after the run had ended here.
-      LogEvent("stray_run_stopped", key.job_id, "attempt " + std::to_string(key.attempt));
+      LogEvent("stray_run_stopped", key.job_id,
+               "task " + std::to_string(key.step) + "." + std::to_string(key.index) + " attempt " +
+                   std::to_string(key.attempt));
       SendStop(key, now);
       continue;
     }
@@ -245,7 +247,7 @@
   // During reconciliation, the remaining runs are those of an earlier incarnation. A run that was accepted before the
   // list was made and is missing from it ended with that incarnation.
   if (phase_ == phase::kReconciling && unlisted.accepted_at != instant{} && polled_at >= unlisted.accepted_at) {
-    EndRun(run, run_outcome::kLost, now);
+    EndRun(run, run_outcome::kLost, "not listed by the restarted target", now);
     return;
   }
   switch (unlisted.state) {
@@ -256,13 +258,13 @@
       return;
     case run_state::kRunning:
       if (polled_at >= unlisted.state_since + kListDelay) {
-        EndRun(run, run_outcome::kLost, now);
+        EndRun(run, run_outcome::kLost, "no longer listed", now);
       }
       return;
     case run_state::kStopping:
       // After an accepted stop, the target neither starts nor continues the run, and it would have listed a result.
       if (unlisted.stop_accepted_at && polled_at >= *unlisted.stop_accepted_at) {
-        EndRun(run, run_outcome::kStopped, now);
+        EndRun(run, run_outcome::kStopped, "stop accepted and not listed", now);
       }
       return;
     default:
--- a/src/service/agent_daemon.cc
+++ b/src/service/agent_daemon.cc
@@ -13,6 +13,7 @@
 #include "bamboowing/service/daemon.h"
 #include "bamboowing/service/event_log.h"
 #include "bamboowing/service/log.h"
+#include "bamboowing/service/pause_log.h"
 #include "bamboowing/transport/http_server.h"
 #include "bamboowing/transport/target_runner.h"
 #include "drain_latch.h"
@@ -120,6 +121,7 @@
       const std::optional<instant> due = core_.next_wakeup();
       const duration wait = due ? std::clamp(*due - before, duration(0), kMaxWait) : kMaxWait;
       std::optional<agent_input> next = ring_.PopFor(wait);
+      pause_log_.OnRound(kMaxWait);
       instant now = Now();
       while (next) {
         std::visit([this, now](const auto& alternative) { Handle(alternative, now); }, *next);
@@ -232,6 +234,7 @@
   bounded_ring<agent_input> ring_;
   event_log events_;
   agent_core core_;
+  pause_log pause_log_;
   drain_latch drained_;
   std::unique_ptr<target_runner> target_;
   std::unique_ptr<http_server> announce_server_;
--- a/src/service/best_effort_agent.cc
+++ b/src/service/best_effort_agent.cc
@@ -13,6 +13,7 @@
 #include "bamboowing/service/agent_rpc.h"
 #include "bamboowing/service/clock.h"
 #include "bamboowing/service/log.h"
+#include "bamboowing/service/pause_log.h"
 #include "bamboowing/service/store_client.h"
 #include "drain_latch.h"
 
@@ -165,6 +166,7 @@
       const std::optional<instant> core_due = core_.next_wakeup();
       const instant due = std::min(core_due.value_or(before + kMaxWait), watcher_.next_wakeup());
       std::optional<agent_input> next = ring_.PopFor(std::clamp(due - before, duration(0), kMaxWait));
+      pause_log_.OnRound(kMaxWait);
       instant now = Now();
       while (next) {
         std::visit([this, now](auto& alternative) { Handle(alternative, now); }, *next);
@@ -282,6 +284,7 @@
   directory directory_;
   std::map<std::string, std::string> failure_domains_;  ///< by peers_address, also of expired registrations
   std::uint64_t last_store_call_ = 0;
+  pause_log pause_log_;
   detail::drain_latch drained_;
   std::string target_address_;
   std::unique_ptr<leased_target> target_;
--- a/src/service/best_effort_entry.cc
+++ b/src/service/best_effort_entry.cc
@@ -14,6 +14,7 @@
 #include "bamboowing/service/clock.h"
 #include "bamboowing/service/entry_rpc.h"
 #include "bamboowing/service/log.h"
+#include "bamboowing/service/pause_log.h"
 #include "bamboowing/service/store_client.h"
 #include "bamboowing/transport/http_server.h"
 #include "drain_latch.h"
@@ -196,6 +197,7 @@
       const instant before = Now();
       const instant due = std::min(core_.next_wakeup(), registration_.next_wakeup());
       std::optional<entry_input> next = ring_.PopFor(std::clamp(due - before, duration(0), kMaxWait));
+      pause_log_.OnRound(kMaxWait);
       instant now = Now();
       while (next) {
         std::visit([this, now](auto& alternative) { Handle(alternative, now); }, *next);
@@ -307,6 +309,7 @@
   std::uint64_t last_store_call_ = 0;
   bool draining_ = false;
   bool finishing_ = false;  ///< WaitDrained() was called: no further jobs are submitted
+  pause_log pause_log_;
   detail::drain_latch drained_;
   std::atomic<bool> ready_{false};
   mutable std::mutex queues_mutex_;
--- a/src/service/entry_daemon.cc
+++ b/src/service/entry_daemon.cc
@@ -14,6 +14,7 @@
 #include "bamboowing/service/entry_rpc.h"
 #include "bamboowing/service/event_log.h"
 #include "bamboowing/service/log.h"
+#include "bamboowing/service/pause_log.h"
 #include "bamboowing/service/store_client.h"
 #include "bamboowing/transport/http_server.h"
 #include "drain_latch.h"
@@ -175,6 +176,7 @@
       const std::optional<instant> due = core_.next_wakeup();
       const duration wait = due ? std::clamp(*due - before, duration(0), kMaxWait) : kMaxWait;
       std::optional<entry_input> next = ring_.PopFor(wait);
+      pause_log_.OnRound(kMaxWait);
       instant now = Now();
       while (next) {
         std::visit([this, now](auto& alternative) { Handle(alternative, now); }, *next);
@@ -338,6 +340,7 @@
   operator_service operator_service_{core_, events_};
   open_calls calls_;
   std::set<call_id> unanswered_submissions_;  ///< calls with a call_received event and no answer yet
+  pause_log pause_log_;
   drain_latch drained_;
   std::atomic<bool> ready_{false};
   std::atomic<std::uint64_t> body_limit_{intent_document().limits.body_bytes};  ///< from the current configuration
