Reproduce a run reported as lost while its repeated start is in transit

The agent sends a start at 0 ms and repeats it at 12 ms. The target accepts the first request, restarts under its id, and answers a poll as the new incarnation, whose list lacks the run. HandleUnlistedRun() then ends the run as lost, although the second request has no response. The new incarnation executes that request, and the entry has already started the task on another target.

HandleTargetLoss() checks for pending start requests, HandleUnlistedRun() does not.

--- a/tests/besteffort/run_manager_test.cc
+++ b/tests/besteffort/run_manager_test.cc
@@ -456,6 +456,24 @@
   EXPECT_EQ(Results()[0].outcome, run_outcome::kStopped);
 }
 
+// Guards against two runs of one task: a repeated start request that is still in transit is executed by the restarted
+// target after its list of runs was made without the run.
+TEST_F(run_manager_fixture, RepeatedStartInTransitIsNotReportedAsLostAfterRestart) {
+  run_requests requests;
+  requests.starts.push_back(Start("a"));
+  SendRequests(requests);
+  now += Settings().start_retry_interval;
+  Step();
+  const std::vector<send_start_request> starts = ActionsOf<send_start_request>();
+  ASSERT_EQ(starts.size(), 2U);
+  manager.OnStartResponse(starts[0].request_id, {request_status::kAccepted, target_time(1013)}, now);
+  actions.clear();
+  now += Settings().poll_overdue_after;
+  Step();
+  AnswerNewestPoll(6, {});
+  EXPECT_TRUE(Results().empty()) << "the restarted target may still execute the second request";
+}
+
 // Guards against relying on a stop request that only the previous incarnation has accepted.
 TEST_F(run_manager_fixture, RepeatsStopInNextIncarnation) {
   run_requests requests;
