Fence the requests of earlier incarnations when a target restarts

Cause: a target that restarts under its id has seen no fencing token and knows no stop, so it executes start requests that were sent before, also seconds later. The agent took the first list of the new incarnation as the end of every accepted run that it lacked, while a repeated start was still on its way. A refused connection was taken as the end of a run whose start had got no response.

Change: every reconciliation uses a higher fencing token than all earlier starts, and only the list of a poll with that token decides. What it lacks has ended and is never started, so no stop is needed. The poll that reveals the restart does not decide. A target that refuses connections is polled every 60 ms, so that its next incarnation is fenced soon; only runs whose start requests all got an answer, or lost their connection, end with the refusal.

Ruled out: waiting for the response of each pending start, as HandleTargetLoss() did. A request that timed out has no response either and may still be executed.

--- a/include/bamboowing/besteffort/leased_target.h
+++ b/include/bamboowing/besteffort/leased_target.h
@@ -28,7 +28,8 @@
   kRejected,           ///< the target or the client could not parse the message; a malformed request is not executed
   kOtherIncarnation,   ///< another incarnation of the target answered; not executed
   kConnectionRefused,  ///< nothing listens at the address; not executed
-  kNoResponse,         ///< may have been executed, or may be executed later
+  kConnectionBroken,   ///< the peer closed the connection: may have been executed, will not be executed later
+  kNoResponse,         ///< may have been executed, or may be executed later, also by a later incarnation of the target
 };
 
 /// Response to a start or stop request.
--- a/include/bamboowing/besteffort/run_manager.h
+++ b/include/bamboowing/besteffort/run_manager.h
@@ -28,6 +28,9 @@
   /// A target that leaves a request unanswered for this long receives no starts and no lease renewals.
   duration unresponsive_after{120'000};
   duration poll_interval{50'000};  ///< interval between polls of an unresponsive target
+  /// Interval between polls of a target that refuses connections. Each poll carries a fencing token above those of all
+  /// earlier starts, so the next incarnation executes a delayed start at most until its first poll.
+  duration lost_poll_interval{60'000};
   /// The response to a long poll may be lost. While the target has runs, it is polled again after this time.
   duration poll_overdue_after{45'000};
   duration stop_retry_interval{60'000};  ///< interval between stop requests for the same run
@@ -132,7 +135,8 @@
  private:
   /// State of the agent's view of its target.
   enum class phase : std::uint8_t {
-    kUnknown,      ///< no announcement yet, or the target has stopped
+    kUnknown,      ///< no announcement yet
+    kLost,         ///< the target refuses connections; it is polled in case it returns under its id
     kReconciling,  ///< the target may have unknown runs; no starts and no lease renewals are sent
     kServing,
   };
@@ -149,13 +153,15 @@
     run_start start;
     std::string owner;  ///< address of the entry that requested the run
     run_state state = run_state::kWaiting;
-    instant state_since;               ///< when the current state was entered
-    std::uint32_t start_requests = 0;  ///< number of start requests sent
-    instant last_start_request_at;     ///< when the newest start request was sent
-    instant accepted_at;               ///< when the target was first known to have accepted the run; zero if unknown
-    instant start_unanswered_at;       ///< when a start request last timed out
+    instant state_since;                ///< when the current state was entered
+    std::uint32_t start_requests = 0;   ///< number of start requests sent
+    instant last_start_request_at;      ///< when the newest start request was sent
+    std::uint64_t start_token = 0;      ///< fencing token of the newest start request
+    std::uint32_t start_responses = 0;  ///< number of start requests that will not be executed later than now
+    instant accepted_at;                ///< when the target was first known to have accepted the run; zero if unknown
+    instant start_unanswered_at;        ///< when a start request last timed out
     /// The target was lost or restarted during this run. A later incarnation may execute a start request that was sent
-    /// to an earlier one at any later time, and evaluates its lease on another clock.
+    /// to an earlier one, and evaluates its lease on another clock.
     bool spans_incarnations = false;
     std::optional<instant> last_stop_request_at;  ///< when the newest stop request was sent
     std::optional<instant> stop_accepted_at;      ///< when the target accepted a stop request
@@ -181,9 +187,11 @@
   struct pending_request {
     run_key key;
     instant sent_at;
+    std::uint64_t token = 0;
   };
   struct pending_poll {
     instant sent_at;
+    std::uint64_t token = 0;
     bool waits_for_results = false;
     std::uint64_t acknowledged_sequence = 0;
   };
@@ -198,18 +206,21 @@
   static void MarkAccepted(managed_run& run, instant now);
   void HandleUnansweredStart(run_map::iterator run, instant now);
   void HandleResponse(const request_response& response, instant now);
+  /// The target refused a request with the fencing token @p token because it has seen a higher one.
+  void HandleFenced(std::uint64_t token);
   void RecordRequestSent(instant now);
   void RecordResponse(instant now);
   void RaiseToken();
   /// A target with another id has taken over, so no run of the previous one is active.
   void ReplaceTarget(const std::string& reason, instant now);
   /// The connection was refused for a request that was sent at @p refused_at. The target may return under its id and
-  /// then execute a pending start request, so only runs whose start requests were settled before that time are certain
-  /// to have ended.
+  /// then execute a start request that got no response, so only runs without one are certain to have ended.
   void HandleTargetLoss(const std::string& reason, instant refused_at, instant now);
-  /// The target restarted under its id. Its previous runs may have ended, and the new incarnation may accept pending
-  /// start requests: its list of runs decides.
+  /// The target restarted under its id. Its previous runs may have ended, and the new incarnation may accept start
+  /// requests that were sent before: its list of runs decides, once it has seen a higher fencing token.
   void HandleTargetRestart(const target_incarnation& restarted, instant now);
+  /// Polls the target until its list shows which runs are active. Raises the fencing token, so that a start request
+  /// that was sent before and is not on the list is never executed.
   void BeginReconciliation();
   /// Ends the waiting runs and notifies all entries that the target accepts no starts.
   void SuspendAdmission(instant now);
@@ -242,8 +253,8 @@
   instant LeaseExpiryBound(const managed_run& run) const;
   void ExpireUnleasedRuns(instant now);
   void HandleFinishedRuns(const poll_response& response, instant now);
-  void ReconcileRunning(const poll_response& response, instant polled_at, instant now);
-  void HandleUnlistedRun(run_map::iterator run, instant polled_at, instant now);
+  void ReconcileRunning(const poll_response& response, const pending_poll& poll, instant now);
+  void HandleUnlistedRun(run_map::iterator run, const pending_poll& poll, instant now);
   void MaintainSessions(instant now);
   void SelectEntries(instant now);
   void EvictUnlistedEntries(instant now);
@@ -278,6 +289,7 @@
   bool target_described_ = false;  ///< whether target_ comes from the current incarnation
   std::uint64_t token_ = 0;
   std::uint64_t token_step_ = 1;
+  std::uint64_t newest_start_token_ = 0;      ///< fencing token of the newest start request
   std::optional<target_time> target_clock_;   ///< newest sample of the target's clock
   instant clock_sampled_at_;                  ///< agent's clock at that sample
   std::uint64_t last_finished_sequence_ = 0;  ///< newest finished run that the target has reported
@@ -287,7 +299,8 @@
   instant last_response_at_;                  ///< when the target last responded
   /// When the oldest request was sent since the last response.
   std::optional<instant> unanswered_since_;
-  instant next_reconcile_poll_;
+  instant next_reconcile_poll_;  ///< in kReconciling and kLost
+  instant lost_at_;              ///< when kLost was entered
   bool draining_ = false;
 
   std::uint64_t last_request_id_ = 0;
--- a/src/besteffort/run_manager.cc
+++ b/src/besteffort/run_manager.cc
@@ -191,7 +191,9 @@
 void run_manager::SendStart(const run_key& key, managed_run& run, target_time lease_end, instant now) {
   ++run.start_requests;
   run.last_start_request_at = now;
-  pending_starts_.emplace(++last_request_id_, pending_request{key, now});
+  run.start_token = token_;
+  newest_start_token_ = token_;
+  pending_starts_.emplace(++last_request_id_, pending_request{key, now, token_});
   actions_.emplace_back(send_start_request{last_request_id_, {RequestContext(), key, run.start.payload, lease_end}});
   last_lease_sent_at_ = now;
   RecordRequestSent(now);
@@ -222,9 +224,10 @@
   }
   HandleResponse(response, now);
   if (response.status == request_status::kFenced) {
-    RaiseToken();
+    HandleFenced(pending.mapped().token);
   }
   if (const run_map::iterator run = runs_.find(pending.mapped().key); run != runs_.end()) {
+    run->second.start_responses += response.status == request_status::kNoResponse ? 0 : 1;
     HandleStartResponse(run, response.status, now);
   }
   if (response.status == request_status::kOtherIncarnation) {
@@ -242,7 +245,7 @@
     MarkAccepted(target_run, now);
     return;
   }
-  if (status == request_status::kNoResponse) {
+  if (status == request_status::kNoResponse || status == request_status::kConnectionBroken) {
     HandleUnansweredStart(run, now);
     return;
   }
@@ -286,11 +289,18 @@
 
 void run_manager::HandleResponse(const request_response& response, instant now) {
   SampleClock(response.clock, now);
-  if (response.status != request_status::kNoResponse) {
+  if (response.status != request_status::kNoResponse && response.status != request_status::kConnectionBroken) {
     RecordResponse(now);
   }
 }
 
+void run_manager::HandleFenced(std::uint64_t token) {
+  // A request that was overtaken by one with a higher token of this agent is refused as intended.
+  if (token == token_) {
+    RaiseToken();
+  }
+}
+
 void run_manager::RequestStop(managed_run& run, instant now) {
   if (run.state == run_state::kStopping) {
     return;
@@ -303,12 +313,12 @@
 
 void run_manager::SendStop(const run_key& key, instant now) {
   RecordRequestSent(now);
-  pending_stops_.emplace(++last_request_id_, pending_request{key, now});
+  pending_stops_.emplace(++last_request_id_, pending_request{key, now, token_});
   actions_.emplace_back(send_stop_request{last_request_id_, {RequestContext(), key}});
 }
 
 void run_manager::RetryStops(instant now) {
-  if (phase_ == phase::kUnknown) {
+  if (phase_ == phase::kUnknown || phase_ == phase::kLost) {
     return;
   }
   for (std::pair<const run_key, managed_run>& item : runs_) {
@@ -328,7 +338,7 @@
   }
   HandleResponse(response, now);
   if (response.status == request_status::kFenced) {
-    RaiseToken();
+    HandleFenced(pending.mapped().token);
   }
   if (response.status == request_status::kOtherIncarnation) {
     ReplaceTarget("a stop request reached another incarnation", now);
--- a/src/besteffort/run_manager_incarnations.cc
+++ b/src/besteffort/run_manager_incarnations.cc
@@ -17,7 +17,7 @@
 void run_manager::OnTargetAnnounced(const target_incarnation& announced, const target_description& target,
                                     std::optional<target_time> clock, instant now) {
   const bool other_incarnation = announced != target_incarnation_;
-  const bool was_unknown = phase_ == phase::kUnknown;
+  const bool was_unknown = phase_ == phase::kUnknown || phase_ == phase::kLost;
   if (other_incarnation && announced.id == target_incarnation_.id) {
     HandleTargetRestart(announced, now);
   } else if (other_incarnation) {
@@ -63,20 +63,24 @@
 }
 
 void run_manager::HandleTargetLoss(const std::string& reason, instant refused_at, instant now) {
-  if (phase_ == phase::kUnknown) {
+  if (phase_ == phase::kUnknown || phase_ == phase::kLost) {
     return;
   }
   LogEvent("target_lost", "", Describe(target_incarnation_) + ", " + reason + ", runs " + std::to_string(runs_.size()));
-  phase_ = phase::kUnknown;
   SuspendAdmission(now);
   for (run_map::iterator run = runs_.begin(); run != runs_.end();) {
     const run_map::iterator ending = run++;
-    const instant settled = std::max(ending->second.accepted_at, ending->second.start_unanswered_at);
-    if (settled <= refused_at && !HasPendingStart(ending->first)) {
+    const managed_run& lost = ending->second;
+    const instant settled = std::max(lost.accepted_at, lost.start_unanswered_at);
+    if (settled <= refused_at && lost.start_responses == lost.start_requests) {
       EndRun(ending, run_outcome::kLost, reason, now);
     }
   }
   MarkRunsSpanningIncarnations();
+  BeginReconciliation();
+  phase_ = phase::kLost;
+  lost_at_ = now;
+  next_reconcile_poll_ = now + settings_.lost_poll_interval;
 }
 
 void run_manager::HandleTargetRestart(const target_incarnation& restarted, instant now) {
@@ -118,6 +122,9 @@
 
 void run_manager::BeginReconciliation() {
   phase_ = phase::kReconciling;
+  if (newest_start_token_ == token_) {
+    ++token_;
+  }
   next_reconcile_poll_ = instant{};
   last_finished_sequence_ = 0;
   acknowledged_sequence_ = 0;
--- a/src/besteffort/run_manager_target.cc
+++ b/src/besteffort/run_manager_target.cc
@@ -98,9 +98,12 @@
   if (phase_ == phase::kUnknown) {
     return;
   }
-  if (phase_ == phase::kReconciling) {
+  if (phase_ == phase::kLost && now - lost_at_ >= kMaxRequestDelay + settings_.lease) {
+    return;  // no start request is left that the next incarnation could execute
+  }
+  if (phase_ == phase::kReconciling || phase_ == phase::kLost) {
     if (pending_polls_.empty() && now >= next_reconcile_poll_) {
-      next_reconcile_poll_ = now + kReconcileInterval;
+      next_reconcile_poll_ = now + (phase_ == phase::kLost ? settings_.lost_poll_interval : kReconcileInterval);
       SendPoll(duration(0), now);
     }
     return;
@@ -144,7 +147,7 @@
     RecordRequestSent(now);
   }
   last_poll_at_ = now;
-  pending_polls_.emplace(++last_request_id_, pending_poll{now, wait > duration(0), last_finished_sequence_});
+  pending_polls_.emplace(++last_request_id_, pending_poll{now, token_, wait > duration(0), last_finished_sequence_});
   actions_.emplace_back(send_poll_request{last_request_id_, std::move(request)});
 }
 
@@ -158,7 +161,7 @@
     case request_status::kAccepted:
       break;
     case request_status::kFenced:
-      RaiseToken();
+      HandleFenced(pending.mapped().token);
       return;
     case request_status::kOtherIncarnation:
       ReplaceTarget("a poll reached another incarnation", now);
@@ -172,13 +175,17 @@
   }
   RecordResponse(now);
   if (response.start_id && target_incarnation_.start_id != 0 && *response.start_id != target_incarnation_.start_id) {
+    // The new incarnation may still execute start requests with the token of this poll, so its list does not decide.
     HandleTargetRestart({target_incarnation_.id, *response.start_id}, now);
     SampleClock(response.clock, now);
-  } else {
-    acknowledged_sequence_ = std::max(acknowledged_sequence_, pending.mapped().acknowledged_sequence);
+    return;
+  }
+  if (phase_ == phase::kLost) {
+    phase_ = phase::kReconciling;
   }
+  acknowledged_sequence_ = std::max(acknowledged_sequence_, pending.mapped().acknowledged_sequence);
   HandleFinishedRuns(response, now);
-  ReconcileRunning(response, pending.mapped().sent_at, now);
+  ReconcileRunning(response, pending.mapped(), now);
   if (phase_ == phase::kReconciling && target_described_ && target_clock_ && HasAllRuns(response.running)) {
     phase_ = phase::kServing;
     LogEvent("target_usable", "", "target " + target_incarnation_.id);
@@ -219,7 +226,7 @@
   }
 }
 
-void run_manager::ReconcileRunning(const poll_response& response, instant polled_at, instant now) {
+void run_manager::ReconcileRunning(const poll_response& response, const pending_poll& poll, instant now) {
   std::vector<run_key> listed = response.running;
   std::sort(listed.begin(), listed.end());
   for (const run_key& key : listed) {
@@ -233,21 +240,23 @@
       continue;
     }
     MarkAccepted(run->second, now);
+    // The present incarnation has the run and evaluates its lease.
+    run->second.spans_incarnations = false;
   }
   for (run_map::iterator run = runs_.begin(); run != runs_.end();) {
     const run_map::iterator known = run++;
     if (known->second.state != run_state::kWaiting && !std::binary_search(listed.begin(), listed.end(), known->first)) {
-      HandleUnlistedRun(known, polled_at, now);
+      HandleUnlistedRun(known, poll, now);
     }
   }
 }
 
-void run_manager::HandleUnlistedRun(run_map::iterator run, instant polled_at, instant now) {
+void run_manager::HandleUnlistedRun(run_map::iterator run, const pending_poll& poll, instant now) {
   managed_run& unlisted = run->second;
-  // During reconciliation, the remaining runs are those of an earlier incarnation. A run that was accepted before the
-  // list was made and is missing from it ended with that incarnation.
-  if (phase_ == phase::kReconciling && unlisted.accepted_at != instant{} && polled_at >= unlisted.accepted_at) {
-    EndRun(run, run_outcome::kLost, "not listed by the restarted target", now);
+  const instant polled_at = poll.sent_at;
+  // The target has seen a higher fencing token than those of all start requests of the run, so it never executes one.
+  if (poll.token > unlisted.start_token) {
+    EndRun(run, run_outcome::kLost, "fenced and not listed", now);
     return;
   }
   switch (unlisted.state) {
@@ -277,7 +286,7 @@
   if (const std::optional<instant> session = sessions_.next_wakeup({}); session) {
     next = std::min(next, *session);
   }
-  if (phase_ == phase::kReconciling && pending_polls_.empty()) {
+  if ((phase_ == phase::kReconciling || phase_ == phase::kLost) && pending_polls_.empty()) {
     next = std::min(next, next_reconcile_poll_);
   }
   for (const std::pair<const run_key, managed_run>& run : runs_) {
