Extend the simulation by suspended machines and requests that outlive their target

fake_target shortens a lease to 1 s, as the published protocol says. A heartbeat now carries the state of the target at the time of sending; before, a heartbeat that waited for a frozen agent carried the state at the time of its delivery.

AnswerPoll() compared the time of sending with the time of arrival, which always differ, so no poll was ever lost.

--- a/tests/besteffort/cluster_sim.cc
+++ b/tests/besteffort/cluster_sim.cc
@@ -1,6 +1,7 @@
 #include "cluster_sim.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bamboowing {
 namespace {
@@ -12,6 +13,12 @@
 constexpr duration kPollTimeout = std::chrono::milliseconds(200);
 constexpr duration kHeartbeat = std::chrono::milliseconds(1500);
 constexpr std::size_t kDomains = 4;
+// Bounds of the time from sending a late request to its execution.
+constexpr duration kMinLateDelay = std::chrono::seconds(2);
+constexpr duration kLateSpread = std::chrono::seconds(4);
+constexpr duration kLongLateSpread = std::chrono::seconds(10);
+// A slow request is executed within this time, which is longer than the agent waits for its response.
+constexpr duration kSlowRequestDelay = std::chrono::milliseconds(60);
 
 }  // namespace
 
@@ -63,7 +70,8 @@
   settings.id = "entry-" + std::to_string(entry);
   settings.own_incarnation = ++last_incarnation_;
   entries_[entry]->entry_incarnation = settings.own_incarnation;
-  entries_[entry]->core = std::make_unique<dispatch_core>(settings, seed_ + settings.own_incarnation, now_);
+  entries_[entry]->core =
+      std::make_unique<dispatch_core>(settings, seed_ + settings.own_incarnation, entries_[entry]->clock.Read(now_));
 }
 
 void cluster_sim::StartAgent(std::size_t agent) {
@@ -81,39 +89,54 @@
   settings.agent.backoff_max = std::chrono::milliseconds(800);
   settings.first_token = 100 + settings.agent.incarnation;
   agents_[agent]->agent_incarnation = settings.agent.incarnation;
-  agents_[agent]->core = std::make_unique<run_manager>(settings, seed_ + settings.agent.incarnation, now_);
+  agents_[agent]->core =
+      std::make_unique<run_manager>(settings, seed_ + settings.agent.incarnation, agents_[agent]->clock.Read(now_));
   std::vector<entry_endpoint> places;
   for (std::size_t i = 0; i < entries_.size(); ++i) {
     places.push_back({Address(i), "domain-" + std::to_string(i % kDomains), WantsAgents()});
   }
-  agents_[agent]->core->OnEntries(places, now_);
+  agents_[agent]->core->OnEntries(places, agents_[agent]->clock.Read(now_));
 }
 
 void cluster_sim::Announce(std::size_t agent) {
   agent_node& node = *agents_[agent];
   if (node.target_down_until <= now_) {
-    target_description target;
-    target.service = kSimService;
-    target.capacity = {cores_ * 1000, 65536, 0};
-    DeliverToAgent(agent, [this, agent, target](run_manager& core) {
-      const fake_target& fake = *agents_[agent]->target;
-      core.OnTargetAnnounced({fake.id(), fake.start_id()}, target, fake.Clock(now_), now_);
-    });
+    SendHeartbeat(agent, duration(0));
   }
   After(kHeartbeat, [this, agent] { Announce(agent); });
 }
 
-void cluster_sim::DeliverToEntry(std::size_t entry, std::function<void(dispatch_core&)> input) {
+void cluster_sim::SendHeartbeat(std::size_t agent, duration delay) {
+  target_description target;
+  target.service = kSimService;
+  target.capacity = {cores_ * 1000, 65536, 0};
+  const fake_target& fake = *agents_[agent]->target;
+  const target_incarnation incarnation{fake.id(), fake.start_id()};
+  const target_time clock = fake.Clock(now_);
+  const auto deliver = [this, agent, target, incarnation, clock] {
+    DeliverToAgent(agent, [target, incarnation, clock](run_manager& core, instant now) {
+      core.OnTargetAnnounced(incarnation, target, clock, now);
+    });
+  };
+  if (delay == duration(0)) {
+    deliver();
+  } else {
+    After(delay, deliver);
+  }
+}
+
+void cluster_sim::DeliverToEntry(std::size_t entry, std::function<void(dispatch_core&, instant)> input) {
   entry_node& node = *entries_[entry];
   if (!node.core) {
     return;
   }
-  if (node.frozen_until > now_ || (!node.deferred_inputs.empty() && !node.delivering_deferred)) {
+  if (Stopped(node) || (!node.deferred_inputs.empty() && !node.delivering_deferred)) {
     node.deferred_inputs.push_back([this, entry, input = std::move(input)] { DeliverToEntry(entry, input); });
     return;
   }
-  input(*node.core);
-  node.core->Advance(now_);
+  const instant now = node.clock.Read(now_);
+  input(*node.core, now);
+  node.core->Advance(now);
   const span<const dispatch_action> actions = node.core->actions();
   const std::vector<dispatch_action> copy(actions.begin(), actions.end());
   node.core->ClearActions();
@@ -122,17 +145,18 @@
   }
 }
 
-void cluster_sim::DeliverToAgent(std::size_t agent, std::function<void(run_manager&)> input) {
+void cluster_sim::DeliverToAgent(std::size_t agent, std::function<void(run_manager&, instant)> input) {
   agent_node& node = *agents_[agent];
   if (!node.core) {
     return;
   }
-  if (node.frozen_until > now_ || (!node.deferred_inputs.empty() && !node.delivering_deferred)) {
+  if (Stopped(node) || (!node.deferred_inputs.empty() && !node.delivering_deferred)) {
     node.deferred_inputs.push_back([this, agent, input = std::move(input)] { DeliverToAgent(agent, input); });
     return;
   }
-  input(*node.core);
-  node.core->Advance(now_);
+  const instant now = node.clock.Read(now_);
+  input(*node.core, now);
+  node.core->Advance(now);
   const span<const run_action> actions = node.core->actions();
   const std::vector<run_action> copy(actions.begin(), actions.end());
   node.core->ClearActions();
@@ -154,17 +178,17 @@
 }
 
 void cluster_sim::StepEntry(std::size_t entry) {
-  if (entries_[entry]->frozen_until <= now_) {
+  if (!Stopped(*entries_[entry])) {
     DeliverDeferred(*entries_[entry]);
-    DeliverToEntry(entry, [](dispatch_core&) {});
+    DeliverToEntry(entry, [](dispatch_core&, instant) {});
   }
   After(kTick, [this, entry] { StepEntry(entry); });
 }
 
 void cluster_sim::StepAgent(std::size_t agent) {
-  if (agents_[agent]->frozen_until <= now_) {
+  if (!Stopped(*agents_[agent])) {
     DeliverDeferred(*agents_[agent]);
-    DeliverToAgent(agent, [](run_manager&) {});
+    DeliverToAgent(agent, [](run_manager&, instant) {});
   }
   After(kTick, [this, agent] { StepAgent(agent); });
 }
@@ -196,7 +220,7 @@
       After(Delay(entry, agent), [this, agent, entry, id = send->session, batch = send->batch] {
         const std::map<std::size_t, session_id>& open = agents_[agent]->sessions;
         if (open.count(entry) != 0 && open.at(entry) == id) {
-          DeliverToAgent(agent, [=](run_manager& core) { core.OnBatch(Address(entry), batch, now_); });
+          DeliverToAgent(agent, [=](run_manager& core, instant now) { core.OnBatch(Address(entry), batch, now); });
         }
       });
     }
@@ -217,12 +241,13 @@
   }
   if (notify_entry) {
     After(kNetworkDelay, [this, entry, id = closed.mapped()] {
-      DeliverToEntry(entry, [=](dispatch_core& core) { core.OnSessionClosed(id, "closed", now_); });
+      DeliverToEntry(entry, [=](dispatch_core& core, instant now) { core.OnSessionClosed(id, "closed", now); });
     });
   }
   if (notify_agent) {
     After(kNetworkDelay, [this, agent, entry] {
-      DeliverToAgent(agent, [=](run_manager& core) { core.OnSessionClosed(Address(entry), "closed", now_); });
+      DeliverToAgent(agent,
+                     [=](run_manager& core, instant now) { core.OnSessionClosed(Address(entry), "closed", now); });
     });
   }
 }
@@ -243,17 +268,32 @@
   }
   if (!entries_[entry]->core) {
     After(kNetworkDelay, [this, agent, address] {
-      DeliverToAgent(agent, [=](run_manager& core) { core.OnSessionClosed(address, "refused", now_); });
+      DeliverToAgent(agent, [=](run_manager& core, instant now) { core.OnSessionClosed(address, "refused", now); });
     });
     return;
   }
   const session_id id = ++last_session_;
   agents_[agent]->sessions[entry] = id;
-  DeliverToEntry(entry, [=](dispatch_core& core) { core.OnSessionOpened(id, AgentId(agent), now_); });
+  DeliverToEntry(entry, [=](dispatch_core& core, instant now) { core.OnSessionOpened(id, AgentId(agent), now); });
   After(kNetworkDelay, [this, agent, entry, id, address] {
     const std::map<std::size_t, session_id>& open = agents_[agent]->sessions;
     if (open.count(entry) != 0 && open.at(entry) == id) {
-      DeliverToAgent(agent, [=](run_manager& core) { core.OnSessionOpened(address, now_); });
+      DeliverToAgent(agent, [=](run_manager& core, instant now) { core.OnSessionOpened(address, now); });
+    }
+  });
+}
+
+bool cluster_sim::Occurs(double rate) { return rate > 0 && random_.Unit() < rate; }
+
+void cluster_sim::ExecuteLate(std::size_t agent, const std::function<void()>& execute) {
+  const bool outlives_target = faults.late_requests_outlive_target;
+  const duration spread = outlives_target ? kLongLateSpread : kLateSpread;
+  const duration delay = kMinLateDelay + duration(random_.Below(static_cast<std::uint64_t>(spread.count())));
+  After(delay, [this, agent, execute, outlives_target, start_id = agents_[agent]->target->start_id()] {
+    const agent_node& node = *agents_[agent];
+    const bool reached = outlives_target ? node.target_down_until <= now_ : node.target->start_id() == start_id;
+    if (reached) {
+      execute();
     }
   });
 }
@@ -273,11 +313,11 @@
     if (agents_[agent]->agent_incarnation != agent_incarnation) {
       return;
     }
-    DeliverToAgent(agent, [=](run_manager& core) {
+    DeliverToAgent(agent, [=](run_manager& core, instant now) {
       if constexpr (std::is_same_v<Request, send_start_request>) {
-        core.OnStartResponse(request_id, response, now_);
+        core.OnStartResponse(request_id, response, now);
       } else {
-        core.OnStopResponse(request_id, response, now_);
+        core.OnStopResponse(request_id, response, now);
       }
     });
   };
@@ -289,28 +329,47 @@
   if (late || node.target_silent_until > now_) {
     After(kRequestTimeout, [respond] { respond({request_status::kNoResponse, std::nullopt}); });
     if (late) {
-      // A request that is queued in the target's process is lost when the process ends.
-      After(std::chrono::seconds(2) + duration(random_.Below(4'000'000)),
-            [this, agent, execute, start_id = node.target->start_id()] {
-              if (agents_[agent]->target->start_id() == start_id) {
-                execute();
-              }
-            });
+      ExecuteLate(agent, execute);
     }
     return;
   }
+  if (Occurs(faults.slow_requests)) {
+    const duration delay(random_.Below(static_cast<std::uint64_t>(kSlowRequestDelay.count())));
+    const std::shared_ptr<bool> answered = std::make_shared<bool>(false);
+    const auto respond_once = [respond, answered](const request_response& response) {
+      if (!std::exchange(*answered, true)) {
+        respond(response);
+      }
+    };
+    After(kRequestTimeout, [respond_once] { respond_once({request_status::kNoResponse, std::nullopt}); });
+    After(delay, [this, agent, execute, respond_once] {
+      if (agents_[agent]->target_down_until <= now_) {
+        respond_once(execute());
+      }
+    });
+    return;
+  }
+  if (Occurs(faults.lost_responses)) {
+    After(kRequestTimeout, [respond] { respond({request_status::kNoResponse, std::nullopt}); });
+    After(kRequestDelay, [this, agent, execute] {
+      if (agents_[agent]->target_down_until <= now_) {
+        execute();
+      }
+    });
+    return;
+  }
   After(kRequestDelay, [this, agent, execute, respond] {
     const bool down = agents_[agent]->target_down_until > now_;
     respond(down ? request_response{request_status::kNoResponse, std::nullopt} : execute());
   });
 }
 
-void cluster_sim::AnswerPoll(std::size_t agent, const send_poll_request& poll, instant polled_at) {
+void cluster_sim::AnswerPoll(std::size_t agent, const send_poll_request& poll, instant polled_at, bool arrived) {
   agent_node& node = *agents_[agent];
   const incarnation_id agent_incarnation = node.agent_incarnation;
   const auto respond = [this, agent, agent_incarnation, id = poll.request_id](const poll_response& response) {
     if (agents_[agent]->agent_incarnation == agent_incarnation) {
-      DeliverToAgent(agent, [=](run_manager& core) { core.OnPollResponse(id, response, now_); });
+      DeliverToAgent(agent, [=](run_manager& core, instant now) { core.OnPollResponse(id, response, now); });
     }
   };
   if (node.target_down_until > now_) {
@@ -323,8 +382,11 @@
     After(kRequestTimeout, [respond] { respond(poll_response()); });
     return;
   }
-  if (polled_at == now_ && random_.Unit() < faults.late_requests) {
+  if (!arrived && Occurs(faults.lost_polls)) {
     After(poll.request.wait + kPollTimeout, [respond] { respond(poll_response()); });
+    if (faults.late_requests_outlive_target) {
+      ExecuteLate(agent, [this, agent, request = poll.request] { agents_[agent]->target->Poll(request, now_); });
+    }
     return;
   }
   const poll_response response = node.target->Poll(poll.request, now_);
@@ -339,7 +401,7 @@
   again.request.lease_end.reset();
   After(std::chrono::milliseconds(2), [this, agent, again, polled_at, agent_incarnation] {
     if (agents_[agent]->agent_incarnation == agent_incarnation) {
-      AnswerPoll(agent, again, polled_at);
+      AnswerPoll(agent, again, polled_at, true);
     }
   });
 }
@@ -358,7 +420,7 @@
     After(Delay(entry, agent), [this, entry, agent, id = open.at(entry), batch = send->batch] {
       const std::map<std::size_t, session_id>& still = agents_[agent]->sessions;
       if (still.count(entry) != 0 && still.at(entry) == id) {
-        DeliverToEntry(entry, [=](dispatch_core& core) { core.OnReport(id, batch, now_); });
+        DeliverToEntry(entry, [=](dispatch_core& core, instant now) { core.OnReport(id, batch, now); });
       }
     });
   } else if (const open_session* open = std::get_if<open_session>(&action); open != nullptr) {
@@ -371,7 +433,7 @@
   } else if (const send_stop_request* stop = std::get_if<send_stop_request>(&action); stop != nullptr) {
     SendToTarget<request_response>(agent, *stop, stop->request_id);
   } else if (const send_poll_request* poll = std::get_if<send_poll_request>(&action); poll != nullptr) {
-    After(kRequestDelay, [this, agent, poll = *poll, polled_at = now_] { AnswerPoll(agent, poll, polled_at); });
+    After(kRequestDelay, [this, agent, poll = *poll, polled_at = now_] { AnswerPoll(agent, poll, polled_at, false); });
   }
 }
 
--- a/tests/besteffort/cluster_sim.h
+++ b/tests/besteffort/cluster_sim.h
@@ -1,6 +1,7 @@
 // Deterministic simulation of entries, agents and targets in virtual time, with fault injection.
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -19,9 +20,45 @@
 /// Service that all targets belong to.
 constexpr const char* kSimService = "inspect";
 
+/// Whether the clock that the daemons use counts the time for which their machine is suspended.
+constexpr bool kDaemonClockCountsSuspension = false;
+
 /// Fault rates, as fractions from 0 to 1.
 struct sim_faults {
   double late_requests = 0;  ///< requests without a response; starts and stops among them are executed seconds later
+  double lost_polls = 0;     ///< polls without a response; executed late only with `late_requests_outlive_target`
+  /// Whether a late request is executed by the incarnation of the target that is then running, up to 12 s later.
+  /// Otherwise it is lost if the target has restarted.
+  bool late_requests_outlive_target = false;
+  double slow_requests = 0;   ///< starts and stops whose execution is delayed by up to twice the request timeout
+  double lost_responses = 0;  ///< starts and stops that are executed immediately but have no response
+  /// Whether the clocks of the processes count the time for which their machine is suspended.
+  bool clocks_count_suspension = kDaemonClockCountsSuspension;
+};
+
+/// Steady clock of a machine, which may stop while the machine is suspended.
+class machine_clock {
+ public:
+  instant Read(instant now) const { return now - lag_ - Missed(now); }
+  bool Suspended(instant now) const { return now < suspended_until_; }
+  /// Suspends the machine for @p time. Suspensions may overlap.
+  void Suspend(instant now, duration time, bool counts_suspension) {
+    lag_ += Missed(now);
+    suspended_at_ = now;
+    suspended_until_ = std::max(suspended_until_, now + time);
+    counts_suspension_ = counts_suspension;
+  }
+
+ private:
+  /// Time of the newest suspension that the clock has not counted.
+  duration Missed(instant now) const {
+    return counts_suspension_ ? duration(0) : std::min(now, suspended_until_) - suspended_at_;
+  }
+
+  duration lag_{0};
+  bool counts_suspension_ = true;
+  instant suspended_at_;
+  instant suspended_until_;
 };
 
 struct sim_job {
@@ -54,11 +91,20 @@
   void FreezeEntry(std::size_t entry, duration time);
   void KillAgent(std::size_t agent, duration down);
   void FreezeAgent(std::size_t agent, duration time);
+  /// Stops the processes of a machine, and its clock unless `clocks_count_suspension` is set. Its messages wait.
+  void SuspendEntry(std::size_t entry, duration time);
+  void SuspendAgent(std::size_t agent, duration time);
   /// Delays all messages between an entry and an agent for @p time; none is lost.
   void Partition(std::size_t entry, std::size_t agent, duration time);
   void ResetSession(std::size_t entry, std::size_t agent);
   void CrashTarget(std::size_t target, duration down);
   void SilenceTarget(std::size_t target, duration time);
+  /// Ends the target's process; after @p down, a target with a new id runs at its address.
+  void ReplaceTarget(std::size_t target, duration down);
+  /// The target announces that it has stopped. Its process ends after @p end_delay and is restarted after @p down.
+  void LeaveTarget(std::size_t target, duration end_delay, duration down);
+  /// The target sends a heartbeat that arrives after @p delay.
+  void DelayHeartbeat(std::size_t target, duration delay) { SendHeartbeat(target, delay); }
 
   fake_target& target(std::size_t index) { return *agents_[index]->target; }
   run_manager* manager(std::size_t index) { return agents_[index]->core.get(); }
@@ -83,6 +129,7 @@
     std::unique_ptr<dispatch_core> core;
     incarnation_id entry_incarnation = 0;
     instant frozen_until;
+    machine_clock clock;
     std::vector<std::function<void()>> deferred_inputs;  ///< inputs that arrived while the process was frozen
     bool delivering_deferred = false;                    ///< the deferred inputs are being delivered
   };
@@ -91,6 +138,7 @@
     std::unique_ptr<fake_target> target;
     incarnation_id agent_incarnation = 0;
     instant frozen_until;
+    machine_clock clock;
     std::vector<std::function<void()>> deferred_inputs;
     bool delivering_deferred = false;
     instant target_down_until;
@@ -102,10 +150,15 @@
   /// What the entries register with this number of agents.
   bool WantsAgents() const { return targets_ < agent_demand::kMinAgents; }
   static std::string AgentId(std::size_t agent) { return "agent-" + std::to_string(agent); }
+  /// Whether the process is frozen or its machine is suspended.
+  template <typename Node>
+  bool Stopped(const Node& node) const {
+    return node.frozen_until > now_ || node.clock.Suspended(now_);
+  }
   void StartEntry(std::size_t entry);
   void StartAgent(std::size_t agent);
-  void DeliverToEntry(std::size_t entry, std::function<void(dispatch_core&)> input);
-  void DeliverToAgent(std::size_t agent, std::function<void(run_manager&)> input);
+  void DeliverToEntry(std::size_t entry, std::function<void(dispatch_core&, instant)> input);
+  void DeliverToAgent(std::size_t agent, std::function<void(run_manager&, instant)> input);
   template <typename Node>
   void DeliverDeferred(Node& node);
   void StepEntry(std::size_t entry);
@@ -118,8 +171,14 @@
   duration Delay(std::size_t entry, std::size_t agent);
   template <typename Response, typename Request>
   void SendToTarget(std::size_t agent, const Request& request, std::uint64_t request_id);
-  void AnswerPoll(std::size_t agent, const send_poll_request& poll, instant polled_at);
+  /// Responds to a poll when it is due. @p arrived is whether an earlier check has taken its lease.
+  void AnswerPoll(std::size_t agent, const send_poll_request& poll, instant polled_at, bool arrived);
+  /// Whether a fault with this rate occurs now.
+  bool Occurs(double rate);
+  /// Executes a request without a response seconds later.
+  void ExecuteLate(std::size_t agent, const std::function<void()>& execute);
   void Announce(std::size_t agent);
+  void SendHeartbeat(std::size_t agent, duration delay);
 
   instant now_{std::chrono::seconds(1000)};
   seeded_random random_;
@@ -135,6 +194,7 @@
   std::vector<sim_job> jobs_;
   session_id last_session_ = 0;
   incarnation_id last_incarnation_ = 0;
+  std::uint64_t replacements_ = 0;  ///< number of targets with a new id
 };
 
 }  // namespace bamboowing
--- a/tests/besteffort/cluster_sim_inputs.cc
+++ b/tests/besteffort/cluster_sim_inputs.cc
@@ -38,13 +38,14 @@
   rule.max_attempts = 3;
   rule.slack_factor = 1.6;
   rule.target_latency = std::chrono::milliseconds(60);
-  DeliverToEntry(entry, [=](dispatch_core& core) { core.OnSubmit(submitted.call, job, rule, now_); });
+  DeliverToEntry(entry, [=](dispatch_core& core, instant now) { core.OnSubmit(submitted.call, job, rule, now); });
   return jobs_.size() - 1;
 }
 
 void cluster_sim::DisconnectCaller(std::size_t job) {
   jobs_[job].caller_gone = true;
-  DeliverToEntry(jobs_[job].entry, [=](dispatch_core& core) { core.OnCallerDisconnected(jobs_[job].call, now_); });
+  DeliverToEntry(jobs_[job].entry,
+                 [=](dispatch_core& core, instant now) { core.OnCallerDisconnected(jobs_[job].call, now); });
 }
 
 void cluster_sim::KillEntry(std::size_t entry, duration down) {
@@ -73,6 +74,14 @@
 
 void cluster_sim::FreezeAgent(std::size_t agent, duration time) { agents_[agent]->frozen_until = now_ + time; }
 
+void cluster_sim::SuspendEntry(std::size_t entry, duration time) {
+  entries_[entry]->clock.Suspend(now_, time, faults.clocks_count_suspension);
+}
+
+void cluster_sim::SuspendAgent(std::size_t agent, duration time) {
+  agents_[agent]->clock.Suspend(now_, time, faults.clocks_count_suspension);
+}
+
 void cluster_sim::Partition(std::size_t entry, std::size_t agent, duration time) {
   partitioned_until_[{entry, agent}] = now_ + time;
 }
@@ -84,6 +93,17 @@
   agents_[target]->target_down_until = now_ + down;
 }
 
+void cluster_sim::ReplaceTarget(std::size_t target, duration down) {
+  CrashTarget(target, down);
+  agents_[target]->target->Rename("minion-" + std::to_string(target) + "-" + std::to_string(++replacements_));
+}
+
+void cluster_sim::LeaveTarget(std::size_t target, duration end_delay, duration down) {
+  DeliverToAgent(target,
+                 [id = agents_[target]->target->id()](run_manager& core, instant now) { core.OnTargetLeft(id, now); });
+  After(end_delay, [this, target, down] { CrashTarget(target, down); });
+}
+
 void cluster_sim::SilenceTarget(std::size_t target, duration time) {
   agents_[target]->target_silent_until = now_ + time;
 }
--- a/tests/besteffort/fake_target.h
+++ b/tests/besteffort/fake_target.h
@@ -51,6 +51,9 @@
     started_ = now;
   }
 
+  /// Sets the id of the current incarnation.
+  void Rename(const std::string& id) { id_ = id; }
+
   /// Ends the runs that finish or whose lease expires by @p now.
   void Advance(instant now) {
     const instant lease_at = started_ + lease_end_;
@@ -91,7 +94,7 @@
       answer.status = request_status::kLeaseExpired;
       return answer;
     }
-    lease_end_ = std::max(lease_end_, request.lease_end);
+    ExtendLease(request.lease_end, now);
     if (present != running_.end() || highest_attempts_[task] >= request.key.attempt) {
       answer.status = request_status::kStaleAttempt;
       return answer;
@@ -150,7 +153,7 @@
     }
     token_ = request.context.token;
     if (request.lease_end) {
-      lease_end_ = std::max(lease_end_, *request.lease_end);
+      ExtendLease(*request.lease_end, now);
     }
     finished_.erase(
         std::remove_if(finished_.begin(), finished_.end(),
@@ -169,6 +172,8 @@
   std::uint64_t token() const { return token_; }
 
  private:
+  static constexpr target_time kMaxLease{1000};
+
   struct active_run {
     run_key key;
     instant ends_at;
@@ -179,6 +184,11 @@
     return key.job_id + "." + std::to_string(key.step) + "." + std::to_string(key.index);
   }
 
+  /// A longer lease than kMaxLease is shortened. A lease never ends earlier than before.
+  void ExtendLease(target_time lease_end, instant now) {
+    lease_end_ = std::max(lease_end_, std::min(lease_end, Clock(now) + kMaxLease));
+  }
+
   void EndRun(const std::string& task, instant at, target_outcome outcome) {
     const active_run run = running_.at(task);
     history_[run.record].ended_at = at;
