Reproduce a start that a restarted target executes seconds later

The protocol allows that a request without a response is executed seconds later. A target that restarted under its id knows no fencing token and no stop, and its clock starts anew, so the lease in the request has not expired and is shortened to 1 s. The agent takes a run as ended as soon as the restarted target does not list it, or when a connection is refused, although an earlier start request of the run had no response.

Traces in ms of virtual time; the targets are up for 20 s. The first start request is executed late, the repeated one at 15 ms starts the task.

RestartedTargetDoesNotExecuteEarlierStart: 20050 target restarts: target_restarted, the run is reported as lost 20052 attempt 2 starts on minion-1, until 25052 24001 minion-0 executes the first start request of attempt 1, until its lease ends at 25001

ReturnedTargetDoesNotExecuteEarlierStart: the same with target_lost at 20050 and the return of the target at 20350.

RestartedTargetDoesNotExecuteStoppedStart: 20050 the caller disconnects; minion-0 accepts the stop 21351 the second submission starts the task on minion-3, until 26351 21450 minion-0 restarts; known to the agent at 22500 by a heartbeat 26001 minion-0 executes the first start request of the first submission, until 27001

Whether a request outlives its target on the platform is not known; the protocol does not exclude it.

--- a/tests/besteffort/cluster_overlap_test.cc
+++ b/tests/besteffort/cluster_overlap_test.cc
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr std::size_t kTargets = 4;
+// Uptime of all processes before the first fault. The clocks of the targets show more than a late request takes, so its
+// lease has not expired on the new clock of a restarted target.
+constexpr duration kUptime = std::chrono::seconds(20);
 constexpr int kLongWorkMs = 5000;
 // Time after which a caller submits a job again at another entry when its connection has broken.
 constexpr duration kRetransmitDelay = std::chrono::milliseconds(1300);
@@ -24,13 +27,36 @@
         std::cout << sim.now().time_since_epoch().count() / 1000 << " " << line << "\n";
       };
     }
-    sim.RunFor(std::chrono::seconds(2));
+    sim.RunFor(kUptime);
   }
 
   /// Starts a job with one long task from entry 0 and returns the index of its target.
   std::size_t StartLongTask() {
     sim.Submit(0, "job", 1, kLongWorkMs);
     sim.RunFor(Ms(100));
+    return RunningTarget();
+  }
+
+  /// Entry 0 is killed now; its caller submits the job again at entry 1.
+  void KillEntryOfCaller() {
+    sim.KillEntry(0, std::chrono::seconds(5));
+    sim.After(kRetransmitDelay, [this] { sim.Submit(1, "job", 1, kLongWorkMs); });
+  }
+
+  /// Starts a job with one long task from entry 0 whose first start request is executed after @p late_delay, and
+  /// returns the index of its target. A repeated request starts the task.
+  std::size_t StartLongTaskByRepeatedRequest(duration late_delay) {
+    sim.faults.late_requests_outlive_target = true;
+    sim.faults.late_delay = late_delay;
+    sim.faults.late_requests = 1;
+    sim.Submit(0, "job", 1, kLongWorkMs);
+    sim.RunFor(Ms(10));
+    sim.faults.late_requests = 0;
+    sim.RunFor(Ms(40));
+    return RunningTarget();
+  }
+
+  std::size_t RunningTarget() {
     for (std::size_t i = 0; i < kTargets; ++i) {
       if (sim.target(i).running() > 0) {
         return i;
@@ -40,12 +66,6 @@
     return 0;
   }
 
-  /// Entry 0 is killed now; its caller submits the job again at entry 1.
-  void KillEntryOfCaller() {
-    sim.KillEntry(0, std::chrono::seconds(5));
-    sim.After(kRetransmitDelay, [this] { sim.Submit(1, "job", 1, kLongWorkMs); });
-  }
-
   cluster_sim sim;
 };
 
@@ -73,5 +93,37 @@
   EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
 }
 
+// Guards against a start without a response that a restarted target executes seconds later, after the run was taken as
+// ended with the previous incarnation.
+TEST_F(cluster_overlap, RestartedTargetDoesNotExecuteEarlierStart) {
+  const std::size_t target = StartLongTaskByRepeatedRequest(std::chrono::seconds(4));
+  sim.CrashTarget(target, duration(0));
+  sim.RunFor(std::chrono::seconds(6));
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
+// Guards against a start without a response that a target executes seconds later, after it has refused a connection
+// and returned under its id.
+TEST_F(cluster_overlap, ReturnedTargetDoesNotExecuteEarlierStart) {
+  const std::size_t target = StartLongTaskByRepeatedRequest(std::chrono::seconds(4));
+  sim.CrashTarget(target, Ms(300));
+  sim.RunFor(std::chrono::seconds(6));
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
+// Guards against a start without a response that a restarted target executes seconds later, although the previous
+// incarnation had accepted a stop of that run: the new one knows neither the stop nor a fencing token.
+TEST_F(cluster_overlap, RestartedTargetDoesNotExecuteStoppedStart) {
+  const std::size_t target = StartLongTaskByRepeatedRequest(std::chrono::seconds(6));
+  sim.DisconnectCaller(0);
+  sim.RunFor(kRetransmitDelay);
+  ASSERT_EQ(sim.target(target).running(), 0U);
+  sim.Submit(1, "job", 1, kLongWorkMs);
+  sim.RunFor(Ms(100));
+  sim.CrashTarget(target, duration(0));
+  sim.RunFor(std::chrono::seconds(6));
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
 }  // namespace
 }  // namespace bamboowing
--- a/tests/besteffort/cluster_sim.cc
+++ b/tests/besteffort/cluster_sim.cc
@@ -288,7 +288,8 @@
 void cluster_sim::ExecuteLate(std::size_t agent, const std::function<void()>& execute) {
   const bool outlives_target = faults.late_requests_outlive_target;
   const duration spread = outlives_target ? kLongLateSpread : kLateSpread;
-  const duration delay = kMinLateDelay + duration(random_.Below(static_cast<std::uint64_t>(spread.count())));
+  const duration delay =
+      faults.late_delay.value_or(kMinLateDelay + duration(random_.Below(static_cast<std::uint64_t>(spread.count()))));
   After(delay, [this, agent, execute, outlives_target, start_id = agents_[agent]->target->start_id()] {
     const agent_node& node = *agents_[agent];
     const bool reached = outlives_target ? node.target_down_until <= now_ : node.target->start_id() == start_id;
--- a/tests/besteffort/cluster_sim.h
+++ b/tests/besteffort/cluster_sim.h
@@ -30,6 +30,7 @@
   /// Whether a late request is executed by the incarnation of the target that is then running, up to 12 s later.
   /// Otherwise it is lost if the target has restarted.
   bool late_requests_outlive_target = false;
+  std::optional<duration> late_delay;  ///< time until a late request is executed; random if absent
   double slow_requests = 0;   ///< starts and stops whose execution is delayed by up to twice the request timeout
   double lost_responses = 0;  ///< starts and stops that are executed immediately but have no response
   /// Whether the clocks of the processes count the time for which their machine is suspended.
--- a/tests/besteffort/run_manager_test.cc
+++ b/tests/besteffort/run_manager_test.cc
@@ -99,6 +99,21 @@
     Step();
   }
 
+  /// Starts a run that the target accepts by the second start request; the first one has no response.
+  void StartAcceptedByRepeatedRequest(const std::string& job) {
+    run_requests requests;
+    requests.starts.push_back(Start(job));
+    SendRequests(requests);
+    now += Settings().start_retry_interval;
+    Step();
+    const std::vector<send_start_request> starts = ActionsOf<send_start_request>();
+    ASSERT_EQ(starts.size(), 2U);
+    manager.OnStartResponse(starts[1].request_id, {request_status::kAccepted, target_time(1013)}, now);
+    manager.OnStartResponse(starts[0].request_id, {request_status::kNoResponse, std::nullopt}, now);
+    now += Settings().poll_overdue_after;
+    Step();
+  }
+
   void SendRequests(const run_requests& requests) {
     entry_batch batch;
     batch.header.sender = "entry";
@@ -474,6 +489,29 @@
   EXPECT_TRUE(Results().empty()) << "the restarted target may still execute the second request";
 }
 
+// Guards against two runs of one task: the target has accepted the second start request of a run, restarts, and
+// executes the first one, which had no response, after its list of runs was made.
+TEST_F(run_manager_fixture, UnansweredStartOfAcceptedRunIsNotReportedAsLostAfterRestart) {
+  StartAcceptedByRepeatedRequest("a");
+  const std::uint64_t start_token = ActionsOf<send_start_request>().back().request.context.token;
+  manager.OnTargetAnnounced({"minion", 6}, Description(), target_time(10), now);
+  Step();
+  // A poll with a higher token makes the restarted target reject the start.
+  const bool fenced = ActionsOf<send_poll_request>().back().request.context.token > start_token;
+  AnswerNewestPoll(6, {});
+  EXPECT_TRUE(fenced || Results().empty()) << "the restarted target may still execute the first request";
+}
+
+// Guards against two runs of one task: as above, but the target is lost by a refused connection and returns.
+TEST_F(run_manager_fixture, UnansweredStartOfAcceptedRunIsNotReportedAsLostAfterRefusedConnection) {
+  StartAcceptedByRepeatedRequest("a");
+  poll_response refused;
+  refused.status = request_status::kConnectionRefused;
+  manager.OnPollResponse(ActionsOf<send_poll_request>().back().request_id, refused, now);
+  Step();
+  EXPECT_TRUE(Results().empty()) << "the target may return under its id and execute the first request";
+}
+
 // Guards against relying on a stop request that only the previous incarnation has accepted.
 TEST_F(run_manager_fixture, RepeatsStopInNextIncarnation) {
   run_requests requests;
