Reproduce runs that end as lost by a late heartbeat or an announced end

Hypothesis H3 of the incident "two runs of one task". OnTargetAnnounced() takes any other id as the replacement of the target, and OnTargetLeft() takes the announcement as the end of the process. The protocol says that a heartbeat may arrive after a newer incarnation has registered, and that a leaving target ends after its announcement, without an acknowledgement some seconds later. The announcement names the id only, so it may also come from an earlier incarnation.

Traces in ms of virtual time:

LateHeartbeatOfEarlierTargetDoesNotEndRuns: 21000 target_known minion-0-1, after the end of minion-0 22001 attempt 1 starts on minion-0-1 23000 heartbeat of minion-0: target_lost, "another incarnation announced itself", the run is reported as lost 23002 attempt 2 starts on another target 23984 the lease of attempt 1 ends

AnnouncedEndOfTargetDoesNotEndActiveRuns: 20100 target_lost, "the target announced that it stopped", the run is reported as lost 20102 attempt 2 starts on minion-1 20400 the process of minion-0 ends, and attempt 1 with it

LateHeartbeatOfEarlierIncarnationIsIgnored is the case of the same id: the run is not reported as lost, because the next list contains it, but the agent accepts no starts until the next heartbeat.

--- a/tests/besteffort/cluster_overlap_test.cc
+++ b/tests/besteffort/cluster_overlap_test.cc
@@ -125,5 +125,27 @@
   EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
 }
 
+// Guards against runs that are reported as lost while they are active because a heartbeat of the target's predecessor
+// arrives after the target has registered.
+TEST_F(cluster_overlap, LateHeartbeatOfEarlierTargetDoesNotEndRuns) {
+  for (std::size_t i = 0; i < kTargets; ++i) {
+    sim.DelayHeartbeat(i, std::chrono::seconds(3) + Ms(400) * i);
+    sim.ReplaceTarget(i, Ms(20));
+  }
+  sim.RunFor(std::chrono::seconds(2));
+  StartLongTask();
+  sim.RunFor(std::chrono::seconds(3));
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
+// Guards against runs that are reported as lost while they are active because the target announces its end before its
+// process ends.
+TEST_F(cluster_overlap, AnnouncedEndOfTargetDoesNotEndActiveRuns) {
+  const std::size_t target = StartLongTask();
+  sim.LeaveTarget(target, Ms(300), std::chrono::seconds(10));
+  sim.RunFor(std::chrono::seconds(3));
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
 }  // namespace
 }  // namespace bamboowing
--- a/tests/besteffort/run_manager_test.cc
+++ b/tests/besteffort/run_manager_test.cc
@@ -512,6 +512,33 @@
   EXPECT_TRUE(Results().empty()) << "the target may return under its id and execute the first request";
 }
 
+// Guards against two runs of one task: a heartbeat of an earlier target at the same address arrives late, and the runs
+// of the present target are reported as lost while they are active.
+TEST_F(run_manager_fixture, LateHeartbeatOfEarlierTargetDoesNotEndRuns) {
+  StartAccepted("a");
+  manager.OnTargetAnnounced({"earlier", 4}, Description(), target_time(5000), now);
+  Step();
+  EXPECT_TRUE(Results().empty()) << "the run is active at the present target";
+}
+
+// Guards against an interruption of service by a late heartbeat of an earlier incarnation of the target.
+TEST_F(run_manager_fixture, LateHeartbeatOfEarlierIncarnationIsIgnored) {
+  StartAccepted("a");
+  manager.OnTargetAnnounced({"minion", 4}, Description(), target_time(5000), now);
+  Step();
+  EXPECT_TRUE(Results().empty());
+  EXPECT_TRUE(manager.accepting());
+}
+
+// Guards against two runs of one task: a target that announces its end continues its runs until its process ends, and
+// the announcement may come late from an earlier incarnation with the same id.
+TEST_F(run_manager_fixture, AnnouncedEndOfTargetDoesNotEndActiveRuns) {
+  StartAccepted("a");
+  manager.OnTargetLeft("minion", now);
+  Step();
+  EXPECT_TRUE(Results().empty()) << "nothing shows that the target's process has ended";
+}
+
 // Guards against relying on a stop request that only the previous incarnation has accepted.
 TEST_F(run_manager_fixture, RepeatsStopInNextIncarnation) {
   run_requests requests;
