Reproduce runs that outlive their entry until the caller submits again

A caller submits a job again at another entry 1,300 ms after its connection has broken. The agent stops the runs of a killed entry 700 ms after the last contact. If the stop is not executed, the run ends with its lease, which was renewed until then: 700 ms + 1,000 ms / 0.98 (slow clock of the target) = 1,720 ms after the last contact, 420 ms too late. An opened session also counts as contact: reconnecting to the restarted entry adds up to 700 ms if the first message of the new process does not arrive, 2,420 ms in all.

Traces in ms of virtual time; the task starts on minion-0 at 20001, entry 0 is killed at 20100, and the second submission starts the task at 21401:

RunOfKilledEntryEndsInTimeWhileAgentIsFrozen: agent 0 is frozen at 20640, before its owner timeout at 20670; the lease ends at 21602. AtUnresponsiveTarget: the target does not respond from 20640, the stop is lost; the lease ends at 21602. WhenStopsAreLost: starts and stops are lost from 20640 to 21399, polls are not and renew the lease; the stop sent at 21450 ends the run.

OpenedSessionWithoutMessageIsNoContactWithOwner: last contact at 0 ms, session opened after 350 ms, no message; at 700 ms no stop is sent.

--- a/tests/besteffort/cluster_overlap_test.cc
+++ b/tests/besteffort/cluster_overlap_test.cc
@@ -17,6 +17,10 @@
 // Time after which a caller submits a job again at another entry when its connection has broken.
 constexpr duration kRetransmitDelay = std::chrono::milliseconds(1300);
 
+// Time from the end of an entry to shortly before its owner timeout at the agents, which have last heard of it up to a
+// heartbeat interval earlier.
+constexpr duration kBeforeOwnerTimeout = std::chrono::milliseconds(540);
+
 duration Ms(int time) { return std::chrono::milliseconds(time); }
 
 class cluster_overlap : public testing::Test {
@@ -147,5 +151,39 @@
   EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
 }
 
+// Guards against a run of a killed entry that continues while its agent is frozen: the sum of the owner timeout and the
+// lease must not exceed the time after which the caller submits the job again.
+TEST_F(cluster_overlap, RunOfKilledEntryEndsInTimeWhileAgentIsFrozen) {
+  const std::size_t target = StartLongTask();
+  KillEntryOfCaller();
+  sim.RunFor(kBeforeOwnerTimeout);
+  sim.FreezeAgent(target, std::chrono::seconds(3));
+  sim.RunFor(std::chrono::seconds(3));
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
+// Guards against a run of a killed entry that continues because its target stops responding shortly before the run is
+// to be stopped, with a lease that was renewed for it.
+TEST_F(cluster_overlap, RunOfKilledEntryEndsInTimeAtUnresponsiveTarget) {
+  const std::size_t target = StartLongTask();
+  KillEntryOfCaller();
+  sim.RunFor(kBeforeOwnerTimeout);
+  sim.SilenceTarget(target, std::chrono::seconds(3));
+  sim.RunFor(std::chrono::seconds(3));
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
+// Guards against a run of a killed entry that continues because its stop requests are lost while polls renew the lease.
+TEST_F(cluster_overlap, RunOfKilledEntryEndsInTimeWhenStopsAreLost) {
+  StartLongTask();
+  KillEntryOfCaller();
+  sim.RunFor(kBeforeOwnerTimeout);
+  sim.faults.late_requests = 1;
+  sim.RunFor(kRetransmitDelay - kBeforeOwnerTimeout - Ms(1));
+  sim.faults.late_requests = 0;
+  sim.RunFor(std::chrono::seconds(3));
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
 }  // namespace
 }  // namespace bamboowing
--- a/tests/besteffort/run_manager_test.cc
+++ b/tests/besteffort/run_manager_test.cc
@@ -394,6 +394,30 @@
   EXPECT_EQ(ActionsOf<send_stop_request>().size(), 1U);
 }
 
+// Guards against runs that outlive their owner timeout because a session was opened to a restarted entry: until its
+// first message, the entry may be another process, which does not know the runs.
+TEST_F(run_manager_fixture, OpenedSessionWithoutMessageIsNoContactWithOwner) {
+  StartAccepted("a");
+  const instant closed_at = now;
+  manager.OnSessionClosed(kEntry, "closed", now);
+  bool opened = false;
+  while (now - closed_at < Settings().owner_timeout) {
+    actions.clear();
+    now += std::chrono::milliseconds(10);
+    Step();
+    if (HasAction<open_session>()) {
+      opened = now - closed_at >= Settings().owner_timeout / 2;
+      if (opened) {
+        manager.OnSessionOpened(kEntry, now);
+      } else {
+        manager.OnSessionClosed(kEntry, "refused", now);
+      }
+    }
+  }
+  ASSERT_TRUE(opened);
+  EXPECT_TRUE(HasAction<send_stop_request>());
+}
+
 // Guards against runs that are considered active after the target's process has restarted under its id.
 TEST_F(run_manager_fixture, RunsEndWhenTargetRestarts) {
   StartAccepted("a");
