Reproduce a second submission whose start gets no result

The attempts of each submission of a job begin at 1, so the start of the second submission has the same key as the run of the first one, which may still be active at the same agent. Admit() ignores the start. The result of the run goes to the first entry, and the second one waits: its stop of the straggler finds no run and gets no result either.

Trace in ms of virtual time: 20001 task starts on minion-0, requested by entry 0 20100 entry 0 killed 20200 second submission at entry 1, start with the same key at agent 0 20670 owner_dropped, the run of entry 0 is stopped 40665 entry 1 straggler_stopped 50205 entry 1 answers the job as given_up; its run and the job are never removed

--- a/tests/besteffort/cluster_overlap_test.cc
+++ b/tests/besteffort/cluster_overlap_test.cc
@@ -185,5 +185,25 @@
   EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
 }
 
+// Guards against a second submission of a job that is never answered: its start has the same key as a run of the first
+// submission that is active at the same agent.
+TEST_F(cluster_overlap, SecondSubmissionCompletesAtTargetOfFirst) {
+  const std::size_t target = StartLongTask();
+  for (std::size_t i = 0; i < kTargets; ++i) {
+    if (i != target) {
+      sim.KillAgent(i, std::chrono::minutes(1));
+    }
+  }
+  sim.KillEntry(0, std::chrono::minutes(1));
+  sim.RunFor(Ms(100));
+  const std::size_t second = sim.Submit(1, "job", 1, kLongWorkMs);
+  sim.RunFor(std::chrono::seconds(9));
+  EXPECT_TRUE(sim.jobs()[second].verdict == job_verdict::kCompleted);
+  // The caller's deadline is 30 s.
+  sim.RunFor(std::chrono::seconds(30));
+  EXPECT_EQ(sim.entry(1)->runs(), 0U);
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
 }  // namespace
 }  // namespace bamboowing
