--- a/tests/besteffort/run_manager_test.cc
+++ b/tests/besteffort/run_manager_test.cc
@@ -101,6 +101,21 @@
     Step();
   }
 
+  /// Starts a run that the target accepts by the second start request; the first one has no response.
+  void StartAcceptedByRepeatedRequest(const std::string& job) {
+    run_requests requests;
+    requests.starts.push_back(Start(job));
+    SendRequests(requests);
+    now += Settings().start_retry_interval;
+    Step();
+    const std::vector<send_start_request> starts = ActionsOf<send_start_request>();
+    ASSERT_EQ(starts.size(), 2U);
+    manager.OnStartResponse(starts[1].request_id, {request_status::kAccepted, target_time(1013)}, now);
+    manager.OnStartResponse(starts[0].request_id, {request_status::kNoResponse, std::nullopt}, now);
+    now += Settings().poll_overdue_after;
+    Step();
+  }
+
   void SendRequests(const run_requests& requests) {
     entry_batch batch;
     batch.header.sender = "entry";
@@ -381,6 +396,30 @@
   EXPECT_EQ(ActionsOf<send_stop_request>().size(), 1U);
 }
 
+// Guards against runs that outlive their owner timeout because a session was opened to a restarted entry: until its
+// first message, the entry may be another process, which does not know the runs.
+TEST_F(run_manager_fixture, OpenedSessionWithoutMessageIsNoContactWithOwner) {
+  StartAccepted("a");
+  const instant closed_at = now;
+  manager.OnSessionClosed(kEntry, "closed", now);
+  bool opened = false;
+  while (now - closed_at < Settings().owner_timeout) {
+    actions.clear();
+    now += std::chrono::milliseconds(10);
+    Step();
+    if (HasAction<open_session>()) {
+      opened = now - closed_at >= Settings().owner_timeout / 2;
+      if (opened) {
+        manager.OnSessionOpened(kEntry, now);
+      } else {
+        manager.OnSessionClosed(kEntry, "refused", now);
+      }
+    }
+  }
+  ASSERT_TRUE(opened);
+  EXPECT_TRUE(HasAction<send_stop_request>());
+}
+
 // Guards against runs that are considered active after the target's process has restarted under its id.
 TEST_F(run_manager_fixture, RunsEndWhenTargetRestarts) {
   StartAccepted("a");
@@ -474,6 +513,56 @@
   EXPECT_TRUE(Results().empty()) << "the run is active in the new incarnation";
 }
 
+// Guards against two runs of one task: the target has accepted the second start request of a run, restarts, and
+// executes the first one, which had no response, after its list of runs was made.
+TEST_F(run_manager_fixture, UnansweredStartOfAcceptedRunIsNotReportedAsLostAfterRestart) {
+  StartAcceptedByRepeatedRequest("a");
+  const std::uint64_t start_token = ActionsOf<send_start_request>().back().request.context.token;
+  manager.OnTargetAnnounced({"minion", 6}, Description(), target_time(10), now);
+  Step();
+  // A poll with a higher token makes the restarted target reject the start.
+  const bool fenced = ActionsOf<send_poll_request>().back().request.context.token > start_token;
+  AnswerNewestPoll(6, {});
+  EXPECT_TRUE(fenced || Results().empty()) << "the restarted target may still execute the first request";
+}
+
+// Guards against two runs of one task: as above, but the target is lost by a refused connection and returns.
+TEST_F(run_manager_fixture, UnansweredStartOfAcceptedRunIsNotReportedAsLostAfterRefusedConnection) {
+  StartAcceptedByRepeatedRequest("a");
+  poll_response refused;
+  refused.status = request_status::kConnectionRefused;
+  manager.OnPollResponse(ActionsOf<send_poll_request>().back().request_id, refused, now);
+  Step();
+  EXPECT_TRUE(Results().empty()) << "the target may return under its id and execute the first request";
+}
+
+// Guards against two runs of one task: a heartbeat of an earlier target at the same address arrives late, and the runs
+// of the present target are reported as lost while they are active.
+TEST_F(run_manager_fixture, LateHeartbeatOfEarlierTargetDoesNotEndRuns) {
+  StartAccepted("a");
+  manager.OnTargetAnnounced({"earlier", 4}, Description(), target_time(5000), now);
+  Step();
+  EXPECT_TRUE(Results().empty()) << "the run is active at the present target";
+}
+
+// Guards against an interruption of service by a late heartbeat of an earlier incarnation of the target.
+TEST_F(run_manager_fixture, LateHeartbeatOfEarlierIncarnationIsIgnored) {
+  StartAccepted("a");
+  manager.OnTargetAnnounced({"minion", 4}, Description(), target_time(5000), now);
+  Step();
+  EXPECT_TRUE(Results().empty());
+  EXPECT_TRUE(manager.accepting());
+}
+
+// Guards against two runs of one task: a target that announces its end continues its runs until its process ends, and
+// the announcement may come late from an earlier incarnation with the same id.
+TEST_F(run_manager_fixture, AnnouncedEndOfTargetDoesNotEndActiveRuns) {
+  StartAccepted("a");
+  manager.OnTargetLeft("minion", now);
+  Step();
+  EXPECT_TRUE(Results().empty()) << "nothing shows that the target's process has ended";
+}
+
 // Guards against relying on a stop request that only the previous incarnation has accepted.
 TEST_F(run_manager_fixture, RepeatsStopInNextIncarnation) {
   run_requests requests;
