Count only messages of an entry as contact with it

What callers saw: two runs of one task, after an entry was killed and restarted.

Cause: an opened session moved the last contact with the owner of runs to the time of the connection attempt. The process at the address may be another one, which does not know the runs; if its first message did not arrive, the runs of the killed process lasted up to 700 ms longer, while its callers had submitted their jobs elsewhere.

Evidence: OpenedSessionWithoutMessageIsNoContactWithOwner failed before.

Change: only the echo of the agent's clock counts. Starts need such an echo anyway, so nothing is admitted later than before.

--- a/src/besteffort/run_manager_entries.cc
+++ b/src/besteffort/run_manager_entries.cc
@@ -111,8 +111,6 @@
   }
   disconnected_since_.erase(entry);
   owner& opened = owners_[entry];
-  // The entry has certainly received nothing newer than the connection attempt; the network may have failed since.
-  opened.last_echoed_at = std::max(opened.last_echoed_at, connect_attempted_at_[entry]);
   opened.starts_received = 0;
   opened.last_result_sent = 0;
   opened.initial_report_sent = false;
@@ -201,7 +199,6 @@
   sessions_.Tick(now, {}, session_actions);
   for (const agent_action& action : session_actions) {
     if (const open_session* open = std::get_if<open_session>(&action); open != nullptr) {
-      connect_attempted_at_[open->address] = now;
       disconnected_since_.emplace(open->address, now);
       actions_.emplace_back(*open);
     } else if (const close_session* close = std::get_if<close_session>(&action); close != nullptr) {
