Check the completed runs of a job in the soak again

The check that a job answered with 200 has a completed run for each of its tasks compared the state with "done". The published state is "completed", so the check was never applied.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -258,8 +258,8 @@
         if status == 200:
             done = {run[0] for run in runs if run[4] == "done"}
             state = json.loads(text).get("state", "")
-            if state == "done" and len(done) < count:
-                self.fail(f"{job_id} was answered by {entry} as done, but {len(done)} of {count} tasks have completed: {text}")
+            if state == "completed" and len(done) < count:
+                self.fail(f"{job_id} was answered by {entry} as completed, but {len(done)} of {count} tasks have completed: {text}")
         elif status in NOT_RUN:
             ran = [run for run in runs if run[2] >= sent]
             if ran and OUTCOME_UNKNOWN not in text:
