Execute requests without a response late in the platform's stand-in

By the published protocol, a request without a response may be executed seconds later, after newer requests, and a target that has restarted under its id knows no fencing token, no stop and no run, and its clock starts anew.

Minion.late_share is the probability that a request gets no response and is executed 2 to 12 s later, in the incarnation that exists by then. Half of these requests keep their connection open for a second. The crash of a minion moves from the soak to the stand-in, starts its counts anew and breaks waiting polls, which listed the runs of the next incarnation before. The soak adds the faults "late requests" and "crash with late requests" and waits for all late requests before it looks for concurrent runs. A run records the arrival of its start request: a refused job may have a run whose request arrived before the job was submitted, because it belongs to an earlier submission.

--- a/standins/platform_standin.py
+++ b/standins/platform_standin.py
@@ -4,8 +4,10 @@
 """
 
 import base64
+import dataclasses
 import http.server
 import json
+import random
 import threading
 import time
 import urllib.parse
@@ -13,6 +15,8 @@
 
 MAX_LISTED_ENDS = 500  # ended runs in one poll response
 MAX_LEASE_MS = 1000
+LATE_EXECUTION_S = (2.0, 12.0)  # range of the time from a request without a response to its execution
+HELD_CONNECTION_S = 1.0  # some requests without a response keep their connection open for this time
 
 
 class Server:
@@ -172,6 +176,14 @@
         self.server.close()
 
 
+@dataclasses.dataclass
+class MinionRequest:
+    path: str
+    fields: dict
+    expected_id: str
+    received_at: float
+
+
 class Minion:
     """Runs tasks under a lease. A job's spec is "work_ms=N", or "work_ms=N fail" for a run that fails at its end."""
 
@@ -182,24 +194,39 @@
         self.cores = cores
         self.heartbeat_interval_s = heartbeat_interval_s
         self.lock = threading.Condition()
-        self.born = int(time.time() * 1000)  # identifies the incarnation
-        self.started = time.monotonic()
-        self.token = 0  # highest fencing token seen
-        self.lease_end = 0  # on clock()
+        self.random = random.Random(name)
         self.running = {}  # task -> its run
-        self.highest = {}  # task -> highest attempt that has ended or was stopped
-        self.ended = []  # runs that the agent has not acknowledged: [sequence number, task, attempt, outcome, saved]
-        self.last_end = 0  # sequence number of the last ended run
-        self.seq = 0
-        self.runs = []  # [task, attempt, start time, end time, outcome] of every run
+        self.born = 0
+        self.begin_incarnation()
+        self.runs = []  # [task, attempt, start time, end time, outcome, arrival of the request] of every run
         self.state = "ready"
         self.lose_answers = 0  # number of starts that will take effect without a response
+        self.late_share = 0.0  # probability that a request gets no response and is executed late
+        self.late_requests = 0  # requests that are still to be executed
         self.stopping = False
         self.server = Server((host, 0), self.handle)
         self.address = f"{host}:{self.server.port}"
         threading.Thread(target=self.send_heartbeats, daemon=True).start()
         threading.Thread(target=self.end_due_runs, daemon=True).start()
 
+    def begin_incarnation(self):
+        """Forgets everything that the previous incarnation knew. Runs must have ended."""
+        self.born = max(self.born + 1, int(time.time() * 1000))  # identifies the incarnation
+        self.started = time.monotonic()
+        self.token = 0  # highest fencing token seen
+        self.lease_end = 0  # on clock()
+        self.highest = {}  # task -> highest attempt that has ended or was stopped
+        self.ended = []  # runs that the agent has not acknowledged: [sequence number, task, attempt, outcome, saved]
+        self.last_end = 0  # sequence number of the last ended run
+        self.seq = 0
+
+    def crash(self):
+        """Aborts all runs and restarts under the same id as a new incarnation."""
+        with self.lock:
+            for task in list(self.running):
+                self.end(task, "broken")
+            self.begin_incarnation()
+
     def clock(self):
         return int((time.monotonic() - self.started) * 1000)
 
@@ -240,27 +267,49 @@
         self.lock.notify_all()
 
     def handle(self, _method, path, _query, body, headers):
-        fields = json.loads(body)
+        request = MinionRequest(path, json.loads(body), headers.get("Expected-Instance"), time.monotonic())
+        if self.random.random() < self.late_share:
+            self.execute_late(request)
+            return None
         born = self.born
         with self.lock:
             if born != self.born:
                 return None  # the incarnation that received the request has ended
-            if headers.get("Expected-Instance") not in (None, self.name):
-                return 421, {"clock_ms": self.clock()}
-            if fields.get("fencing_token", 0) < self.token:
-                return 409, {"clock_ms": self.clock(), "reason": "fence"}
-            self.token = fields.get("fencing_token", 0)
-            if path == "/run-start":
-                return self.start(fields)
-            if path == "/run-stop":
-                return self.stop(fields)
-            return self.poll(fields)
+            return self.execute(request)
+
+    def execute_late(self, request):
+        """Executes a request without a response seconds later, in the incarnation that exists by then."""
+        def execute():
+            with self.lock:
+                self.execute(request)
+                self.late_requests -= 1
+
+        with self.lock:
+            self.late_requests += 1
+        request.fields["wait_ms"] = 0
+        threading.Timer(self.random.uniform(*LATE_EXECUTION_S), execute).start()
+        if self.random.random() < 0.5:
+            time.sleep(HELD_CONNECTION_S)
+
+    def execute(self, request):
+        if request.expected_id not in (None, self.name):
+            return 421, {"clock_ms": self.clock()}
+        token = request.fields.get("fencing_token", 0)
+        if token < self.token:
+            return 409, {"clock_ms": self.clock(), "reason": "fence"}
+        self.token = token
+        if request.path == "/run-start":
+            return self.start(request)
+        if request.path == "/run-stop":
+            return self.stop(request.fields)
+        return self.poll(request.fields)
 
     def extend_lease(self, fields):
         if "deadline_ms" in fields:
             self.lease_end = max(self.lease_end, min(fields["deadline_ms"], self.clock() + MAX_LEASE_MS))
 
-    def start(self, fields):
+    def start(self, request):
+        fields = request.fields
         task, attempt = fields["task"], fields["attempt"]
         if fields["deadline_ms"] <= self.clock():
             return 409, {"clock_ms": self.clock(), "reason": "late"}
@@ -275,7 +324,7 @@
         words = fields["spec"].split()
         work_s = int(words[0].split("=")[1]) / 1000
         now = time.monotonic()
-        record = [task, attempt, now, None, "running"]
+        record = [task, attempt, now, None, "running", request.received_at]
         self.runs.append(record)
         self.running[task] = {"attempt": attempt, "end": now + work_s, "fails": "fail" in words, "record": record}
         self.lock.notify_all()
@@ -294,9 +343,12 @@
     def poll(self, fields):
         self.extend_lease(fields)
         self.ended = [e for e in self.ended if e[0] > fields.get("acked_through", 0)]
+        born = self.born
         deadline = time.monotonic() + fields.get("wait_ms", 0) / 1000
         while not self.ended and time.monotonic() < deadline:
             self.lock.wait(deadline - time.monotonic())
+            if born != self.born:
+                return None  # the incarnation that received the poll has ended
         rows = [[task, run["attempt"], "", 100] for task, run in self.running.items()]
         return 200, {"clock_ms": self.clock(), "born": self.born, "running": rows,
                      "finished": self.ended[:MAX_LISTED_ENDS]}
@@ -310,7 +362,7 @@
     """Tasks with two runs at the same time, on the same or different minions: (task, earlier run, later run)."""
     by_task = {}
     for minion in minions:
-        for task, attempt, started, ended, _outcome in minion.runs:
+        for task, attempt, started, ended, *_ in minion.runs:
             by_task.setdefault(task, []).append((started, ended or float("inf"), attempt, minion.name))
     found = []
     for task, runs in by_task.items():
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -51,23 +51,11 @@
         super()._write(key, value, lease)
 
 
-class SoakMinion(Minion):
-    def crash(self):
-        """Aborts all runs and restarts under the same id as a new incarnation."""
-        with self.lock:
-            for task in list(self.running):
-                self.end(task, "broken")
-            self.born += 1
-            self.started = time.monotonic()
-            self.token = self.lease_end = self.last_end = 0
-            self.highest, self.ended = {}, []
-
-
 class SoakFleet(PlatformFleet):
     def __init__(self, seed):
         self.proxies = {}
         self.seed = seed
-        super().__init__(ENTRIES, AGENTS, store=SoakStore(), minion_type=SoakMinion)
+        super().__init__(ENTRIES, AGENTS, store=SoakStore())
 
     def start(self, name, command):
         """As in Fleet, but a restarted process appends to the output of the previous one."""
@@ -191,13 +179,20 @@
         self.fleet.kv.down = False
         return "down"
 
-    def minion(self, rng, _for_s):
+    def minion(self, rng, duration_s):
         minion = rng.choice(self.fleet.platform_minions)
-        if rng.random() < 0.5:
+        what = rng.choice(["crash", "lost answers", "late requests", "crash with late requests"])
+        if what == "lost answers":
+            minion.lose_answers = rng.randrange(1, 6)
+        elif what == "crash":
             minion.crash()
-            return f"crash of {minion.name}"
-        minion.lose_answers = rng.randrange(1, 6)
-        return f"lost answers of {minion.name}"
+        else:
+            minion.late_share = rng.uniform(0.1, 0.9)
+            time.sleep(duration_s)
+            minion.late_share = 0.0
+            if what == "crash with late requests":
+                minion.crash()
+        return f"{what} of {minion.name}"
 
     def configuration(self, _rng, _for_s):
         with self.lock:
@@ -261,7 +256,8 @@
             if state == "completed" and len(done) < count:
                 self.fail(f"{job_id} was answered by {entry} as completed, but {len(done)} of {count} tasks have completed: {text}")
         elif status in NOT_RUN:
-            ran = [run for run in runs if run[2] >= sent]
+            # A request that arrived before the submission belongs to an earlier submission of the job.
+            ran = [run for run in runs if run[5] >= sent]
             if ran and OUTCOME_UNKNOWN not in text:
                 self.fail(f"{job_id} was refused by {entry} with {status} after {elapsed_s:.3f} s but has runs: {ran}: {text}")
         elif status == 0 and elapsed_s >= CLIENT_TIMEOUT_S and entry not in self.signalled:
@@ -282,6 +278,8 @@
             wait_until(lambda: not any(m.running for m in self.fleet.platform_minions), "the end of all runs", 4)
         except TimeoutError as error:
             self.fail(f"{error}: {[(m.name, m.running) for m in self.fleet.platform_minions if m.running]}")
+        # Late requests may still start runs.
+        wait_until(lambda: not any(m.late_requests for m in self.fleet.platform_minions), "the end of all late requests")
         for pair in overlapping_runs(self.fleet.platform_minions):
             self.fail(f"concurrent runs of one task: {pair}")
 
