Deliver late messages of earlier incarnations in the platform's stand-in

A heartbeat that was delayed by a partition, or a DELETE, may arrive after its sender has ended and a new incarnation has registered at the same address, with the same id or another one.

Minion.crash() takes the id of the next incarnation and the messages of the previous one that arrive up to 3 s after the restart; the heartbeat has an older start time (`born`) and the sequence number of its sender. Minion.leave() is a planned end: drain, DELETE, end of all runs and a new incarnation. The soak draws from all of them.

--- a/standins/platform_standin.py
+++ b/standins/platform_standin.py
@@ -16,6 +16,7 @@
 MAX_LISTED_ENDS = 500  # ended runs in one poll response
 MAX_LEASE_MS = 1000
 LATE_EXECUTION_S = (2.0, 12.0)  # range of the time from a request without a response to its execution
+LATE_MESSAGE_S = (0.02, 3.0)  # range of the time from a restart to a delayed message of the previous incarnation
 HELD_CONNECTION_S = 1.0  # some requests without a response keep their connection open for this time
 
 
@@ -196,6 +197,7 @@
         self.lock = threading.Condition()
         self.random = random.Random(name)
         self.running = {}  # task -> its run
+        self.id = name  # a later incarnation may have another one
         self.born = 0
         self.begin_incarnation()
         self.runs = []  # [task, attempt, start time, end time, outcome, arrival of the request] of every run
@@ -220,31 +222,55 @@
         self.last_end = 0  # sequence number of the last ended run
         self.seq = 0
 
-    def crash(self):
-        """Aborts all runs and restarts under the same id as a new incarnation."""
+    def crash(self, next_id=None, late_messages=()):
+        """Aborts all runs and restarts as a new incarnation, under the same id unless another one is given.
+
+        The messages "PUT" (a heartbeat) and "DELETE" of the previous incarnation arrive after the restart.
+        """
         with self.lock:
+            previous_id, heartbeat = self.id, self.heartbeat()
             for task in list(self.running):
                 self.end(task, "broken")
+            self.id = next_id or self.id
             self.begin_incarnation()
+        for method in late_messages:
+            body = heartbeat if method == "PUT" else {}
+            timer = threading.Timer(self.random.uniform(*LATE_MESSAGE_S), self.announce, (method, previous_id, body))
+            timer.daemon = True
+            timer.start()
+
+    def leave(self, drain_s, next_id):
+        """Ends as planned: drains, deregisters, aborts the remaining runs and restarts under another id."""
+        self.state = "draining"
+        time.sleep(drain_s)
+        self.announce("DELETE", self.id, {})
+        self.state = "ready"
+        self.crash(next_id)
 
     def clock(self):
         return int((time.monotonic() - self.started) * 1000)
 
     def send_heartbeats(self):
         while not self.stopping:
-            self.seq += 1
-            body = {"backend": self.service, "address": self.address, "zone": "hobart", "version": "v1", "slots": 8,
-                    "state": self.state, "cold_ms": 0, "labels": ["a", "r1-1"], "clock_ms": self.clock(),
-                    "capacity": {"cpu": self.cores * 1000, "mem_mb": 8192, "gpu": 0}, "seq": self.seq,
-                    "born": self.born}
-            request = urllib.request.Request(f"http://{self.announce_address}/instances/{self.name}",
-                                             data=json.dumps(body).encode(), method="PUT")
-            try:
-                urllib.request.urlopen(request, timeout=1).read()
-            except OSError:
-                pass  # the agent is unreachable; the next heartbeat retries
+            with self.lock:
+                self.seq += 1
+                own_id, body = self.id, self.heartbeat()
+            self.announce("PUT", own_id, body)
             time.sleep(self.heartbeat_interval_s)
 
+    def heartbeat(self):
+        return {"backend": self.service, "address": self.address, "zone": "hobart", "version": "v1", "slots": 8,
+                "state": self.state, "cold_ms": 0, "labels": ["a", "r1-1"], "clock_ms": self.clock(),
+                "capacity": {"cpu": self.cores * 1000, "mem_mb": 8192, "gpu": 0}, "seq": self.seq, "born": self.born}
+
+    def announce(self, method, own_id, body):
+        request = urllib.request.Request(f"http://{self.announce_address}/instances/{own_id}",
+                                         data=json.dumps(body).encode(), method=method)
+        try:
+            urllib.request.urlopen(request, timeout=1).read()
+        except OSError:
+            pass  # the agent is unreachable; the next heartbeat retries
+
     def end_due_runs(self):
         """Ends the runs whose work is done, and all runs once the lease has expired."""
         with self.lock:
@@ -292,7 +318,7 @@
             time.sleep(HELD_CONNECTION_S)
 
     def execute(self, request):
-        if request.expected_id not in (None, self.name):
+        if request.expected_id not in (None, self.id):
             return 421, {"clock_ms": self.clock()}
         token = request.fields.get("fencing_token", 0)
         if token < self.token:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -181,17 +181,21 @@
 
     def minion(self, rng, duration_s):
         minion = rng.choice(self.fleet.platform_minions)
-        what = rng.choice(["crash", "lost answers", "late requests", "crash with late requests"])
+        what = rng.choice(["crash", "planned end", "lost answers", "late requests", "crash with late requests"])
         if what == "lost answers":
             minion.lose_answers = rng.randrange(1, 6)
-        elif what == "crash":
-            minion.crash()
-        else:
+        if "late requests" in what:
             minion.late_share = rng.uniform(0.1, 0.9)
             time.sleep(duration_s)
             minion.late_share = 0.0
-            if what == "crash with late requests":
-                minion.crash()
+        next_id = f"{minion.name}-{rng.randrange(10**6)}"
+        if what == "planned end":
+            minion.leave(duration_s, next_id)
+        if "crash" in what:
+            next_id = rng.choice([None, next_id])
+            late_messages = rng.choice([(), ("PUT",), ("DELETE",), ("PUT", "DELETE")])
+            minion.crash(next_id, late_messages)
+            what += f", next id {next_id}, late messages {late_messages}"
         return f"{what} of {minion.name}"
 
     def configuration(self, _rng, _for_s):
