Let minions of the soak be unreachable after a crash, and connections go silent for good

A crashed minion of the soak was back in the same instant on the same connections, and a silenced connection always resumed or reported its end. On machines, requests to a restarting target are refused for a while, and connections to a lost machine never end by themselves while new ones work.

Minion.crash() is split into fail() and restart(). Between the two, the proxy in front of the minion refuses connections, and its open ones are reset or silent for good. The fault "silent for good" also applies to the connections between agents and entries and to the store. The end of one side of a silent connection is no longer passed on while it is silent.

--- a/standins/platform_standin.py
+++ b/standins/platform_standin.py
@@ -221,16 +221,22 @@
         self.ended = []  # runs that the agent has not acknowledged: [sequence number, task, attempt, outcome, saved]
         self.last_end = 0  # sequence number of the last ended run
         self.seq = 0
+        self.up = True
 
-    def crash(self, next_id=None, late_messages=()):
-        """Aborts all runs and restarts as a new incarnation, under the same id unless another one is given.
+    def fail(self):
+        """Aborts all runs. Until restart(), the minion executes no request and sends no heartbeat."""
+        with self.lock:
+            self.up = False
+            for task in list(self.running):
+                self.end(task, "broken")
+
+    def restart(self, next_id=None, late_messages=()):
+        """Starts a new incarnation after fail(), under the same id unless another one is given.
 
         The messages "PUT" (a heartbeat) and "DELETE" of the previous incarnation arrive after the restart.
         """
         with self.lock:
             previous_id, heartbeat = self.id, self.heartbeat()
-            for task in list(self.running):
-                self.end(task, "broken")
             self.id = next_id or self.id
             self.begin_incarnation()
         for method in late_messages:
@@ -245,7 +251,8 @@
         time.sleep(drain_s)
         self.announce("DELETE", self.id, {})
         self.state = "ready"
-        self.crash(next_id)
+        self.fail()
+        self.restart(next_id)
 
     def clock(self):
         return int((time.monotonic() - self.started) * 1000)
@@ -254,8 +261,9 @@
         while not self.stopping:
             with self.lock:
                 self.seq += 1
-                own_id, body = self.id, self.heartbeat()
-            self.announce("PUT", own_id, body)
+                up, own_id, body = self.up, self.id, self.heartbeat()
+            if up:
+                self.announce("PUT", own_id, body)
             time.sleep(self.heartbeat_interval_s)
 
     def heartbeat(self):
@@ -299,7 +307,7 @@
             return None
         born = self.born
         with self.lock:
-            if born != self.born:
+            if born != self.born or not self.up:
                 return None  # the incarnation that received the request has ended
             return self.execute(request)
 
@@ -307,7 +315,8 @@
         """Executes a request without a response seconds later, in the incarnation that exists by then."""
         def execute():
             with self.lock:
-                self.execute(request)
+                if self.up:
+                    self.execute(request)
                 self.late_requests -= 1
 
         with self.lock:
@@ -373,7 +382,7 @@
         deadline = time.monotonic() + fields.get("wait_ms", 0) / 1000
         while not self.ended and time.monotonic() < deadline:
             self.lock.wait(deadline - time.monotonic())
-            if born != self.born:
+            if born != self.born or not self.up:
                 return None  # the incarnation that received the poll has ended
         rows = [[task, run["attempt"], "", 100] for task, run in self.running.items()]
         return 200, {"clock_ms": self.clock(), "born": self.born, "running": rows,
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -1,4 +1,4 @@
-"""A loopback TCP proxy between two processes of a test that delays, blocks, partitions or resets connections."""
+"""A loopback TCP proxy between two processes of a test that delays, blocks, resets or refuses connections."""
 
 import random
 import socket
@@ -16,6 +16,7 @@
         self.sockets = (near, far)
         self.delay_s = 0.0
         self.blocked = [False, False]  # bytes from the near socket, from the far socket
+        self.closed = False
         for i in (0, 1):
             threading.Thread(target=self.pump, args=(i,), daemon=True).start()
 
@@ -25,14 +26,17 @@
         try:
             while data := source.recv(65536):
                 time.sleep(self.delay_s)
-                while self.blocked[i]:
+                while self.blocked[i] and not self.closed:
                     time.sleep(0.01)
                 sink.sendall(data)
         except OSError:
             pass  # one socket was reset; close() below ends the other one
+        while self.blocked[i] and not self.closed:
+            time.sleep(0.01)  # the end of a blocked direction is not reported either
         self.close()
 
     def close(self, reset=False):
+        self.closed = True
         for end in self.sockets:
             try:
                 if reset:
@@ -51,14 +55,24 @@
         self.random = random.Random(seed)
         self.links = []
         self.lock = threading.Lock()
-        self.listener = socket.create_server(listen)
+        self.address = listen
+        self.listen()
+
+    def listen(self):
+        """Accepts connections, also after refuse()."""
+        self.listener = socket.create_server(self.address)
         self.address = self.listener.getsockname()
-        threading.Thread(target=self.accept, daemon=True).start()
+        threading.Thread(target=self.accept, args=(self.listener,), daemon=True).start()
+
+    def refuse(self):
+        """Refuses new connections until listen() is called."""
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
 
-    def accept(self):
+    def accept(self, listener):
         while True:
             try:
-                near, _ = self.listener.accept()
+                near, _ = listener.accept()
             except OSError:
                 return  # closed
             try:
@@ -70,28 +84,30 @@
             for end in (near, far):
                 end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             with self.lock:
-                self.links = [link for link in self.links if link.sockets[0].fileno() >= 0]
+                self.links = [link for link in self.links if not link.closed]
                 self.links.append(Link(near, far))
 
-    def random_links(self):
-        """Returns each open connection with a probability of 0.5."""
+    def random_links(self, probability):
+        """Returns each open connection with the given probability."""
         with self.lock:
-            return [link for link in self.links if link.sockets[0].fileno() >= 0 and self.random.random() < 0.5]
+            return [link for link in self.links if not link.closed and self.random.random() < probability]
 
-    def fault(self, kind):
-        """Starts a fault on a random half of the connections; returns the function that ends it."""
-        links = self.random_links()
+    def fault(self, kind, probability=0.5):
+        """Starts a fault on random connections; returns the function that ends it."""
+        links = self.random_links(probability)
         for link in links:
             if kind == "reset":
                 link.close(reset=True)
             elif kind == "delay":
                 link.delay_s = self.random.uniform(0.005, 0.2)
-            elif kind == "silent":
+            elif kind in ("silent", "silent for good"):
                 link.blocked = [True, True]
             elif kind == "one way":
                 link.blocked[self.random.randrange(2)] = True
 
         def end():
+            if kind == "silent for good":
+                return
             for link in links:
                 link.delay_s = 0.0
                 link.blocked = [False, False]
@@ -99,7 +115,7 @@
         return end
 
     def close(self):
-        self.listener.close()
+        self.refuse()
         with self.lock:
             for link in self.links:
                 link.close()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -167,7 +167,7 @@
 
     def link(self, rng, duration_s):
         name = rng.choice(sorted(self.fleet.proxies))
-        what = rng.choice(["reset", "delay", "silent", "one way"])
+        what = rng.choice(["reset", "delay", "silent", "silent for good", "one way"])
         end_fault = self.fleet.proxies[name].fault(what)
         time.sleep(duration_s)
         end_fault()
@@ -192,12 +192,31 @@
         if what == "planned end":
             minion.leave(duration_s, next_id)
         if "crash" in what:
-            next_id = rng.choice([None, next_id])
-            late_messages = rng.choice([(), ("PUT",), ("DELETE",), ("PUT", "DELETE")])
-            minion.crash(next_id, late_messages)
-            what += f", next id {next_id}, late messages {late_messages}"
+            what += self.crash(minion, rng, next_id)
         return f"{what} of {minion.name}"
 
+    def crash(self, minion, rng, other_id):
+        """Restarts a minion; in some cases it is unreachable for a while and its connections break or go silent."""
+        with self.lock:
+            if minion.name in self.signalled:
+                return " (skipped, another crash acts on it)"
+            self.signalled.add(minion.name)
+        next_id = rng.choice([None, other_id])
+        late_messages = rng.choice([(), ("PUT",), ("DELETE",), ("PUT", "DELETE")])
+        connections = rng.choice(["kept", "reset", "silent for good"])
+        down_s = 0.0 if connections == "kept" else rng.uniform(0, 1.5)
+        proxy = self.fleet.proxies[minion.name]
+        minion.fail()
+        if connections != "kept":
+            proxy.refuse()
+            proxy.fault(connections, probability=1.0)
+            time.sleep(down_s)
+            proxy.listen()
+        minion.restart(next_id, late_messages)
+        with self.lock:
+            self.signalled.discard(minion.name)
+        return f" (connections {connections}, down for {down_s:.2f} s, next id {next_id}, late messages {late_messages})"
+
     def configuration(self, _rng, _for_s):
         with self.lock:
             self.version += 1
