Pick ports of test fleets that are free on all loopback addresses

A soak that ran beside another one ended with "entry-3 ended with 4": the entries of the platform's fleets listen on 127.0.0.2 and up, and the port was only checked on 127.0.0.1, so that it could belong to an entry of the other fleet. A port that can be bound to the wildcard address is free on all of them.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -22,11 +22,11 @@
 
 
 def free_ports(count):
-    """Returns ports that are free at the time of the call."""
+    """Returns ports that are free on all loopback addresses at the time of the call."""
     sockets = [socket.socket() for _ in range(count)]
     try:
         for one in sockets:
-            one.bind(("127.0.0.1", 0))
+            one.bind(("", 0))
         return [one.getsockname()[1] for one in sockets]
     finally:
         for one in sockets:
