Send signals, restarts and configuration changes of the soak in overlapping series

The soak sent one signal to one process at a time, and one new configuration. It now signals up to three processes at a time, each up to three times in a row, stops and terminates a process while it is paused, sends SIGHUP, writes up to ten configurations in a row with uneven version steps, and has three times as many faults at minions.

A process that is started again counts as restarted once its log shows that it handles signals: before that no program can handle SIGTERM, and two processes that were signalled within milliseconds of their start ended with -15.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -39,6 +39,7 @@
 RECOVERY_LIMIT_S = 5.0  # all jobs must be served this long after the last fault
 EXIT_TIMEOUT_S = 8.0  # the grace period of a terminated process, with a margin
 NOT_RUN = (429, 503)
+PROCESS_STARTED = '"event":"started"'
 OUTCOME_UNKNOWN = "unknown"  # in the body of a refusal after which the job may have run
 
 
@@ -83,7 +84,10 @@
         minion.address = "%s:%d" % self.add_proxy(minion.name, ("127.0.0.1", 0), (host, int(port)))
 
     def relaunch(self, name):
+        """Starts a process again; returns once its log shows that it handles signals."""
+        started = self.output(name).count(PROCESS_STARTED)
         (self.launch_entry if name in self.addresses else self.launch_agent)(name)
+        wait_until(lambda: self.output(name).count(PROCESS_STARTED) > started, f"restart of {name}")
 
     def stop(self):
         super().stop()
@@ -107,7 +111,10 @@
 
     def log_event(self, text):
         with self.lock:
-            self.log.append(f"{time.monotonic() - self.started_at:8.3f} {text}")
+            self.log_event_locked(text)
+
+    def log_event_locked(self, text):
+        self.log.append(f"{time.monotonic() - self.started_at:8.3f} {text}")
 
     def fail(self, text):
         self.log_event("FAILED " + text)
@@ -137,33 +144,56 @@
 
     def inject(self, fault_seed):
         rng = random.Random(f"{self.seed} {fault_seed}")
-        kind = rng.choice(["signal", "signal", "signal", "link", "link", "store", "minion", "configuration"])
+        kind = rng.choice(["signal", "signal", "signal", "link", "link", "store", "minion", "minion", "minion",
+                           "configuration"])
         duration_s = rng.uniform(0.2, 2.5)
         self.log_event(f"fault {kind} for {duration_s:.2f} s: " + getattr(self, kind)(rng, duration_s))
 
     def signal(self, rng, duration_s):
-        name = rng.choice(sorted(self.fleet.processes))
-        what = rng.choice(["kill", "pause", "restart"])
+        """Signals up to three processes at a time, each up to three times in a row."""
+        names = rng.sample(sorted(self.fleet.processes), rng.choice([1, 1, 2, 3]))
+        series = [[rng.choice(["kill", "pause", "restart", "restart while paused", "hang up"])
+                   for _ in range(rng.choice([1, 1, 2, 3]))] for _ in names]
+        threads = [threading.Thread(target=self.signal_series, args=(name, kinds, duration_s))
+                   for name, kinds in zip(names, series)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        return f"{dict(zip(names, series))}"
+
+    def signal_series(self, name, kinds, duration_s):
         with self.lock:
-            if name in self.signalled:  # one signal fault at a time for each process, so that none is resumed after it was killed
-                return f"skipped, another signal fault acts on {name}"
+            if name in self.signalled:  # one series at a time for each process, so that none is resumed after it was killed
+                self.log_event_locked(f"skipped, another series acts on {name}")
+                return
             self.signalled.add(name)
+        for kind in kinds:
+            self.send_signal(name, kind, duration_s / len(kinds))
+        with self.lock:
+            self.signalled.discard(name)
+
+    def send_signal(self, name, kind, duration_s):
         process = self.fleet.processes[name]
-        if what == "kill":
+        if kind == "kill":
             process.kill()
             process.wait()
             time.sleep(duration_s / 3)
             self.fleet.relaunch(name)
-        elif what == "pause":
+        elif kind == "pause":
             process.send_signal(signal.SIGSTOP)
             time.sleep(duration_s)
             process.send_signal(signal.SIGCONT)
+        elif kind == "hang up":
+            process.send_signal(signal.SIGHUP)
         else:
+            if kind == "restart while paused":
+                process.send_signal(signal.SIGSTOP)
+                process.send_signal(signal.SIGTERM)
+                time.sleep(duration_s)
+                process.send_signal(signal.SIGCONT)
             self.ask_to_exit(name, process)
             self.fleet.relaunch(name)
-        with self.lock:
-            self.signalled.discard(name)
-        return f"{what} {name}"
 
     def link(self, rng, duration_s):
         name = rng.choice(sorted(self.fleet.proxies))
@@ -217,10 +247,11 @@
             self.signalled.discard(minion.name)
         return f" (connections {connections}, down for {down_s:.2f} s, next id {next_id}, late messages {late_messages})"
 
-    def configuration(self, _rng, _for_s):
-        with self.lock:
-            self.version += 1
-            self.fleet.kv.put_configuration(configuration(self.version))
+    def configuration(self, rng, _for_s):
+        for _ in range(rng.choice([1, 1, 3, 10])):
+            with self.lock:
+                self.version += rng.choice([1, 7])
+                self.fleet.kv.put_configuration(configuration(self.version))
         return f"version {self.version}"
 
     def ask_to_exit(self, name, process):
