Reproduce two runs of one task after a late message of an earlier incarnation

Two causes, both in the agent's view of its target:

- A delayed heartbeat of the previous incarnation, with another id and an older start time, is taken as a replacement of the present target.
All runs are reported as lost while the target continues them, and the entry starts their tasks on other targets 10 to 25 ms later.
- A delayed DELETE of the previous incarnation under the same id is taken as the end of the present one, with the same result.
A DELETE carries no start time, so it cannot show that the present incarnation ended.

--- a/tests/end_to_end/platform_test.py
+++ b/tests/end_to_end/platform_test.py
@@ -15,6 +15,7 @@
 sys.path.insert(0, str(ROOT / "scripts"))
 sys.path.insert(0, str(ROOT / "standins"))
 
+from end_to_end import save_logs_on_failure, skip_if_known_red  # noqa: E402
 from fleet import BUILD, Fleet, free_ports, http as call, wait_until  # noqa: E402
 from platform_standin import Minion, Store, overlapping_runs  # noqa: E402
 
@@ -226,8 +227,10 @@
     """Tests with faults; each test has a fleet of its own."""
 
     def setUp(self):
+        skip_if_known_red(self)
         self.fleet = PlatformFleet()
         self.addCleanup(self.fleet.stop)
+        self.addCleanup(save_logs_on_failure, self, self.fleet)
 
     def load(self, seconds, entry_of, work_ms=100):
         """Submits jobs for the given time; returns (status, response time in seconds) of each."""
@@ -285,6 +288,36 @@
                    "service after the restart", 5)
         self.assertEqual(overlapping_runs(self.fleet.platform_minions), [])
 
+    def check_runs_outlast_late_message(self, method, next_id):
+        """Restarts a minion, then delivers a message of its previous incarnation while runs are active."""
+        minion = self.fleet.platform_minions[0]
+        previous_id, heartbeat = minion.id, minion.heartbeat()
+        usable = self.fleet.output("agent-1").count("target_usable")
+        minion.fail()
+        minion.restart(next_id)
+        wait_until(lambda: self.fleet.output("agent-1").count("target_usable") > usable, "the new incarnation", 5)
+        count = sum(m.cores for m in self.fleet.platform_minions) // 2  # leaves room for tasks that are started again
+        with concurrent.futures.ThreadPoolExecutor() as pool:
+            answer = pool.submit(self.fleet.ask, "entry-1", "POST", QUEUE + "00000000000000c1",
+                                 job(count=count, work_ms=1500), 9000)
+            wait_until(lambda: sum(len(m.running) for m in self.fleet.platform_minions) == count, "all runs", 2)
+            self.assertNotEqual(minion.running, {})
+            minion.announce(method, previous_id, heartbeat if method == "PUT" else {})
+            self.assertEqual(answer.result(), (200, {"state": "completed"}))
+        self.assertEqual(overlapping_runs(self.fleet.platform_minions), [])
+
+    def test_a_late_heartbeat_of_the_previous_incarnation_ends_no_run(self):
+        """Guards against runs that are started again because a heartbeat of an incarnation before the present one arrived."""
+        self.check_runs_outlast_late_message("PUT", "minion-agent-1-second")
+
+    def test_a_late_heartbeat_under_the_same_id_ends_no_run(self):
+        """Guards against runs that are started again because a heartbeat with an older start time arrived."""
+        self.check_runs_outlast_late_message("PUT", None)
+
+    def test_a_late_deregistration_under_the_same_id_ends_no_run(self):
+        """Guards against runs that are started again because the DELETE of the previous incarnation arrived."""
+        self.check_runs_outlast_late_message("DELETE", None)
+
     def test_jobs_are_served_while_the_store_is_down(self):
         """Guards against a dependency of job processing on the store."""
         self.fleet.kv.down = True
