Let restarts of one minion in the soak not overlap

A planned end and a crash of the same minion could overlap, so that the minion came back while it was still crashed. Both now exclude each other. A failure report of concurrent runs has the time as in the logs.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -218,19 +218,27 @@
             minion.late_share = rng.uniform(0.1, 0.9)
             time.sleep(duration_s)
             minion.late_share = 0.0
+        if what == "planned end" or "crash" in what:
+            what += self.end_incarnation(minion, rng, what, duration_s)
+        return f"{what} of {minion.name}"
+
+    def end_incarnation(self, minion, rng, what, duration_s):
+        with self.lock:
+            if minion.name in self.signalled:  # its restarts do not overlap
+                return " (skipped, another restart acts on it)"
+            self.signalled.add(minion.name)
         next_id = f"{minion.name}-{rng.randrange(10**6)}"
         if what == "planned end":
             minion.leave(duration_s, next_id)
-        if "crash" in what:
-            what += self.crash(minion, rng, next_id)
-        return f"{what} of {minion.name}"
+            details = f" (next id {next_id})"
+        else:
+            details = self.crash(minion, rng, next_id)
+        with self.lock:
+            self.signalled.discard(minion.name)
+        return details
 
     def crash(self, minion, rng, other_id):
         """Restarts a minion; in some cases it is unreachable for a while and its connections break or go silent."""
-        with self.lock:
-            if minion.name in self.signalled:
-                return " (skipped, another crash acts on it)"
-            self.signalled.add(minion.name)
         next_id = rng.choice([None, other_id])
         late_messages = rng.choice([(), ("PUT",), ("DELETE",), ("PUT", "DELETE")])
         connections = rng.choice(["kept", "reset", "silent for good"])
@@ -243,8 +251,6 @@
             time.sleep(down_s)
             proxy.listen()
         minion.restart(next_id, late_messages)
-        with self.lock:
-            self.signalled.discard(minion.name)
         return f" (connections {connections}, down for {down_s:.2f} s, next id {next_id}, late messages {late_messages})"
 
     def configuration(self, rng, _for_s):
@@ -334,8 +340,10 @@
             self.fail(f"{error}: {[(m.name, m.running) for m in self.fleet.platform_minions if m.running]}")
         # Late requests may still start runs.
         wait_until(lambda: not any(m.late_requests for m in self.fleet.platform_minions), "the end of all late requests")
-        for pair in overlapping_runs(self.fleet.platform_minions):
-            self.fail(f"concurrent runs of one task: {pair}")
+        now, time_ms = time.monotonic(), time.time() * 1000
+        for task, earlier, later in overlapping_runs(self.fleet.platform_minions):
+            logged_ms = round(time_ms - (now - later[0]) * 1000)  # for the search in the logs
+            self.fail(f"concurrent runs of one task at {logged_ms}: {(task, earlier, later)}")
 
     def check_exits(self):
         for name, process in sorted(self.fleet.processes.items()):
