Let callers of the soak give up early and submit again after a 504

By the protocol a job is sent again after no response, a broken connection, a 502 or a 504. The soak's callers sent a job again only when the entry broke the connection, and waited for every answer.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -35,10 +35,13 @@
 CLIENTS = 8
 DEADLINE_MS = 3000
 CLIENT_TIMEOUT_S = 6.0  # longer than the deadline of a job, so that a missing answer is noticed
-RESUBMIT_DELAY_S = 1.3  # between a lost connection and the submission of the same job elsewhere
+IMPATIENT_SHARE = 0.05  # of the submissions whose caller closes the connection early
+IMPATIENT_S = (0.02, 1.0)  # range of the time after which it does
+RESUBMIT_DELAY_S = 1.3  # between a lost connection, a 502 or a 504 and the submission of the same job elsewhere
 RECOVERY_LIMIT_S = 5.0  # all jobs must be served this long after the last fault
 EXIT_TIMEOUT_S = 8.0  # the grace period of a terminated process, with a margin
 NOT_RUN = (429, 503)
+RESUBMIT = (0, 502, 504)
 PROCESS_STARTED = '"event":"started"'
 OUTCOME_UNKNOWN = "unknown"  # in the body of a refusal after which the job may have run
 
@@ -283,20 +286,25 @@
             count, work_ms = rng.choice([(1, 60), (3, 60), (2, 400)])
             for _ in range(4):
                 entry = rng.choice(sorted(self.fleet.addresses))
-                status, sent, text = self.submit(connections, entry, job_id, job(count=count, work_ms=work_ms))
+                timeout_s = rng.uniform(*IMPATIENT_S) if rng.random() < IMPATIENT_SHARE else CLIENT_TIMEOUT_S
+                body = job(count=count, work_ms=work_ms)
+                status, sent, text = self.submit(connections, entry, job_id, body, timeout_s)
                 self.check_response(job_id, count, entry, status, sent, text)
-                if status != 0:
+                if status not in RESUBMIT:
                     break
                 time.sleep(RESUBMIT_DELAY_S)
             time.sleep(rng.uniform(0, 0.05))
 
-    def submit(self, connections, entry, job_id, body):
+    def submit(self, connections, entry, job_id, body, timeout_s):
         """Returns (status, time of sending, text); status 0 if the connection was lost."""
         sent = time.monotonic()
         try:
             if entry not in connections:
                 ip, port, _ = self.fleet.addresses[entry]
-                connections[entry] = http.client.HTTPConnection(ip, port, timeout=CLIENT_TIMEOUT_S)
+                connections[entry] = http.client.HTTPConnection(ip, port)
+            connections[entry].timeout = timeout_s  # used if it connects again, after an entry has closed it
+            if connections[entry].sock is not None:
+                connections[entry].sock.settimeout(timeout_s)
             connections[entry].request("POST", QUEUE + job_id, json.dumps(body),
                                        {"Host": HOST, "Deadline-Ms": str(DEADLINE_MS)})
             answer = connections[entry].getresponse()
