--- a/tests/besteffort/cluster_overlap_test.cc
+++ b/tests/besteffort/cluster_overlap_test.cc
@@ -10,10 +10,17 @@
 namespace {
 
 constexpr std::size_t kTargets = 4;
+// Uptime of all processes before the first fault. The clocks of the targets show more than a late request takes, so its
+// lease has not expired on the new clock of a restarted target.
+constexpr duration kUptime = std::chrono::seconds(20);
 constexpr int kLongWorkMs = 5000;
 // Time after which a caller submits a job again at another entry when its connection has broken.
 constexpr duration kRetransmitDelay = std::chrono::milliseconds(1300);
 
+// Time from the end of an entry to shortly before its owner timeout at the agents, which have last heard of it up to a
+// heartbeat interval earlier.
+constexpr duration kBeforeOwnerTimeout = std::chrono::milliseconds(540);
+
 duration Ms(int time) { return std::chrono::milliseconds(time); }
 
 class cluster_overlap : public testing::Test {
@@ -24,13 +31,36 @@
         std::cout << sim.now().time_since_epoch().count() / 1000 << " " << line << "\n";
       };
     }
-    sim.RunFor(std::chrono::seconds(2));
+    sim.RunFor(kUptime);
   }
 
   /// Starts a job with one long task from entry 0 and returns the index of its target.
   std::size_t StartLongTask() {
     sim.Submit(0, "job", 1, kLongWorkMs);
     sim.RunFor(Ms(100));
+    return RunningTarget();
+  }
+
+  /// Entry 0 is killed now; its caller submits the job again at entry 1.
+  void KillEntryOfCaller() {
+    sim.KillEntry(0, std::chrono::seconds(5));
+    sim.After(kRetransmitDelay, [this] { sim.Submit(1, "job", 1, kLongWorkMs); });
+  }
+
+  /// Starts a job with one long task from entry 0 whose first start request is executed after @p late_delay, and
+  /// returns the index of its target. A repeated request starts the task.
+  std::size_t StartLongTaskByRepeatedRequest(duration late_delay) {
+    sim.faults.late_requests_outlive_target = true;
+    sim.faults.late_delay = late_delay;
+    sim.faults.late_requests = 1;
+    sim.Submit(0, "job", 1, kLongWorkMs);
+    sim.RunFor(Ms(10));
+    sim.faults.late_requests = 0;
+    sim.RunFor(Ms(40));
+    return RunningTarget();
+  }
+
+  std::size_t RunningTarget() {
     for (std::size_t i = 0; i < kTargets; ++i) {
       if (sim.target(i).running() > 0) {
         return i;
@@ -40,12 +70,6 @@
     return 0;
   }
 
-  /// Entry 0 is killed now; its caller submits the job again at entry 1.
-  void KillEntryOfCaller() {
-    sim.KillEntry(0, std::chrono::seconds(5));
-    sim.After(kRetransmitDelay, [this] { sim.Submit(1, "job", 1, kLongWorkMs); });
-  }
-
   cluster_sim sim;
 };
 
@@ -73,5 +97,113 @@
   EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
 }
 
+// Guards against a start without a response that a restarted target executes seconds later, after the run was taken as
+// ended with the previous incarnation.
+TEST_F(cluster_overlap, RestartedTargetDoesNotExecuteEarlierStart) {
+  const std::size_t target = StartLongTaskByRepeatedRequest(std::chrono::seconds(4));
+  sim.CrashTarget(target, duration(0));
+  sim.RunFor(std::chrono::seconds(6));
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
+// Guards against a start without a response that a target executes seconds later, after it has refused a connection
+// and returned under its id.
+TEST_F(cluster_overlap, ReturnedTargetDoesNotExecuteEarlierStart) {
+  const std::size_t target = StartLongTaskByRepeatedRequest(std::chrono::seconds(4));
+  sim.CrashTarget(target, Ms(300));
+  sim.RunFor(std::chrono::seconds(6));
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
+// Guards against a start without a response that a restarted target executes seconds later, although the previous
+// incarnation had accepted a stop of that run: the new one knows neither the stop nor a fencing token.
+TEST_F(cluster_overlap, RestartedTargetDoesNotExecuteStoppedStart) {
+  const std::size_t target = StartLongTaskByRepeatedRequest(std::chrono::seconds(6));
+  sim.DisconnectCaller(0);
+  sim.RunFor(kRetransmitDelay);
+  ASSERT_EQ(sim.target(target).running(), 0U);
+  sim.Submit(1, "job", 1, kLongWorkMs);
+  sim.RunFor(Ms(100));
+  sim.CrashTarget(target, duration(0));
+  sim.RunFor(std::chrono::seconds(6));
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
+// Guards against runs that are reported as lost while they are active because a heartbeat of the target's predecessor
+// arrives after the target has registered.
+TEST_F(cluster_overlap, LateHeartbeatOfEarlierTargetDoesNotEndRuns) {
+  for (std::size_t i = 0; i < kTargets; ++i) {
+    sim.DelayHeartbeat(i, std::chrono::seconds(3) + Ms(400) * i);
+    sim.ReplaceTarget(i, Ms(20));
+  }
+  sim.RunFor(std::chrono::seconds(2));
+  StartLongTask();
+  sim.RunFor(std::chrono::seconds(3));
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
+// Guards against runs that are reported as lost while they are active because the target announces its end before its
+// process ends.
+TEST_F(cluster_overlap, AnnouncedEndOfTargetDoesNotEndActiveRuns) {
+  const std::size_t target = StartLongTask();
+  sim.LeaveTarget(target, Ms(300), std::chrono::seconds(10));
+  sim.RunFor(std::chrono::seconds(3));
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
+// Guards against a run of a killed entry that continues while its agent is frozen: the sum of the owner timeout and the
+// lease must not exceed the time after which the caller submits the job again.
+TEST_F(cluster_overlap, RunOfKilledEntryEndsInTimeWhileAgentIsFrozen) {
+  const std::size_t target = StartLongTask();
+  KillEntryOfCaller();
+  sim.RunFor(kBeforeOwnerTimeout);
+  sim.FreezeAgent(target, std::chrono::seconds(3));
+  sim.RunFor(std::chrono::seconds(3));
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
+// Guards against a run of a killed entry that continues because its target stops responding shortly before the run is
+// to be stopped, with a lease that was renewed for it.
+TEST_F(cluster_overlap, RunOfKilledEntryEndsInTimeAtUnresponsiveTarget) {
+  const std::size_t target = StartLongTask();
+  KillEntryOfCaller();
+  sim.RunFor(kBeforeOwnerTimeout);
+  sim.SilenceTarget(target, std::chrono::seconds(3));
+  sim.RunFor(std::chrono::seconds(3));
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
+// Guards against a run of a killed entry that continues because its stop requests are lost while polls renew the lease.
+TEST_F(cluster_overlap, RunOfKilledEntryEndsInTimeWhenStopsAreLost) {
+  StartLongTask();
+  KillEntryOfCaller();
+  sim.RunFor(kBeforeOwnerTimeout);
+  sim.faults.late_requests = 1;
+  sim.RunFor(kRetransmitDelay - kBeforeOwnerTimeout - Ms(1));
+  sim.faults.late_requests = 0;
+  sim.RunFor(std::chrono::seconds(3));
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
+// Guards against a second submission of a job that is never answered: its start has the same key as a run of the first
+// submission that is active at the same agent.
+TEST_F(cluster_overlap, SecondSubmissionCompletesAtTargetOfFirst) {
+  const std::size_t target = StartLongTask();
+  for (std::size_t i = 0; i < kTargets; ++i) {
+    if (i != target) {
+      sim.KillAgent(i, std::chrono::minutes(1));
+    }
+  }
+  sim.KillEntry(0, std::chrono::minutes(1));
+  sim.RunFor(Ms(100));
+  const std::size_t second = sim.Submit(1, "job", 1, kLongWorkMs);
+  sim.RunFor(std::chrono::seconds(9));
+  EXPECT_TRUE(sim.jobs()[second].verdict == job_verdict::kCompleted);
+  // The caller's deadline is 30 s.
+  sim.RunFor(std::chrono::seconds(30));
+  EXPECT_EQ(sim.entry(1)->runs(), 0U);
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
 }  // namespace
 }  // namespace bamboowing
