End the processes of a test fleet that did not start, and start a soak's fleet again after a taken port

A soak beside others stopped with "all targets at entry-1 took longer than 30.0 s": agent-2 had ended at its start, because another process took its port between the choice and the use, and the processes of the fleet were left running. A fleet that fails to start now ends its processes, and reports a process that has ended at once. The soak starts the fleet again if a port was taken (exit code 4, or a proxy that cannot listen), at most three times, and prints it; any other failure ends the run as before.

--- a/tests/end_to_end/platform_test.py
+++ b/tests/end_to_end/platform_test.py
@@ -47,6 +47,13 @@
         self.peers_port = free_ports(1)[0]
         self.platform_minions = []
         self.addresses = {}
+        try:
+            self.start_processes(entries, agents)
+        except Exception:
+            self.stop()
+            raise
+
+    def start_processes(self, entries, agents):
         for i in range(entries):
             self.start_platform_entry(f"entry-{i + 1}", f"127.0.0.{i + 2}")
         for i in range(agents):
@@ -69,6 +76,8 @@
 
     def usable_targets(self, name):
         """Returns the number of agents whose target the entry has listed as usable in its log."""
+        for process in self.processes:
+            self.check_alive(process)
         details = [json.loads(line).get("detail", "") for line in self.output(name).splitlines()]
         return len({d for d in details if d.startswith("agent ") and d.endswith("cpu 4000")})
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -11,6 +11,7 @@
 """
 
 import argparse
+import errno
 import http.client
 import json
 import pathlib
@@ -42,6 +43,8 @@
 EXIT_TIMEOUT_S = 8.0  # the grace period of a terminated process, with a margin
 NOT_RUN = (429, 503)
 RESUBMIT = (0, 502, 504)
+START_ATTEMPTS = 3
+PORT_TAKEN = "ended with 4"  # exit code of a daemon that cannot listen at one of its addresses
 PROCESS_STARTED = '"event":"started"'
 OUTCOME_UNKNOWN = "unknown"  # in the body of a refusal after which the job may have run
 
@@ -361,9 +364,21 @@
                 self.ask_to_exit(name, process)
 
 
+def start_fleet(seed):
+    """Starts a fleet, again if another process has taken one of its ports in the meantime."""
+    for _ in range(START_ATTEMPTS - 1):
+        try:
+            return SoakFleet(seed)
+        except (RuntimeError, OSError) as error:
+            if PORT_TAKEN not in str(error) and getattr(error, "errno", None) != errno.EADDRINUSE:
+                raise
+            print(f"seed {seed}: starting again: {error}", flush=True)
+    return SoakFleet(seed)
+
+
 def run_seed(seed, seconds):
     """Runs one seed; returns the failed checks."""
-    fleet = SoakFleet(seed)
+    fleet = start_fleet(seed)
     soak = Soak(fleet, seed)
     try:
         soak.run(seconds)
