--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -11,6 +11,7 @@
 """
 
 import argparse
+import errno
 import http.client
 import json
 import pathlib
@@ -35,10 +36,16 @@
 CLIENTS = 8
 DEADLINE_MS = 3000
 CLIENT_TIMEOUT_S = 6.0  # longer than the deadline of a job, so that a missing answer is noticed
-RESUBMIT_DELAY_S = 1.3  # between a lost connection and the submission of the same job elsewhere
+IMPATIENT_SHARE = 0.05  # of the submissions whose caller closes the connection early
+IMPATIENT_S = (0.02, 1.0)  # range of the time after which it does
+RESUBMIT_DELAY_S = 1.3  # between a lost connection, a 502 or a 504 and the submission of the same job elsewhere
 RECOVERY_LIMIT_S = 5.0  # all jobs must be served this long after the last fault
 EXIT_TIMEOUT_S = 8.0  # the grace period of a terminated process, with a margin
 NOT_RUN = (429, 503)
+RESUBMIT = (0, 502, 504)
+START_ATTEMPTS = 3
+PORT_TAKEN = "ended with 4"  # exit code of a daemon that cannot listen at one of its addresses
+PROCESS_STARTED = '"event":"started"'
 OUTCOME_UNKNOWN = "unknown"  # in the body of a refusal after which the job may have run
 
 
@@ -51,23 +58,11 @@
         super()._write(key, value, lease)
 
 
-class SoakMinion(Minion):
-    def crash(self):
-        """Aborts all runs and restarts under the same id as a new incarnation."""
-        with self.lock:
-            for task in list(self.running):
-                self.end(task, "broken")
-            self.born += 1
-            self.started = time.monotonic()
-            self.token = self.lease_end = self.last_end = 0
-            self.highest, self.ended = {}, []
-
-
 class SoakFleet(PlatformFleet):
     def __init__(self, seed):
         self.proxies = {}
         self.seed = seed
-        super().__init__(ENTRIES, AGENTS, store=SoakStore(), minion_type=SoakMinion)
+        super().__init__(ENTRIES, AGENTS, store=SoakStore())
 
     def start(self, name, command):
         """As in Fleet, but a restarted process appends to the output of the previous one."""
@@ -95,7 +90,10 @@
         minion.address = "%s:%d" % self.add_proxy(minion.name, ("127.0.0.1", 0), (host, int(port)))
 
     def relaunch(self, name):
+        """Starts a process again; returns once its log shows that it handles signals."""
+        started = self.output(name).count(PROCESS_STARTED)
         (self.launch_entry if name in self.addresses else self.launch_agent)(name)
+        wait_until(lambda: self.output(name).count(PROCESS_STARTED) > started, f"restart of {name}")
 
     def stop(self):
         super().stop()
@@ -119,7 +117,10 @@
 
     def log_event(self, text):
         with self.lock:
-            self.log.append(f"{time.monotonic() - self.started_at:8.3f} {text}")
+            self.log_event_locked(text)
+
+    def log_event_locked(self, text):
+        self.log.append(f"{time.monotonic() - self.started_at:8.3f} {text}")
 
     def fail(self, text):
         self.log_event("FAILED " + text)
@@ -149,37 +150,60 @@
 
     def inject(self, fault_seed):
         rng = random.Random(f"{self.seed} {fault_seed}")
-        kind = rng.choice(["signal", "signal", "signal", "link", "link", "store", "minion", "configuration"])
+        kind = rng.choice(["signal", "signal", "signal", "link", "link", "store", "minion", "minion", "minion",
+                           "configuration"])
         duration_s = rng.uniform(0.2, 2.5)
         self.log_event(f"fault {kind} for {duration_s:.2f} s: " + getattr(self, kind)(rng, duration_s))
 
     def signal(self, rng, duration_s):
-        name = rng.choice(sorted(self.fleet.processes))
-        what = rng.choice(["kill", "pause", "restart"])
+        """Signals up to three processes at a time, each up to three times in a row."""
+        names = rng.sample(sorted(self.fleet.processes), rng.choice([1, 1, 2, 3]))
+        series = [[rng.choice(["kill", "pause", "restart", "restart while paused", "hang up"])
+                   for _ in range(rng.choice([1, 1, 2, 3]))] for _ in names]
+        threads = [threading.Thread(target=self.signal_series, args=(name, kinds, duration_s))
+                   for name, kinds in zip(names, series)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        return f"{dict(zip(names, series))}"
+
+    def signal_series(self, name, kinds, duration_s):
         with self.lock:
-            if name in self.signalled:  # one signal fault at a time for each process, so that none is resumed after it was killed
-                return f"skipped, another signal fault acts on {name}"
+            if name in self.signalled:  # one series at a time for each process, so that none is resumed after it was killed
+                self.log_event_locked(f"skipped, another series acts on {name}")
+                return
             self.signalled.add(name)
+        for kind in kinds:
+            self.send_signal(name, kind, duration_s / len(kinds))
+        with self.lock:
+            self.signalled.discard(name)
+
+    def send_signal(self, name, kind, duration_s):
         process = self.fleet.processes[name]
-        if what == "kill":
+        if kind == "kill":
             process.kill()
             process.wait()
             time.sleep(duration_s / 3)
             self.fleet.relaunch(name)
-        elif what == "pause":
+        elif kind == "pause":
             process.send_signal(signal.SIGSTOP)
             time.sleep(duration_s)
             process.send_signal(signal.SIGCONT)
+        elif kind == "hang up":
+            process.send_signal(signal.SIGHUP)
         else:
+            if kind == "restart while paused":
+                process.send_signal(signal.SIGSTOP)
+                process.send_signal(signal.SIGTERM)
+                time.sleep(duration_s)
+                process.send_signal(signal.SIGCONT)
             self.ask_to_exit(name, process)
             self.fleet.relaunch(name)
-        with self.lock:
-            self.signalled.discard(name)
-        return f"{what} {name}"
 
     def link(self, rng, duration_s):
         name = rng.choice(sorted(self.fleet.proxies))
-        what = rng.choice(["reset", "delay", "silent", "one way"])
+        what = rng.choice(["reset", "delay", "silent", "silent for good", "one way"])
         end_fault = self.fleet.proxies[name].fault(what)
         time.sleep(duration_s)
         end_fault()
@@ -191,18 +215,55 @@
         self.fleet.kv.down = False
         return "down"
 
-    def minion(self, rng, _for_s):
+    def minion(self, rng, duration_s):
         minion = rng.choice(self.fleet.platform_minions)
-        if rng.random() < 0.5:
-            minion.crash()
-            return f"crash of {minion.name}"
-        minion.lose_answers = rng.randrange(1, 6)
-        return f"lost answers of {minion.name}"
+        what = rng.choice(["crash", "planned end", "lost answers", "late requests", "crash with late requests"])
+        if what == "lost answers":
+            minion.lose_answers = rng.randrange(1, 6)
+        if "late requests" in what:
+            minion.late_share = rng.uniform(0.1, 0.9)
+            time.sleep(duration_s)
+            minion.late_share = 0.0
+        if what == "planned end" or "crash" in what:
+            what += self.end_incarnation(minion, rng, what, duration_s)
+        return f"{what} of {minion.name}"
 
-    def configuration(self, _rng, _for_s):
+    def end_incarnation(self, minion, rng, what, duration_s):
         with self.lock:
-            self.version += 1
-            self.fleet.kv.put_configuration(configuration(self.version))
+            if minion.name in self.signalled:  # its restarts do not overlap
+                return " (skipped, another restart acts on it)"
+            self.signalled.add(minion.name)
+        next_id = f"{minion.name}-{rng.randrange(10**6)}"
+        if what == "planned end":
+            minion.leave(duration_s, next_id)
+            details = f" (next id {next_id})"
+        else:
+            details = self.crash(minion, rng, next_id)
+        with self.lock:
+            self.signalled.discard(minion.name)
+        return details
+
+    def crash(self, minion, rng, other_id):
+        """Restarts a minion; in some cases it is unreachable for a while and its connections break or go silent."""
+        next_id = rng.choice([None, other_id])
+        late_messages = rng.choice([(), ("PUT",), ("DELETE",), ("PUT", "DELETE")])
+        connections = rng.choice(["kept", "reset", "silent for good"])
+        down_s = 0.0 if connections == "kept" else rng.uniform(0, 1.5)
+        proxy = self.fleet.proxies[minion.name]
+        minion.fail()
+        if connections != "kept":
+            proxy.refuse()
+            proxy.fault(connections, probability=1.0)
+            time.sleep(down_s)
+            proxy.listen()
+        minion.restart(next_id, late_messages)
+        return f" (connections {connections}, down for {down_s:.2f} s, next id {next_id}, late messages {late_messages})"
+
+    def configuration(self, rng, _for_s):
+        for _ in range(rng.choice([1, 1, 3, 10])):
+            with self.lock:
+                self.version += rng.choice([1, 7])
+                self.fleet.kv.put_configuration(configuration(self.version))
         return f"version {self.version}"
 
     def ask_to_exit(self, name, process):
@@ -228,20 +289,25 @@
             count, work_ms = rng.choice([(1, 60), (3, 60), (2, 400)])
             for _ in range(4):
                 entry = rng.choice(sorted(self.fleet.addresses))
-                status, sent, text = self.submit(connections, entry, job_id, job(count=count, work_ms=work_ms))
+                timeout_s = rng.uniform(*IMPATIENT_S) if rng.random() < IMPATIENT_SHARE else CLIENT_TIMEOUT_S
+                body = job(count=count, work_ms=work_ms)
+                status, sent, text = self.submit(connections, entry, job_id, body, timeout_s)
                 self.check_response(job_id, count, entry, status, sent, text)
-                if status != 0:
+                if status not in RESUBMIT:
                     break
                 time.sleep(RESUBMIT_DELAY_S)
             time.sleep(rng.uniform(0, 0.05))
 
-    def submit(self, connections, entry, job_id, body):
+    def submit(self, connections, entry, job_id, body, timeout_s):
         """Returns (status, time of sending, text); status 0 if the connection was lost."""
         sent = time.monotonic()
         try:
             if entry not in connections:
                 ip, port, _ = self.fleet.addresses[entry]
-                connections[entry] = http.client.HTTPConnection(ip, port, timeout=CLIENT_TIMEOUT_S)
+                connections[entry] = http.client.HTTPConnection(ip, port)
+            connections[entry].timeout = timeout_s  # used if it connects again, after an entry has closed it
+            if connections[entry].sock is not None:
+                connections[entry].sock.settimeout(timeout_s)
             connections[entry].request("POST", QUEUE + job_id, json.dumps(body),
                                        {"Host": HOST, "Deadline-Ms": str(DEADLINE_MS)})
             answer = connections[entry].getresponse()
@@ -258,10 +324,11 @@
         if status == 200:
             done = {run[0] for run in runs if run[4] == "done"}
             state = json.loads(text).get("state", "")
-            if state == "done" and len(done) < count:
-                self.fail(f"{job_id} was answered by {entry} as done, but {len(done)} of {count} tasks have completed: {text}")
+            if state == "completed" and len(done) < count:
+                self.fail(f"{job_id} was answered by {entry} as completed, but {len(done)} of {count} tasks have completed: {text}")
         elif status in NOT_RUN:
-            ran = [run for run in runs if run[2] >= sent]
+            # A request that arrived before the submission belongs to an earlier submission of the job.
+            ran = [run for run in runs if run[5] >= sent]
             if ran and OUTCOME_UNKNOWN not in text:
                 self.fail(f"{job_id} was refused by {entry} with {status} after {elapsed_s:.3f} s but has runs: {ran}: {text}")
         elif status == 0 and elapsed_s >= CLIENT_TIMEOUT_S and entry not in self.signalled:
@@ -282,8 +349,12 @@
             wait_until(lambda: not any(m.running for m in self.fleet.platform_minions), "the end of all runs", 4)
         except TimeoutError as error:
             self.fail(f"{error}: {[(m.name, m.running) for m in self.fleet.platform_minions if m.running]}")
-        for pair in overlapping_runs(self.fleet.platform_minions):
-            self.fail(f"concurrent runs of one task: {pair}")
+        # Late requests may still start runs.
+        wait_until(lambda: not any(m.late_requests for m in self.fleet.platform_minions), "the end of all late requests")
+        now, time_ms = time.monotonic(), time.time() * 1000
+        for task, earlier, later in overlapping_runs(self.fleet.platform_minions):
+            logged_ms = round(time_ms - (now - later[0]) * 1000)  # for the search in the logs
+            self.fail(f"concurrent runs of one task at {logged_ms}: {(task, earlier, later)}")
 
     def check_exits(self):
         for name, process in sorted(self.fleet.processes.items()):
@@ -293,9 +364,21 @@
                 self.ask_to_exit(name, process)
 
 
+def start_fleet(seed):
+    """Starts a fleet, again if another process has taken one of its ports in the meantime."""
+    for _ in range(START_ATTEMPTS - 1):
+        try:
+            return SoakFleet(seed)
+        except (RuntimeError, OSError) as error:
+            if PORT_TAKEN not in str(error) and getattr(error, "errno", None) != errno.EADDRINUSE:
+                raise
+            print(f"seed {seed}: starting again: {error}", flush=True)
+    return SoakFleet(seed)
+
+
 def run_seed(seed, seconds):
     """Runs one seed; returns the failed checks."""
-    fleet = SoakFleet(seed)
+    fleet = start_fleet(seed)
     soak = Soak(fleet, seed)
     try:
         soak.run(seconds)
