--- a/src/service/settings.cc
+++ b/src/service/settings.cc
@@ -3,9 +3,10 @@
 #include <yaml-cpp/yaml.h>
 
 #include <algorithm>
-#include <cctype>
 #include <set>
 
+#include "bamboowing/base/address.h"
+
 namespace bamboowing {
 namespace {
 
@@ -121,13 +122,8 @@
 
  private:
   static bool IsAddress(const std::string& text) {
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string::npos || colon == 0 || colon + 1 == text.size() || text.size() - colon > 6) {
-      return false;
-    }
-    const bool digits = std::all_of(text.begin() + static_cast<std::ptrdiff_t>(colon) + 1, text.end(),
-                                    [](unsigned char c) { return std::isdigit(c) != 0; });
-    return digits && std::stoul(text.substr(colon + 1)) <= 65535;
+    failure malformed;
+    return ParseEndpoint(text, malformed).has_value();
   }
 
   YAML::Node map_;
--- a/src/transport/address.cc
+++ b/src/transport/address.cc
@@ -5,13 +5,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <charconv>
+#include <optional>
 
 namespace bamboowing {
 namespace {
 
-constexpr int kMaxPort = 65535;
-
 std::optional<sockaddr_in> ToSocketAddress(const std::string& host, int port) {
   sockaddr_in address{};
   address.sin_family = AF_INET;
@@ -33,25 +31,6 @@
 
 }  // namespace
 
-std::optional<ip_endpoint> ParseEndpoint(std::string_view text, failure& error) {
-  const std::size_t colon = text.rfind(':');
-  ip_endpoint endpoint;
-  bool valid = colon != std::string_view::npos;
-  if (valid) {
-    const std::string_view port = text.substr(colon + 1);
-    endpoint.host = std::string(text.substr(0, colon));
-    const std::from_chars_result parsed = std::from_chars(port.data(), port.data() + port.size(), endpoint.port);
-    valid = !port.empty() && parsed.ec == std::errc() && parsed.ptr == port.data() + port.size() &&
-            endpoint.port >= 0 && endpoint.port <= kMaxPort && ToSocketAddress(endpoint.host, 0).has_value();
-  }
-  if (!valid) {
-    error = failure(error_kind::kInvalidField,
-                    "expected an address like 127.0.0.1:8080, found '" + std::string(text) + "'");
-    return std::nullopt;
-  }
-  return endpoint;
-}
-
 int FindFreePort(const std::string& host) {
   const std::optional<sockaddr_in> address = ToSocketAddress(host, 0);
   const int socket_fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -181,7 +181,7 @@
 }  // namespace
 
 std::unique_ptr<http_client> http_client::Open(std::string_view address, failure& error) {
-  const std::optional<ip_endpoint> endpoint = ParseEndpoint(address, error);
+  const std::optional<ip_endpoint> endpoint = ParseRemoteEndpoint(address, error);
   if (!endpoint) {
     return nullptr;
   }
--- a/src/transport/run_url.cc
+++ b/src/transport/run_url.cc
@@ -12,7 +12,7 @@
     return std::nullopt;
   }
   run_url url{std::string(text.substr(kScheme.size(), slash - kScheme.size())), std::string(text.substr(slash))};
-  if (!ParseEndpoint(url.address, error)) {
+  if (!ParseRemoteEndpoint(url.address, error)) {
     return std::nullopt;
   }
   return url;
