Keep the client of the running target when a heartbeat has a bad address

Callers saw jobs that ended without an answer: the agent of a machine ended with signal 11, and its runs with it.

Cause: on a heartbeat with another address, the agent replaced the client of its target before it knew whether the new address could be opened. For a malformed address the client became null, and the next poll or start dereferenced it.

Evidence: OddEntries.test_a_malformed_address_leaves_the_client_of_the_ running_target_in_use occupies all targets and sends heartbeats with ports 0, 65536 and 99999 and with text that is no address. Before the fix the agent ended after one of them and the next got no response. Without a running task nothing polls the target and the agent lived on, which is why a heartbeat to an idle target did not show the fault.

Fix: the client is replaced only by one that was opened.

--- a/src/service/best_effort_agent.cc
+++ b/src/service/best_effort_agent.cc
@@ -188,13 +188,14 @@
   void Handle(requests_received& input, instant now) { core_.OnBatch(input.address, input.batch, now); }
   void Handle(target_announced& input, instant now) {
     if (target_ == nullptr || input.address != target_address_) {
-      target_ = open_target_(input.address);
+      std::unique_ptr<leased_target> opened = open_target_(input.address);
+      if (opened == nullptr) {
+        Log(log_level::kWarning, "target_address_malformed", {{"address", input.address}});
+        return;
+      }
+      target_ = std::move(opened);
       target_address_ = input.address;
     }
-    if (target_ == nullptr) {
-      Log(log_level::kWarning, "target_address_malformed", {{"address", input.address}});
-      return;
-    }
     core_.OnTargetAnnounced(input.incarnation, input.target, input.clock, now);
   }
   void Handle(target_left& input, instant now) { core_.OnTargetLeft(input.id, now); }
--- a/tests/end_to_end/platform_test.py
+++ b/tests/end_to_end/platform_test.py
@@ -292,5 +292,69 @@
         self.assertEqual([status for status, _ in results if status != 200], [])
 
 
+def nested(levels):
+    """JSON text of lists that are nested this deeply."""
+    return b"[" * levels + b"]" * levels
+
+
+def without(fields, name):
+    return {key: value for key, value in fields.items() if key != name}
+
+
+class OddEntries(unittest.TestCase):
+    """Tests that write what another writer may leave; each test has a fleet of its own."""
+
+    def setUp(self):
+        self.fleet = PlatformFleet(entries=1, agents=2)
+        self.addCleanup(self.fleet.stop)
+
+    def heartbeat(self, minion, **changes):
+        return {"backend": SERVICE, "address": minion.address, "zone": "hobart", "version": "v1", "slots": 8,
+                "state": "ready", "cold_ms": 0, "labels": ["a", "r1-1"], "clock_ms": minion.clock(),
+                "capacity": {"cpu": 4000, "mem_mb": 8192, "gpu": 0}, "seq": minion.seq, "born": minion.born, **changes}
+
+    def send(self, address, method, path, body=b""):
+        """Returns the status; None if the connection ended without a response."""
+        connection = http.client.HTTPConnection(address, timeout=5)
+        try:
+            connection.request(method, path, body, {"Content-Type": "application/json", "Host": HOST})
+            return connection.getresponse().status
+        except (http.client.HTTPException, OSError):
+            return None
+        finally:
+            connection.close()
+
+    def submit_long_job(self, pool, job_id):
+        """Submits a job that occupies all targets; returns the future of its answer."""
+        answer = pool.submit(self.fleet.ask, "entry-1", "POST", QUEUE + job_id, job(count=8, work_ms=3000),
+                             deadline_ms=9000)
+        wait_until(lambda: sum(len(m.running) for m in self.fleet.platform_minions) == 8, "its tasks")
+        return answer
+
+    def assert_served(self):
+        """Checks that all processes run and serve, and that no run was repeated or abandoned."""
+        for name in self.fleet.processes:
+            self.fleet.check_alive(name)
+        answer = self.fleet.ask("entry-1", "POST", f"{QUEUE}{time.monotonic_ns():016x}", job(count=8))
+        self.assertEqual(answer, (200, {"state": "completed"}))
+        outcomes = [run for m in self.fleet.platform_minions for run in m.runs if run[1] != 1 or run[4] != "done"]
+        self.assertEqual(outcomes, [])
+        for name in ("agent-1", "agent-2"):
+            lines = [json.loads(line) for line in self.fleet.output(name).splitlines()]
+            self.assertEqual([line for line in lines if line["event"] in ("target_lost", "target_restarted")], [])
+
+    def test_a_malformed_address_leaves_the_client_of_the_running_target_in_use(self):
+        """Guards against an agent that ends because it gave up the client of its target for an address it can't open."""
+        minion = self.fleet.platform_minions[0]
+        with concurrent.futures.ThreadPoolExecutor() as pool:
+            answer = self.submit_long_job(pool, "00000000000000c0")
+            for address in ("127.0.0.1:0", "127.0.0.1:65536", "127.0.0.1:99999", "127.0.0.1:http", "nowhere", "", ":"):
+                body = json.dumps(self.heartbeat(minion, address=address)).encode()
+                self.assertIsNotNone(self.send(minion.announce_address, "PUT", f"/instances/{minion.name}", body))
+                time.sleep(0.05)  # the agent polls its target in the meantime
+            self.assertEqual(answer.result(), (200, {"state": "completed"}))
+        self.assert_served()
+
+
 if __name__ == "__main__":
     unittest.main()
