--- a/tests/end_to_end/platform_test.py
+++ b/tests/end_to_end/platform_test.py
@@ -313,6 +313,27 @@
                 "state": "ready", "cold_ms": 0, "labels": ["a", "r1-1"], "clock_ms": minion.clock(),
                 "capacity": {"cpu": 4000, "mem_mb": 8192, "gpu": 0}, "seq": minion.seq, "born": minion.born, **changes}
 
+    def odd_heartbeats(self, minion):
+        """Bodies that name no minion to use."""
+        fields = self.heartbeat(minion)
+        numbers = (-1, 1.5, 1e300, 2 ** 63, 2 ** 64, "7", None, [], {})
+        bodies = [{**fields, "born": value} for value in numbers]
+        bodies += [{**fields, "clock_ms": value} for value in (-1, 1e300, 2 ** 63, "7", None, [])]
+        bodies += [{**fields, "capacity": {"cpu": value, "mem_mb": 8192}} for value in numbers]
+        bodies += [{**fields, "capacity": value} for value in (None, 7, [], "4000")]
+        bodies += [{**fields, "address": value}
+                   for value in ("127.0.0.1:0", "127.0.0.1:65536", "127.0.0.1:99999", "127.0.0.1:http", "127.0.0.1",
+                                 "nowhere", "", ":", 7, None, "x" * 500_000)]
+        bodies += [{**fields, "state": value} for value in ("sleeping", "", 7, None)]
+        bodies += [{**fields, "backend": value} for value in ("", 7, None, "x" * 500_000)]
+        bodies += [{**fields, "labels": value} for value in (7, "a", [7], ["x" * 500_000], ["x"] * 100_000)]
+        bodies += [without(fields, name) for name in ("address", "backend", "zone", "state", "capacity")]
+        bodies += [[], 7, "text", None]
+        texts = [json.dumps(body).encode() for body in bodies]
+        for name in ("born", "labels", "capacity", "extra"):
+            texts.append(json.dumps({**fields, name: "@"}).encode().replace(b'"@"', nested(100_000)))
+        return texts + [b"", b"{", b"\xff\xfe\x00", b'{"backend":"\xff"}', nested(400_000), b"[" * 900_000]
+
     def send(self, address, method, path, body=b""):
         """Returns the status; None if the connection ended without a response."""
         connection = http.client.HTTPConnection(address, timeout=5)
@@ -355,6 +376,18 @@
             self.assertEqual(answer.result(), (200, {"state": "completed"}))
         self.assert_served()
 
+    def test_odd_heartbeats_leave_the_running_target_in_use(self):
+        """Guards against an agent that ends, or gives up its target and its runs, after a heartbeat of another writer."""
+        minion = self.fleet.platform_minions[0]
+        with concurrent.futures.ThreadPoolExecutor() as pool:
+            answer = self.submit_long_job(pool, "00000000000000c1")
+            for body in self.odd_heartbeats(minion):
+                for name in (minion.name, "another"):
+                    status = self.send(minion.announce_address, "PUT", f"/instances/{name}", body)
+                    self.assertIn(status, (400, 413), body[:200])
+            self.assertEqual(answer.result(), (200, {"state": "completed"}))
+        self.assert_served()
+
 
 if __name__ == "__main__":
     unittest.main()
