Answer a malformed escape in a request target with 400

Cause: web::uri::decode() throws on a malformed escape. The exception left the continuation that reads the body; cpprestsdk ends the process when nobody observes the exception of a task. An escape in the path was already refused by the library, which decodes the path itself.

Evidence: HttpAbuse.MalformedEscapesInTheTargetAreRejected and OddEntries.test_odd_request_targets_are_refused. Before, the connection ended without a response and the process was gone. The server for callers on the platform decodes nothing and was not affected.

Fix: the server answers with 400 when the target can't be decoded.

--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -238,8 +238,15 @@
     // Keeps the request counted while the handler runs: its owner may be destroyed once no request is open.
     const std::shared_ptr<request_permit> permit = request->permit();
     permit->RecordReceived();
-    http_request request_data = FromMessage(request->message(), std::move(request->body()));
-    on_request_(std::move(request_data), [request](http_response response) { request->Respond(std::move(response)); });
+    std::optional<http_request> request_data;
+    try {
+      request_data = FromMessage(request->message(), std::move(request->body()));
+    } catch (const web::uri_exception&) {
+      request->Respond(ErrorResponse(
+          failure(error_kind::kInvalidField, not_run_state::kYes, "the request target has a malformed escape")));
+      return;
+    }
+    on_request_(std::move(*request_data), [request](http_response response) { request->Respond(std::move(response)); });
   }
 
   const http_server::handler on_request_;
--- a/tests/end_to_end/platform_test.py
+++ b/tests/end_to_end/platform_test.py
@@ -388,6 +388,20 @@
             self.assertEqual(answer.result(), (200, {"state": "completed"}))
         self.assert_served()
 
+    def test_odd_request_targets_are_refused(self):
+        """Guards against a process that ends because a request target has a malformed escape or control characters."""
+        minion = self.fleet.platform_minions[0]
+        body = json.dumps(self.heartbeat(minion)).encode()
+        for target in ("/instances/a?x=%q", "/instances/a?%zz=1", "/instances/%zz", "/instances/a%0d%0aX:%20y",
+                       "/instances/", "/instances/" + "x" * 5000):
+            for method in ("PUT", "DELETE"):
+                status = self.send(minion.announce_address, method, target, body)
+                self.assertIn(status, (400, 413, 414, 431), f"{method} {target[:80]}")
+        for target in (QUEUE + "%zz?x=%q", "/metrics?x=%q"):
+            for address in (self.fleet.metrics["entry-1"], "{0}:{1}".format(*self.fleet.addresses["entry-1"])):
+                self.assertIsNotNone(self.send(address, "GET", target))
+        self.assert_served()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/transport/http_abuse_test.cc
+++ b/tests/transport/http_abuse_test.cc
@@ -47,6 +47,18 @@
   EXPECT_TRUE(ServesRequests(*server));
 }
 
+// Guards against a process that ends because a request target has a malformed escape.
+TEST(HttpAbuse, MalformedEscapesInTheTargetAreRejected) {
+  const std::unique_ptr<http_server> server = OpenServer({}, RespondImmediately);
+  for (const std::string target : {"/a?x=%q", "/a?%zz=1", "/a?x=%", "/%zz", "/%"}) {
+    const raw_socket caller = raw_socket::Connect(server->port());
+    ASSERT_TRUE(caller.Send("GET " + target + " HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"));
+    const std::string answer = caller.ReadUntil("\r\n\r\n");
+    EXPECT_NE(answer.find("400"), std::string::npos) << target << " " << answer;
+  }
+  EXPECT_TRUE(ServesRequests(*server));
+}
+
 // Guards against unbounded memory use for a body without a declared length.
 TEST(HttpAbuse, EndlessChunkedBodyIsRejected) {
   http_limits limits;
