--- a/standins/platform_standin.py
+++ b/standins/platform_standin.py
@@ -81,6 +81,14 @@
         with self.lock:
             self._write(key, value, lease)
 
+    def put_raw(self, key, fields):
+        """Writes an item with the given fields, which need not follow the format of an item."""
+        with self.lock:
+            self._write(key, b"", 0)
+            item = {"key": key, "revision": self.revision, "created": self.items[key]["created"], "lease": 0, **fields}
+            self.items[key] = item
+            self.history[-1] = dict(item)
+
     def put_configuration(self, document):
         self.put("op/config", json.dumps(document).encode())
 
--- a/tests/end_to_end/platform_test.py
+++ b/tests/end_to_end/platform_test.py
@@ -402,6 +402,13 @@
                 self.assertIsNotNone(self.send(address, "GET", target))
         self.assert_served()
 
+    def test_an_entry_registers_over_bytes_of_another_writer(self):
+        """Guards against an entry that never registers because its key holds a value that can't be read."""
+        self.fleet.kv.put_raw("bamboowing/entries/entry-9", {"value": "%%%%"})
+        self.fleet.start_platform_entry("entry-9", "127.0.0.9")
+        wait_until(lambda: self.fleet.ready("entry-9"), "its registration", 10)
+        self.assert_served()
+
 
 if __name__ == "__main__":
     unittest.main()
