Ignore registrations that are nested deeply, malformed or misplaced

One registration whose `wants_agents` has 200,000 nested levels ended all agents on the platform, and all entries of bamboowing's own interface, with signal 11; restarted processes read it again and ended again. A registration at another key with the id of a running entry replaced that entry's address. Addresses with a port out of range, of a socket file or with a host name were opened again and again.

Cause: the reader copied and compared the field, which recurses once a level; it took the id from the value without comparing it with the key, and any text as an address.

Fix: a registration is read with json_reader, must name a numeric address with a port, and counts only at the key of its id. Ruled out: bytes that are no RPC message, sent to the port for agents, end no process.

--- a/include/bamboowing/entry/directory.h
+++ b/include/bamboowing/entry/directory.h
@@ -23,7 +23,7 @@
 std::string RegistrationKey(std::string_view entry_id);
 std::string FormatRegistration(const entry_identity& entry);
 
-/// Reads a registration; nullopt if the text is not one.
+/// Reads a registration; nullopt if the text is not one, or names an address at which no entry can be reached.
 std::optional<entry_identity> ParseRegistration(std::string_view text);
 
 /// Registrations, shard holders and configuration as last received from the watch.
--- a/src/entry/directory.cc
+++ b/src/entry/directory.cc
@@ -2,10 +2,15 @@
 
 #include <nlohmann/json.hpp>
 
+#include "bamboowing/base/address.h"
+#include "bamboowing/base/json_reader.h"
+
 namespace bamboowing {
 namespace {
 
 constexpr std::string_view kHolderSuffix = "/holder";
+// Longest id, address and failure domain of a registration.
+constexpr std::size_t kMaxTextBytes = 256;
 
 bool StartsWith(std::string_view text, std::string_view prefix) { return text.substr(0, prefix.size()) == prefix; }
 
@@ -45,19 +50,21 @@
 }
 
 std::optional<entry_identity> ParseRegistration(std::string_view text) {
-  const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
-  if (!json.is_object() || !json.contains("id") || !json["id"].is_string() || !json.contains("life") ||
-      !json["life"].is_number_unsigned() || !json.contains("peers_address") || !json["peers_address"].is_string()) {
+  failure error;
+  const std::optional<nlohmann::json> document = ParseJson(text, error);
+  if (!document) {
     return std::nullopt;
   }
   entry_identity entry;
-  entry.id = json["id"].get<std::string>();
-  entry.incarnation = json["life"].get<std::uint64_t>();
-  entry.peers_address = json["peers_address"].get<std::string>();
-  if (json.contains("failure_domain") && json["failure_domain"].is_string()) {
-    entry.failure_domain = json["failure_domain"].get<std::string>();
+  json_reader reader(*document);
+  reader.Text("id", field_presence::kRequired, entry.id, kMaxTextBytes);
+  reader.Whole("life", field_presence::kRequired, entry.incarnation);
+  reader.Text("peers_address", field_presence::kRequired, entry.peers_address, kMaxTextBytes);
+  reader.Text("failure_domain", field_presence::kOptional, entry.failure_domain, kMaxTextBytes);
+  reader.Boolean("wants_agents", field_presence::kOptional, entry.wants_agents);
+  if (!reader.ok() || !ParseRemoteEndpoint(entry.peers_address, error)) {
+    return std::nullopt;
   }
-  entry.wants_agents = json.value("wants_agents", nlohmann::json()) == true;
   return entry;
 }
 
@@ -93,7 +100,9 @@
     return;
   }
   if (StartsWith(item.key, kEntriesPrefix)) {
-    if (std::optional<entry_identity> entry = ParseRegistration(item.value); entry) {
+    std::optional<entry_identity> entry = ParseRegistration(item.value);
+    // Under another key, it would replace the registration of the entry that has this id.
+    if (entry && RegistrationKey(entry->id) == item.key) {
       entries_[entry->id] = std::move(*entry);
     }
     return;
--- a/tests/end_to_end/platform_test.py
+++ b/tests/end_to_end/platform_test.py
@@ -402,6 +402,39 @@
                 self.assertIsNotNone(self.send(address, "GET", target))
         self.assert_served()
 
+    def odd_registrations(self):
+        """Values that are not the registration of an entry."""
+        fields = {"id": "odd", "life": 1, "peers_address": "127.0.0.1:9", "failure_domain": "hobart"}
+        odd = [{**fields, "life": value} for value in (-1, 1.5, 1e300, 2 ** 64, "1", None)]
+        odd += [{**fields, "peers_address": value}
+                for value in ("127.0.0.1:0", "127.0.0.1:99999", "*:80", "unix:x", "a.example:80", "", 7, "x" * 300_000)]
+        odd += [{**fields, "failure_domain": 7}, {**fields, "wants_agents": 7}, {**fields, "id": 7}, [], 7, None]
+        odd += [{**fields, "id": "entry-1"}]  # at another key
+        values = [json.dumps(value).encode() for value in odd]
+        for name in ("wants_agents", "failure_domain", "extra"):
+            values.append(json.dumps({**fields, name: "@"}).encode().replace(b'"@"', nested(400_000)))
+        return values + [b"", b"\xff\xfe", b"{", nested(400_000)]
+
+    def put_odd_items(self):
+        """Leaves registrations, and items that are not of the format of the store, among the entries."""
+        for i, value in enumerate(self.odd_registrations()):
+            self.fleet.kv.put(f"bamboowing/entries/odd{i}" if i else "bamboowing/entries/odd", value)
+        for i, item in enumerate(({"value": "%%%%"}, {"value": 7}, {"value": None}, {"value": "YQ"}, {})):
+            self.fleet.kv.put_raw(f"bamboowing/entries/raw{i}", item)
+
+    def test_odd_entries_leave_the_list_of_entries_in_use(self):
+        """Guards against an agent that ends or stops following the list of entries because of one odd item."""
+        with concurrent.futures.ThreadPoolExecutor() as pool:
+            answer = self.submit_long_job(pool, "00000000000000c2")
+            self.put_odd_items()
+            self.assertEqual(answer.result(), (200, {"state": "completed"}))
+        self.fleet.start_platform_entry("entry-9", "127.0.0.9")
+        wait_until(lambda: self.fleet.ready("entry-9"), "the entry that registered after the odd items", 10)
+        self.fleet.kill("agent-1")
+        self.fleet.launch_agent("agent-1")  # lists all items from the start
+        wait_until(lambda: self.fleet.output("agent-1").count('"session_opened"') >= 2, "sessions of a new agent", 10)
+        self.assert_served()
+
     def test_an_entry_registers_over_bytes_of_another_writer(self):
         """Guards against an entry that never registers because its key holds a value that can't be read."""
         self.fleet.kv.put_raw("bamboowing/entries/entry-9", {"value": "%%%%"})
