Reject shard records and holders with values out of range

An odd value at the key of a shard's holder (incarnation -1, epoch 1e300, port 99999) was taken as the shard's leader: entries relayed calls to an address that can't be reached, and submissions got no response within a minute.

Cause: the JSON library converts numbers without a range check; -1 is then the highest incarnation and epoch. Addresses were not checked.

A holder that is rejected leaves the known one in place, as other unreadable values did before. Not changed: a record that can't be read is not replaced, since it can't be told whether its shard was released.

--- a/src/ownership/shard_record.cc
+++ b/src/ownership/shard_record.cc
@@ -1,6 +1,10 @@
 #include "bamboowing/ownership/shard_record.h"
 
 #include <nlohmann/json.hpp>
+#include <stdexcept>
+
+#include "bamboowing/base/address.h"
+#include "bamboowing/base/json_reader.h"
 
 namespace bamboowing {
 namespace {
@@ -18,22 +22,32 @@
 std::vector<recorded_agent> AgentsFromJson(const json& list) {
   std::vector<recorded_agent> agents;
   for (const json& item : list) {
-    agents.push_back({item.at("id").get<std::string>(), item.at("life").get<incarnation_id>()});
+    agents.push_back({item.at("id").get<std::string>(), WholeNumberAt(item, "life", UINT64_MAX)});
   }
   return agents;
 }
 
-// Calls @p read on the parsed text and converts exceptions of the JSON library to a failure.
+// Throws if one of the addresses is malformed.
+void RequireRemoteAddresses(const std::vector<std::string>& addresses) {
+  for (const std::string& address : addresses) {
+    failure error;
+    if (!ParseRemoteEndpoint(address, error)) {
+      throw std::invalid_argument(error.reason);
+    }
+  }
+}
+
+// Calls @p read on the parsed text and converts its exceptions to a failure.
 template <typename T, typename F>
 std::optional<T> Decode(std::string_view text, failure& error, F read) {
-  const json document = json::parse(text, nullptr, false);
-  if (document.is_discarded()) {
-    error = failure(error_kind::kInvalidJson, "the value in the key-value store is not JSON");
+  const std::optional<json> document = ParseJson(text, error);
+  if (!document) {
+    error.reason = "the value in the key-value store is not readable: " + error.reason;
     return std::nullopt;
   }
   try {
-    return read(document);
-  } catch (const json::exception& exception) {
+    return read(*document);
+  } catch (const std::exception& exception) {
     error = failure(error_kind::kInvalidField, exception.what());
     return std::nullopt;
   }
@@ -63,9 +77,9 @@
   return Decode<shard_record>(text, error, [](const json& document) {
     shard_record record;
     record.leader = document.at("home").get<std::string>();
-    record.incarnation = document.at("life").get<incarnation_id>();
+    record.incarnation = WholeNumberAt(document, "life", UINT64_MAX);
     record.addresses = document.at("addresses").get<std::vector<std::string>>();
-    record.shard_epoch = document.at("epoch").get<epoch>();
+    record.shard_epoch = WholeNumberAt(document, "epoch", UINT64_MAX);
     record.released = document.at("released").get<bool>();
     record.agents = AgentsFromJson(document.at("agents"));
     record.lost = AgentsFromJson(document.at("lost"));
@@ -87,9 +101,10 @@
   return Decode<shard_holder>(text, error, [](const json& document) {
     shard_holder holder;
     holder.leader = document.at("home").get<std::string>();
-    holder.incarnation = document.at("life").get<incarnation_id>();
+    holder.incarnation = WholeNumberAt(document, "life", UINT64_MAX);
     holder.addresses = document.at("addresses").get<std::vector<std::string>>();
-    holder.shard_epoch = document.at("epoch").get<epoch>();
+    RequireRemoteAddresses(holder.addresses);
+    holder.shard_epoch = WholeNumberAt(document, "epoch", UINT64_MAX);
     holder.write_id = document.at("write_id").get<std::string>();
     return holder;
   });
