--- a/tests/end_to_end/platform_test.py
+++ b/tests/end_to_end/platform_test.py
@@ -442,6 +442,24 @@
         wait_until(lambda: self.fleet.ready("entry-9"), "its registration", 10)
         self.assert_served()
 
+    def test_odd_configurations_leave_the_present_one_in_force(self):
+        """Guards against an entry that ends, or no longer follows the configuration, after an odd document."""
+        fields = configuration(5)
+        odd = [{**fields, "version": value} for value in (-1, 1.5, 1e300, 2 ** 64, "9", None)]
+        odd += [{**fields, "routes": value} for value in (7, None, [7], [{}], {"a": 7})]
+        for name, value in (("prefix", 7), ("priority", -1), ("max_attempts", 1e300), ("slack_factor", 1e300),
+                            ("target_latency_ms", 2 ** 63), ("backend", None)):
+            odd.append({**fields, "routes": [{**fields["routes"][0], name: value}]})
+        values = [json.dumps(value).encode() for value in odd]
+        values += [b"", b"\xff", nested(400_000), b'{"version":5,"routes":[{"name":' + nested(400_000) + b"}]}"]
+        for value in values:
+            self.fleet.kv.put("op/config", value)
+            time.sleep(0.05)
+        self.assert_served()
+        self.fleet.kv.put_configuration(configuration(6, prefix="/moved/"))
+        wait_until(lambda: self.fleet.ask("entry-1", "POST", "/moved/00000000000000c4", job())[0] == 200,
+                   "the next configuration", 2)
+
 
 if __name__ == "__main__":
     unittest.main()
