--- a/tests/end_to_end/platform_test.py
+++ b/tests/end_to_end/platform_test.py
@@ -460,6 +460,24 @@
         wait_until(lambda: self.fleet.ask("entry-1", "POST", "/moved/00000000000000c4", job())[0] == 200,
                    "the next configuration", 2)
 
+    def test_odd_jobs_are_refused(self):
+        """Guards against an entry that ends, or serves another job than the caller wrote."""
+        ip, callers, _ = self.fleet.addresses["entry-1"]
+        changes = [(name, value) for name in ("count", "cpu", "mem_mb", "gpu", "anti_affinity")
+                   for value in (-1, 1.5, 1e300, 2 ** 64, "1", [])]
+        changes += [("estimate_ms", value) for value in (-1, 1e300, 2 ** 63, "1")]
+        changes += [("after", value) for value in ([-1], [1.5], [0], [7], ["0"], 7)] + [("count", 2 ** 32 - 1)]
+        bodies = [job() for _ in changes]
+        for body, (name, value) in zip(bodies, changes):
+            body["steps"][0][name] = value
+        texts = [json.dumps(body).encode() for body in bodies + [[], 7, None, {"best_effort": True, "steps": {"a": {}}}]]
+        texts += [b"", b"\xff", b'{"best_effort":true,"steps":[{"count":1}],"x":' + nested(100_000) + b"}"]
+        for text in texts:
+            status = self.send(f"{ip}:{callers}", "POST", f"{QUEUE}{time.monotonic_ns():016x}", text)
+            self.assertEqual(status, 400, text[:200])
+        self.assertEqual([run for m in self.fleet.platform_minions for run in m.runs], [])
+        self.assert_served()
+
 
 if __name__ == "__main__":
     unittest.main()
