Refuse deeply nested bodies of requests to entries and agents

One request of a caller with a payload of 100,000 nested levels, 200 KB, ended the entry with signal 11, with all jobs that it led.

Cause: a payload that is no string is written back to text, and writing recurses once a level. The comparison of two configurations does the same with its documents.

Fix: callers' jobs, operators' bodies and announcements of targets are parsed with ParseJson(), which refuses more than 64 nested levels with invalid_json. Ruled out: the parser of configuration documents has a limit of its own, and 450,000 levels in the store or in a request for validation end no entry.

--- a/src/intent/operator_api.cc
+++ b/src/intent/operator_api.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "bamboowing/base/error.h"
+#include "bamboowing/base/json_reader.h"
 #include "bamboowing/intent/difference.h"
 #include "bamboowing/intent/schema.h"
 #include "codec.h"
@@ -74,10 +75,12 @@
 }
 
 operator_answer DiffResponse(std::string_view text) {
-  const json body = json::parse(text, nullptr, false);
-  if (body.is_discarded()) {
-    return MakeErrorResponse(error_kind::kInvalidJson, ErrorBody(error_kind::kInvalidJson, "the body is not JSON"));
+  failure malformed;
+  const std::optional<json> parsed = ParseJson(text, malformed);
+  if (!parsed) {
+    return MakeErrorResponse(error_kind::kInvalidJson, ErrorBody(error_kind::kInvalidJson, malformed.reason));
   }
+  const json& body = *parsed;
   std::vector<intent_error> errors;
   const std::optional<intent_document> before = DocumentMember(body, "before", errors);
   const std::optional<intent_document> after = DocumentMember(body, "after", errors);
--- a/src/service/agent_daemon.cc
+++ b/src/service/agent_daemon.cc
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "bamboowing/agent/agent_core.h"
+#include "bamboowing/base/json_reader.h"
 #include "bamboowing/base/ring.h"
 #include "bamboowing/service/agent_rpc.h"
 #include "bamboowing/service/caller_api.h"
@@ -204,7 +205,11 @@
   }
 
   std::optional<target_announcement> ParseAnnouncement(const std::string& text, failure& error) const {
-    const nlohmann::json body = nlohmann::json::parse(text, nullptr, false);
+    const std::optional<nlohmann::json> parsed = ParseJson(text, error);
+    if (!parsed) {
+      return std::nullopt;
+    }
+    const nlohmann::json& body = *parsed;
     if (!body.is_object()) {
       error = failure(error_kind::kInvalidJson, "the announcement is not a JSON object");
       return std::nullopt;
--- a/src/service/caller_api.cc
+++ b/src/service/caller_api.cc
@@ -8,6 +8,8 @@
 #include <string>
 #include <utility>
 
+#include "bamboowing/base/json_reader.h"
+
 namespace bamboowing {
 namespace {
 
@@ -154,11 +156,11 @@
 }
 
 std::optional<caller_request> ParseSubmission(const http_request& request, bool single, failure& error) {
-  const json body = json::parse(request.body, nullptr, false);
-  if (body.is_discarded()) {
-    error = failure(error_kind::kInvalidJson, "the body is not valid JSON");
+  const std::optional<json> parsed = ParseJson(request.body, error);
+  if (!parsed) {
     return std::nullopt;
   }
+  const json& body = *parsed;
   if (!body.is_object()) {
     error = failure(error_kind::kInvalidField, "the body must be a JSON object");
     return std::nullopt;
--- a/src/service/operator_service.cc
+++ b/src/service/operator_service.cc
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "bamboowing/base/json_reader.h"
 #include "bamboowing/intent/operator_api.h"
 #include "bamboowing/service/clock.h"
 #include "operator_views.h"
@@ -204,7 +205,8 @@
 }
 
 void operator_service::DrainTarget(call_id call, const http_request& request, instant now) {
-  const nlohmann::json body = nlohmann::json::parse(request.body, nullptr, false);
+  failure malformed;
+  const nlohmann::json body = ParseJson(request.body, malformed).value_or(nlohmann::json());
   if (!body.is_object() || !body.contains("target") || !body["target"].is_string()) {
     Answer(call, ErrorResponse(failure(error_kind::kInvalidField, "target must be the id of a target")));
     return;
--- a/tests/end_to_end/faults_test.py
+++ b/tests/end_to_end/faults_test.py
@@ -1,6 +1,7 @@
 """Fault tests on real processes: killed and frozen processes, an outage of the store, concurrent operators."""
 
 import concurrent.futures
+import http.client as http_client
 import json
 import signal
 import time
@@ -205,6 +206,46 @@
         self.assertEqual(set(statuses[-10:]), {200}, statuses)
         self.assertGreaterEqual(len(events(self.fleet, "target_ejected")), 1)
 
+    def send(self, port, method, path, body=b"", headers=None):
+        """Returns the status; None if the connection ended without a response."""
+        connection = http_client.HTTPConnection("127.0.0.1", port, timeout=5)
+        try:
+            connection.request(method, path, body, {"Content-Type": "application/json", **(headers or {})})
+            return connection.getresponse().status
+        except (http_client.HTTPException, OSError):
+            return None
+        finally:
+            connection.close()
+
+    def assert_all_serve(self, label):
+        for name in self.fleet.processes:
+            self.fleet.check_alive(name)
+        for entry in self.fleet.entries:
+            status, answer = submit(self.fleet, entry, make_job(f"{label}-{entry}", 4, work_ms=20), timeout=20)
+            self.assertEqual(status, 200, answer)
+
+    def test_requests_of_another_writer_end_no_process(self):
+        """Guards against a process that ends because of a malformed escape or a deeply nested body."""
+        start_fleet(self.fleet, entries=2, agents=2)
+        deep = "[" * 100_000 + "]" * 100_000
+        fields = {"team": "field-crews", "service": SERVICE, "deadline_ms": 2000, "payload": "@"}
+        bodies = [json.dumps(fields).replace('"@"', deep), deep, "\udcff", "", "{", json.dumps({"service": SERVICE}),
+                  json.dumps({"service": SERVICE, "slots": -1}), json.dumps({"service": SERVICE, "slots": 1e300})]
+        ports = [ports[0] for ports in self.fleet.entries.values()] + list(self.fleet.agents.values())
+        for port in ports:
+            for path in ("/v1/requests?x=%q", "/v1/jobs?%zz=1", "/v1/announce?x=%q", "/v1/jobs/%zz"):
+                self.assertIn(self.send(port, "POST", path, b"{}"), (400, 404), path)
+            for path in ("/v1/requests", "/v1/jobs", "/v1/announce"):
+                for body in bodies:
+                    status = self.send(port, "POST", path, body.encode(errors="surrogateescape"))
+                    self.assertIn(status, (400, 404, 413), f"{path} {body[:80]}")
+        for entry in self.fleet.entries:
+            for body in (deep, f'{{"before":{deep},"after":{deep},"target":{deep}}}'):
+                for path in ("config/diff", "config/validate", "config", "drain"):
+                    self.send(self.fleet.entries[entry][1], "POST", f"/operator/v1/{path}", body.encode(),
+                              {"Authorization": "Bearer fleet-token"})
+        self.assert_all_serve("served")
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
--- a/tests/intent/operator_api_test.cc
+++ b/tests/intent/operator_api_test.cc
@@ -54,6 +54,15 @@
   EXPECT_EQ(Call("POST", path, "{", 400)["kind"], "invalid_json");
 }
 
+// Guards against an entry that ends because a document to compare is nested so deeply that writing it exhausts the
+// stack.
+TEST(HandleStatelessRequest, RefusesDeeplyNestedDocuments) {
+  const std::string deep = std::string(200'000, '[') + std::string(200'000, ']');
+  const std::string body = R"({"before":)" + deep + R"(,"after":)" + deep + "}";
+  EXPECT_EQ(Call("POST", "/operator/v1/config/diff", body, 400)["kind"], "invalid_json");
+  Call("POST", "/operator/v1/config/validate", deep, 200);
+}
+
 // Guards against a response to a request that needs the state of the entry.
 TEST(HandleStatelessRequest, ReturnsNulloptForOtherRequests) {
   EXPECT_EQ(Call("GET", "/operator/v1/schema", "", 200), json::parse(IntentSchemaText()));
