Test odd values in the store of bamboowing's own interface

The test leaves odd registrations, holders and configurations in the store while entries and agents run, and checks that all processes live and that every entry serves a job.

--- a/tests/end_to_end/faults_test.py
+++ b/tests/end_to_end/faults_test.py
@@ -217,6 +217,14 @@
         finally:
             connection.close()
 
+    def put_in_store(self, key, value):
+        """Writes a key as another client of the store."""
+        path = f"/v1/kv/bamboowing/{key}"
+        found = http("GET", f"http://127.0.0.1:{self.fleet.kv_port}{path}")[1]
+        version = found.get("version", 0) if isinstance(found, dict) else 0
+        body = json.dumps({"value": value}).encode()
+        self.assertEqual(self.send(self.fleet.kv_port, "PUT", f"{path}?expected_version={version}", body), 200)
+
     def assert_all_serve(self, label):
         for name in self.fleet.processes:
             self.fleet.check_alive(name)
@@ -246,6 +254,27 @@
                               {"Authorization": "Bearer fleet-token"})
         self.assert_all_serve("served")
 
+    def test_odd_values_in_the_store_end_no_process(self):
+        """Guards against entries that end, or lose the entries and leaders they know, after one odd value in the store."""
+        start_fleet(self.fleet, entries=2, agents=2)
+        deep = "[" * 200_000 + "]" * 200_000
+        entry = {"id": "odd", "life": 1, "peers_address": "127.0.0.1:9"}
+        values = [json.dumps({**entry, "wants_agents": "@"}).replace('"@"', deep), deep, "", "{", "7",
+                  json.dumps({**entry, "peers_address": "127.0.0.1:99999"}), json.dumps({**entry, "life": -1}),
+                  json.dumps({**entry, "id": sorted(self.fleet.entries)[0]})]
+        for i, value in enumerate(values):
+            self.put_in_store(f"entries/odd{i}", value)
+        self.put_in_store("entries/odd", values[0])
+        holder = {"home": "odd", "life": 1, "addresses": ["127.0.0.1:9"], "epoch": 1, "write_id": "w"}
+        for value in (json.dumps({**holder, "life": -1}), json.dumps({**holder, "epoch": 1e300}),
+                      json.dumps({**holder, "addresses": ["127.0.0.1:99999"]}), deep, ""):
+            self.put_in_store(f"shards/{SERVICE}/0/holder", value)
+            self.put_in_store(f"shards/{SERVICE}/99999999/holder", value)
+        for value in (deep, "", "7", json.dumps({"services": 7})):
+            self.put_in_store("config/document", value)
+        time.sleep(1)
+        self.assert_all_serve("served")
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
