Read responses of workers, minions and the key-value service strictly

A response of a target whose result has 200,000 nested levels ended the agent with signal 11, with all tasks at that target. A field of another type threw in the callback of the response, which was then called a second time as if the target had not answered. Negative and huge revisions of the key-value service were accepted as other numbers.

Cause: the body was copied, or its result written back to text, which recurses once a level; numbers were converted without a range check.

Fix: bodies are parsed with ParseJson() and fields are read with json_reader. A field that can't be read counts as absent, and a usage report with one is ignored.

--- a/src/transport/key_value_store.cc
+++ b/src/transport/key_value_store.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <nlohmann/json.hpp>
 
+#include "bamboowing/base/json_reader.h"
 #include "bamboowing/transport/http_client.h"
 
 namespace bamboowing {
@@ -40,7 +41,7 @@
 
 key_value ParseItem(const nlohmann::json& item) {
   return {item.at("key").get<std::string>(), item.at("value").get<std::string>(),
-          item.at("version").get<key_version>()};
+          WholeNumberAt(item, "version", UINT64_MAX)};
 }
 
 std::vector<key_value> ParseItems(const nlohmann::json& body) {
@@ -63,7 +64,7 @@
   if (status != kOk && status != kConflict) {
     return std::nullopt;
   }
-  return put_result{status == kOk, body.at("version").get<key_version>(), body.value("value", std::string())};
+  return put_result{status == kOk, WholeNumberAt(body, "version", UINT64_MAX), body.value("value", std::string())};
 }
 
 std::optional<put_result> ParseDelete(int status, const nlohmann::json& body) {
@@ -74,14 +75,14 @@
   if (status != kOk) {
     return std::nullopt;
   }
-  return list_result{body.at("revision").get<std::uint64_t>(), ParseItems(body)};
+  return list_result{WholeNumberAt(body, "revision", UINT64_MAX), ParseItems(body)};
 }
 
 std::optional<watch_result> ParseWatch(int status, const nlohmann::json& body) {
   if (status != kOk) {
     return std::nullopt;
   }
-  return watch_result{body.at("revision").get<std::uint64_t>(), ParseItems(body),
+  return watch_result{WholeNumberAt(body, "revision", UINT64_MAX), ParseItems(body),
                       body.at("deleted").get<std::vector<std::string>>()};
 }
 
@@ -89,7 +90,7 @@
   if (status != kOk) {
     return std::nullopt;
   }
-  return key_value_store::lease_result{body.at("lease").get<lease_id>()};
+  return key_value_store::lease_result{WholeNumberAt(body, "lease", UINT64_MAX)};
 }
 
 template <typename Result>
@@ -97,16 +98,23 @@
 
 template <typename Result>
 std::optional<Result> ParseResponse(const http_response& response, parser<Result> parse, failure& error) {
-  error = ErrorFromResponse(response);
+  std::string problem;
   try {
-    return parse(response.status, nlohmann::json::parse(response.body));
-  } catch (const nlohmann::json::exception& exception) {
-    // A truncated response does not show whether the write took effect.
-    error = failure(error_kind::kStoreUnavailable,
-                    response.status == kTooManyRequests ? not_run_state::kYes : not_run_state::kUnknown,
-                    std::string("malformed response from the key-value service: ") + exception.what());
-    return std::nullopt;
-  }
+    failure malformed;
+    const std::optional<nlohmann::json> body = ParseJson(response.body, malformed);
+    if (body) {
+      error = ErrorFromResponse(response);
+      return parse(response.status, *body);
+    }
+    problem = malformed.reason;
+  } catch (const std::exception& exception) {
+    problem = exception.what();
+  }
+  // A truncated response does not show whether the write took effect.
+  error = failure(error_kind::kStoreUnavailable,
+                  response.status == kTooManyRequests ? not_run_state::kYes : not_run_state::kUnknown,
+                  "malformed response from the key-value service: " + problem);
+  return std::nullopt;
 }
 
 class http_key_value_store : public key_value_store {
--- a/src/transport/minion_runner.cc
+++ b/src/transport/minion_runner.cc
@@ -4,6 +4,7 @@
 #include <mutex>
 #include <nlohmann/json.hpp>
 
+#include "bamboowing/base/json_reader.h"
 #include "bamboowing/transport/http_client.h"
 #include "bamboowing/transport/target_runner.h"
 #include "run_url.h"
@@ -81,7 +82,8 @@
 };
 
 void FinishWithResponse(minion_runs& runs, const task_key& key, const http_response& response) {
-  const nlohmann::json body = nlohmann::json::parse(response.body, nullptr, false);
+  failure malformed;
+  const nlohmann::json body = ParseJson(response.body, malformed).value_or(nlohmann::json());
   if (response.status == kOk && body.is_object() && body.contains("result")) {
     const nlohmann::json& result = body["result"];
     runs.Finish({key, task_status::kSucceeded, result.is_string() ? result.get<std::string>() : result.dump(), {}});
--- a/src/transport/worker_runner.cc
+++ b/src/transport/worker_runner.cc
@@ -3,6 +3,7 @@
 #include <mutex>
 #include <nlohmann/json.hpp>
 
+#include "bamboowing/base/json_reader.h"
 #include "bamboowing/transport/http_client.h"
 #include "bamboowing/transport/target_runner.h"
 #include "run_url.h"
@@ -13,6 +14,8 @@
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 constexpr int kRenewalsPerLease = 3;
+constexpr std::size_t kMaxTextBytes = 64U << 20U;
+constexpr double kMaxCores = 1e6;
 
 // Allows for a busy machine. After this time the outcome of a start is unknown.
 constexpr duration kCallTimeout = std::chrono::seconds(2);
@@ -23,9 +26,25 @@
   return key.job_id + "." + std::to_string(key.task) + "." + std::to_string(key.attempt);
 }
 
+// The object in a response; empty if the body is not an object.
 nlohmann::json ParseObject(const std::string& text) {
-  nlohmann::json body = nlohmann::json::parse(text, nullptr, false);
-  return body.is_object() ? body : nlohmann::json::object();
+  failure malformed;
+  std::optional<nlohmann::json> body = ParseJson(text, malformed);
+  return body && body->is_object() ? std::move(*body) : nlohmann::json::object();
+}
+
+// A field of a response; empty if it is absent or has another type.
+std::string TextField(const nlohmann::json& body, const char* key) {
+  std::string text;
+  json_reader(body).Text(key, field_presence::kOptional, text, kMaxTextBytes);
+  return text;
+}
+
+// A field of a response; 0 if it is absent, has another type or is out of range.
+std::uint64_t NumberField(const nlohmann::json& body, const char* key) {
+  std::uint64_t number = 0;
+  json_reader(body).Whole(key, field_presence::kOptional, number);
+  return number;
 }
 
 std::uint64_t Milliseconds(duration time) {
@@ -86,7 +105,7 @@
     client_->SendAsync({"POST", path_ + "/" + WorkerTaskId(key) + "/checkpoint", {}, "", ""}, kCallTimeout,
                        [done](const std::optional<http_response>& response, const failure& error) {
                          if (response && response->status == kOk) {
-                           done(ParseObject(response->body).value("checkpoint", ""), failure());
+                           done(TextField(ParseObject(response->body), "checkpoint"), failure());
                          } else {
                            done(std::nullopt,
                                 response ? failure(error_kind::kNotFound, "no such running task") : error);
@@ -115,7 +134,7 @@
     const bool granted = response && response->status == kOk;
     {
       const std::lock_guard<std::mutex> lock(mutex_);
-      commitments_.Confirm(settings_.task_size, granted ? ParseObject(response->body).value("grant", 0ULL) : 0);
+      commitments_.Confirm(settings_.task_size, granted ? NumberField(ParseObject(response->body), "grant") : 0);
     }
     RequestUsage();
     if (granted) {
@@ -159,11 +178,11 @@
       return;
     }
     const nlohmann::json body = ParseObject(response->body);
-    const std::string state = body.value("state", "");
+    const std::string state = TextField(body, "state");
     const std::optional<task_status> status = StatusFromState(state);
     if (status) {
       Finish(key, *status,
-             *status == task_status::kSucceeded ? body.value("result", "") : "the task ended as " + state);
+             *status == task_status::kSucceeded ? TextField(body, "result") : "the task ended as " + state);
       return;
     }
     RequestUsage();
@@ -189,9 +208,16 @@
   }
 
   void HandleUsageReport(const nlohmann::json& body) {
+    usage_report report;
+    json_reader reader(body);
+    reader.Whole("last_grant", field_presence::kOptional, report.last_grant);
+    reader.Real("cores", field_presence::kOptional, report.used.cores, 0, kMaxCores);
+    reader.Whole("memory_bytes", field_presence::kOptional, report.used.memory_bytes, 0, INT64_MAX);
+    if (!reader.ok()) {
+      return;
+    }
     const std::lock_guard<std::mutex> lock(mutex_);
-    commitments_.ApplyReport({body.value("last_grant", std::uint64_t{0}),
-                              {body.value("cores", 0.0), body.value("memory_bytes", std::uint64_t{0})}});
+    commitments_.ApplyReport(report);
   }
 
   // The response is ignored: the concurrent or next poll shows the resulting state of the task.
