Keep the address of a running target against another writer's heartbeat

One heartbeat with the id and `born` of the running target and an address at which nothing listens was enough: the agent opened a client of that address, took the refused connection as the end of the target and reported its runs as lost. Entries started the tasks again while the target still executed the first runs, until the next heartbeat of the target itself.

Cause: any well-formed address of a heartbeat replaced the client, also for the incarnation that the agent was talking to.

Fix: while the target answers at its address, an announcement of the same incarnation with another address is ignored and logged as target_address_contradicted. A target that has not answered there, or whose connection is refused, can still be announced elsewhere, so that the target is found if the odd heartbeat came first. Other servers that reject each request don't count as the target.

Not covered: a heartbeat with another id or `born` still counts as a replacement of the target.

--- a/src/service/best_effort_agent.cc
+++ b/src/service/best_effort_agent.cc
@@ -59,14 +59,17 @@
 };
 struct start_request_completed {
   std::uint64_t request_id = 0;
+  std::uint64_t client = 0;
   request_response response;
 };
 struct stop_request_completed {
   std::uint64_t request_id = 0;
+  std::uint64_t client = 0;
   request_response response;
 };
 struct poll_request_completed {
   std::uint64_t request_id = 0;
+  std::uint64_t client = 0;
   poll_response response;
 };
 struct directory_changed {
@@ -187,25 +190,70 @@
   void Handle(session_closed& input, instant now) { core_.OnSessionClosed(input.address, input.reason, now); }
   void Handle(requests_received& input, instant now) { core_.OnBatch(input.address, input.batch, now); }
   void Handle(target_announced& input, instant now) {
-    if (target_ == nullptr || input.address != target_address_) {
+    if (!UseAddress(input)) {
+      return;
+    }
+    core_.OnTargetAnnounced(input.incarnation, input.target, input.clock, now);
+  }
+  /// Opens a client of the announced address if it is another one. Returns false if the announcement must be ignored.
+  bool UseAddress(const target_announced& input) {
+    const bool same_address = target_ != nullptr && input.address == target_address_;
+    // An incarnation has one address. Another writer names another, where a refused connection would count as the end
+    // of the target.
+    if (!same_address && target_answers_ && input.incarnation == target_incarnation_) {
+      Log(log_level::kWarning, "target_address_contradicted", {{"address", input.address}});
+      return false;
+    }
+    if (!same_address) {
       std::unique_ptr<leased_target> opened = open_target_(input.address);
       if (opened == nullptr) {
         Log(log_level::kWarning, "target_address_malformed", {{"address", input.address}});
-        return;
+        return false;
       }
       target_ = std::move(opened);
       target_address_ = input.address;
+      target_answers_ = false;
+      ++target_client_;
+    }
+    target_incarnation_ = input.incarnation;
+    return true;
+  }
+
+  /// Records whether the target answers at its present address. Another server there may reject all requests.
+  void RecordResponse(std::uint64_t client, request_status status) {
+    if (client != target_client_) {
+      return;
+    }
+    switch (status) {
+      case request_status::kAccepted:
+      case request_status::kFenced:
+      case request_status::kStaleAttempt:
+      case request_status::kLeaseExpired:
+      case request_status::kNoRoom:
+        target_answers_ = true;
+        return;
+      case request_status::kOtherIncarnation:
+      case request_status::kConnectionRefused:
+        target_answers_ = false;
+        return;
+      case request_status::kUnavailable:
+      case request_status::kRejected:
+      case request_status::kNoResponse:
+        return;
     }
-    core_.OnTargetAnnounced(input.incarnation, input.target, input.clock, now);
   }
+
   void Handle(target_left& input, instant now) { core_.OnTargetLeft(input.id, now); }
   void Handle(start_request_completed& input, instant now) {
+    RecordResponse(input.client, input.response.status);
     core_.OnStartResponse(input.request_id, input.response, now);
   }
   void Handle(stop_request_completed& input, instant now) {
+    RecordResponse(input.client, input.response.status);
     core_.OnStopResponse(input.request_id, input.response, now);
   }
   void Handle(poll_request_completed& input, instant now) {
+    RecordResponse(input.client, input.response.status);
     core_.OnPollResponse(input.request_id, input.response, now);
   }
   void Handle(directory_changed& input, instant now) {
@@ -253,19 +301,22 @@
   void Execute(const open_session& action) { rpc_->OpenSession(action.address); }
   void Execute(const close_session& action) { rpc_->CloseSession(action.address); }
   void Execute(const send_start_request& action) {
-    target_->Start(action.request, kRequestTimeout, [this, request_id = action.request_id](request_response response) {
-      ring_.Push(start_request_completed{request_id, response});
-    });
+    target_->Start(action.request, kRequestTimeout,
+                   [this, request_id = action.request_id, client = target_client_](request_response response) {
+                     ring_.Push(start_request_completed{request_id, client, response});
+                   });
   }
   void Execute(const send_stop_request& action) {
-    target_->Stop(action.request, kRequestTimeout, [this, request_id = action.request_id](request_response response) {
-      ring_.Push(stop_request_completed{request_id, response});
-    });
+    target_->Stop(action.request, kRequestTimeout,
+                  [this, request_id = action.request_id, client = target_client_](request_response response) {
+                    ring_.Push(stop_request_completed{request_id, client, response});
+                  });
   }
   void Execute(const send_poll_request& action) {
-    target_->Poll(action.request, kPollTimeout, [this, request_id = action.request_id](poll_response response) {
-      ring_.Push(poll_request_completed{request_id, std::move(response)});
-    });
+    target_->Poll(action.request, kPollTimeout,
+                  [this, request_id = action.request_id, client = target_client_](poll_response response) {
+                    ring_.Push(poll_request_completed{request_id, client, std::move(response)});
+                  });
   }
   static void Execute(const log_run_event& action) {
     log_fields fields{{"detail", action.detail}};
@@ -285,6 +336,9 @@
   std::uint64_t last_store_call_ = 0;
   detail::drain_latch drained_;
   std::string target_address_;
+  target_incarnation target_incarnation_;  ///< as announced last
+  bool target_answers_ = false;            ///< whether the target has answered at target_address_
+  std::uint64_t target_client_ = 0;        ///< number of clients opened, to recognize responses to an earlier one
   std::unique_ptr<leased_target> target_;
   std::unique_ptr<store_client> store_;
   std::unique_ptr<agent_rpc> rpc_;
--- a/tests/end_to_end/platform_test.py
+++ b/tests/end_to_end/platform_test.py
@@ -313,6 +313,19 @@
                 "state": "ready", "cold_ms": 0, "labels": ["a", "r1-1"], "clock_ms": minion.clock(),
                 "capacity": {"cpu": 4000, "mem_mb": 8192, "gpu": 0}, "seq": minion.seq, "born": minion.born, **changes}
 
+    def test_an_address_that_the_target_never_had_leaves_its_runs_active(self):
+        """Guards against a second run of each task while the first is active at a target that another writer moved."""
+        with concurrent.futures.ThreadPoolExecutor() as pool:
+            answer = self.submit_long_job(pool, "00000000000000c5", count=4)
+            minion = max(self.fleet.platform_minions, key=lambda m: len(m.running))
+            for port in free_ports(3):
+                body = json.dumps(self.heartbeat(minion, address=f"127.0.0.1:{port}")).encode()
+                self.send(minion.announce_address, "PUT", f"/instances/{minion.name}", body)
+                time.sleep(0.1)  # the agent polls its target in the meantime
+            self.assertEqual(answer.result(), (200, {"state": "completed"}))
+        self.assertEqual(overlapping_runs(self.fleet.platform_minions), [])
+        self.assert_served()
+
     def odd_heartbeats(self, minion):
         """Bodies that name no minion to use."""
         fields = self.heartbeat(minion)
@@ -345,11 +358,11 @@
         finally:
             connection.close()
 
-    def submit_long_job(self, pool, job_id):
-        """Submits a job that occupies all targets; returns the future of its answer."""
-        answer = pool.submit(self.fleet.ask, "entry-1", "POST", QUEUE + job_id, job(count=8, work_ms=3000),
+    def submit_long_job(self, pool, job_id, count=8):
+        """Submits a job, which occupies all targets by default; returns the future of its answer."""
+        answer = pool.submit(self.fleet.ask, "entry-1", "POST", QUEUE + job_id, job(count=count, work_ms=3000),
                              deadline_ms=9000)
-        wait_until(lambda: sum(len(m.running) for m in self.fleet.platform_minions) == 8, "its tasks")
+        wait_until(lambda: sum(len(m.running) for m in self.fleet.platform_minions) == count, "its tasks")
         return answer
 
     def assert_served(self):
