--- a/src/besteffort/run_manager_incarnations.cc
+++ b/src/besteffort/run_manager_incarnations.cc
@@ -8,8 +8,13 @@
 namespace bamboowing {
 namespace {
 
+// Upper bound of the delay of an announcement by a partition. A lower sequence number after this time shows that the
+// higher one was not the target's.
+constexpr duration kMaxAnnouncementDelay = std::chrono::seconds(15);
+
 std::string Describe(const target_incarnation& incarnation) {
-  return "target " + incarnation.id + " started at " + std::to_string(incarnation.start_id);
+  return "target " + incarnation.id + " started at " + std::to_string(incarnation.start_id) + ", address " +
+         incarnation.address;
 }
 
 }  // namespace
@@ -18,21 +23,26 @@
                                     std::optional<target_time> clock, instant now) {
   if (phase_ == phase::kUnknown) {
     AdoptTarget(announced, target, clock, now);
-  } else if (announced.id != target_incarnation_.id) {
+  } else if (announced.id != target_incarnation_.id || IsMoved(announced)) {
     ConsiderTarget(announced, target, clock, now);
-  } else if (IsOutdated(announced)) {
+  } else if (IsOutdated(announced, now)) {
     LogEvent("announcement_ignored", "", Describe(announced) + ", present " + Describe(target_incarnation_));
   } else {
     UpdateDescription(announced, target, clock, now);
   }
 }
 
-bool run_manager::IsOutdated(const target_incarnation& announced) const {
+bool run_manager::IsMoved(const target_incarnation& announced) const {
+  return announced == target_incarnation_ && announced.address != target_incarnation_.address;
+}
+
+bool run_manager::IsOutdated(const target_incarnation& announced, instant now) const {
   const target_incarnation& present = target_incarnation_;
   if (announced.start_id != present.start_id) {
     return announced.start_id < present.start_id;
   }
-  return announced.sequence != 0 && announced.sequence < present.sequence;
+  return announced.sequence != 0 && announced.sequence < present.sequence &&
+         now - described_at_ < kMaxAnnouncementDelay;
 }
 
 void run_manager::UpdateDescription(const target_incarnation& announced, const target_description& target,
@@ -40,10 +50,6 @@
   const bool restarted = announced != target_incarnation_;
   const bool was_lost = phase_ == phase::kLost;
   const bool moved = announced.address != target_incarnation_.address;
-  if (moved && !restarted && !was_lost) {
-    LogEvent("announcement_ignored", "", Describe(announced) + " does not accept requests at " + announced.address);
-    return;
-  }
   if (restarted) {
     HandleTargetRestart(announced, now);
   }
@@ -52,6 +58,7 @@
   }
   target_incarnation_ = announced;
   target_described_ = true;
+  described_at_ = now;
   const bool changed = restarted || was_lost || target.draining != target_.draining ||
                        !(target.capacity == target_.capacity) || target.labels != target_.labels ||
                        target.service != target_.service;
@@ -70,7 +77,8 @@
 
 void run_manager::ConsiderTarget(const target_incarnation& announced, const target_description& target,
                                  std::optional<target_time> clock, instant now) {
-  const bool first = !candidate_ || candidate_->incarnation != announced;
+  const bool first =
+      !candidate_ || candidate_->incarnation != announced || candidate_->incarnation.address != announced.address;
   const instant since = first ? now : candidate_->announced_at;
   candidate_ = target_candidate{announced, target, clock, since};
   if (first) {
@@ -106,6 +114,7 @@
   target_incarnation_ = announced;
   target_ = target;
   target_described_ = true;
+  described_at_ = now;
   target_clock_.reset();
   SampleClock(clock, now);
   actions_.emplace_back(use_target{announced.address});
