--- a/tests/end_to_end/platform_test.py
+++ b/tests/end_to_end/platform_test.py
@@ -217,7 +217,7 @@
         wait_until(lambda: "00000000000000a9" in self.fleet.output("entry-1"), "the log lines")
         lines = [json.loads(line) for line in self.fleet.output("entry-1").splitlines()]
         events = [line["event"] for line in lines if line.get("job") == "00000000000000a9"]
-        self.assertEqual(events, ["run_ended"] * 3 + ["job_answered"])
+        self.assertEqual(events, ["run_ended", "task_restarted"] * 2 + ["run_ended", "job_answered"])
 
     def test_a_configuration_change_takes_effect_within_two_seconds(self):
         """Guards against an entry that keeps routing by an outdated configuration."""
