Answer a start for a run that another entry has requested

What callers saw: a job that was submitted again at another entry was not answered before its deadline, and its run stayed at that entry.

Cause: the attempts of each submission begin at 1, so the second entry's start can have the key of a run that the agent still has for the first entry. The agent ignored it.

Change: the caller has given up the first submission, so its run is stopped. When it has ended, both entries get a result: the first one that the run was stopped, the second one that the attempt is used up, so that it continues with a higher one and no two runs overlap.

Ruled out: an immediate refusal. The second entry would start the task on another target while the first run is still active.

--- a/include/bamboowing/besteffort/run_manager.h
+++ b/include/bamboowing/besteffort/run_manager.h
@@ -181,6 +181,9 @@
     /// The target was lost or restarted during this run. A later incarnation may execute a start request that was sent
     /// to an earlier one, and evaluates its lease on another clock.
     bool spans_incarnations = false;
+    /// Entry that has requested the same run since: its caller submitted the job again. It gets a result when the run
+    /// has ended.
+    std::optional<std::string> next_owner;
     std::optional<instant> last_stop_request_at;  ///< when the newest stop request was sent
     std::optional<instant> stop_accepted_at;      ///< when the target accepted a stop request
   };
@@ -261,6 +264,9 @@
   void MarkRunsSpanningIncarnations();
   bool HasAllRuns(span<const run_key> listed) const;
   void Admit(const std::string& entry, const run_start& start, instant now);
+  /// The entry requests a run that the agent already has.
+  void HandleRepeatedRun(run_map::iterator run, const std::string& entry, instant now);
+  void AddResult(const std::string& entry, run_result result);
   /// Reports the run as ended. @p reason says why, for the log.
   void EndRun(run_map::iterator run, run_outcome outcome, std::string_view reason, instant now);
   void EndRunsOfTarget(run_outcome outcome, std::string_view reason, instant now);
--- a/src/besteffort/run_manager.cc
+++ b/src/besteffort/run_manager.cc
@@ -56,7 +56,8 @@
 }
 
 void run_manager::Admit(const std::string& entry, const run_start& start, instant now) {
-  if (runs_.count(start.key) != 0) {
+  if (const run_map::iterator present = runs_.find(start.key); present != runs_.end()) {
+    HandleRepeatedRun(present, entry, now);
     return;
   }
   managed_run run;
@@ -109,19 +110,41 @@
         std::string(RunOutcomeName(outcome)) + ", " + std::string(reason) + ": " + DescribeRun(run->first, ended, now));
   }
   SubtractFrom(ended.state == run_state::kWaiting ? waiting_amount_ : committed_at_target_, ended.start.need);
-  owner& to = owners_[ended.owner];
   run_result end;
-  end.sequence = ++to.last_result_number;
   end.key = run->first;
   end.outcome = outcome;
   const bool ran = outcome == run_outcome::kDone || outcome == run_outcome::kFailed;
   if (ran && ended.accepted_at != instant{}) {
     end.run_time = now - ended.accepted_at;
   }
-  to.unacknowledged_results.push_back(std::move(end));
+  AddResult(ended.owner, std::move(end));
+  if (ended.next_owner) {
+    // The attempt is used up at the target, so the entry continues with a higher one.
+    AddResult(*ended.next_owner, {0, run->first, run_outcome::kStaleAttempt, duration(0)});
+  }
   runs_.erase(run);
 }
 
+void run_manager::HandleRepeatedRun(run_map::iterator run, const std::string& entry, instant now) {
+  managed_run& present = run->second;
+  if (present.owner == entry) {
+    return;
+  }
+  LogEvent("run_requested_twice", run->first.job_id, "entry " + entry + ", " + DescribeRun(run->first, present, now));
+  present.next_owner = entry;
+  if (present.state == run_state::kWaiting) {
+    EndRun(run, run_outcome::kStopped, "requested by another entry", now);
+  } else {
+    RequestStop(present, now);
+  }
+}
+
+void run_manager::AddResult(const std::string& entry, run_result result) {
+  owner& to = owners_[entry];
+  result.sequence = ++to.last_result_number;
+  to.unacknowledged_results.push_back(std::move(result));
+}
+
 void run_manager::EndRunsOfTarget(run_outcome outcome, std::string_view reason, instant now) {
   for (run_map::iterator run = runs_.begin(); run != runs_.end();) {
     const run_map::iterator ending = run++;
