--- a/include/bamboowing/besteffort/run_manager.h
+++ b/include/bamboowing/besteffort/run_manager.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -27,6 +28,9 @@
   /// A target that leaves a request unanswered for this long receives no starts and no lease renewals.
   duration unresponsive_after{120'000};
   duration poll_interval{50'000};  ///< interval between polls of an unresponsive target
+  /// Interval between polls of a target that refuses connections. Each poll carries a fencing token above those of all
+  /// earlier starts, so the next incarnation executes a delayed start at most until its first poll.
+  duration lost_poll_interval{60'000};
   /// The response to a long poll may be lost. While the target has runs, it is polled again after this time.
   duration poll_overdue_after{45'000};
   duration stop_retry_interval{60'000};  ///< interval between stop requests for the same run
@@ -35,6 +39,10 @@
   duration start_retry_interval{12'000};
   std::uint32_t max_start_requests = 3;  ///< start requests for one run, including the first
   duration owner_timeout{700'000};       ///< runs of an entry without contact for this long are stopped
+  /// No lease ends later than this after the last contact with an entry that owns runs, so that they end even if their
+  /// stop requests are lost or the agent stands still. With the drift of the target's clock and the delay of a request,
+  /// the bound must stay below the time after which callers of a lost entry submit their jobs to another one, 1.3 s.
+  duration owner_lease_limit{1'150'000};
   /// A start is rejected if the newest report that its entry has echoed is this old. The bound must exceed the
   /// heartbeat interval plus scheduling delays of a slow processor.
   duration max_report_age{500'000};
@@ -49,6 +57,8 @@
   duration evict_entry_after{30'000'000};
   /// An unneeded session is closed this long after its entry was notified to send no more starts.
   duration release_delay{1'000'000};
+  /// A target that does not answer for this long is replaced by another one that has announced itself.
+  duration replace_target_after{400'000};
   /// Maximum fraction by which the target's clock may run slower than the agent's.
   double clock_drift = 0.02;
 };
@@ -56,7 +66,12 @@
 /// One incarnation of the target, as announced by it.
 struct target_incarnation {
   std::string id;
-  std::uint64_t start_id = 0;  ///< distinguishes incarnations with the same id; 0 if the target does not send it
+  /// When the incarnation started, on the target's clock: distinguishes incarnations with the same id and increases
+  /// from one to the next. 0 if the target does not send it.
+  std::uint64_t start_id = 0;
+  std::string address;  ///< where it accepts requests; not part of the identity
+  std::uint64_t sequence =
+      0;  ///< increases with each announcement of the incarnation; 0 if the target does not send it
 
   friend bool operator==(const target_incarnation& a, const target_incarnation& b) {
     return a.id == b.id && a.start_id == b.start_id;
@@ -78,6 +93,11 @@
   poll_request request;
 };
 
+/// Further requests go to this address.
+struct use_target {
+  std::string address;
+};
+
 /// Logs a decision or a change of state.
 struct log_run_event {
   std::string event;   ///< name of the logged event
@@ -86,7 +106,7 @@
 };
 
 using run_action = std::variant<send_batch, open_session, close_session, send_start_request, send_stop_request,
-                                send_poll_request, log_run_event>;
+                                send_poll_request, use_target, log_run_event>;
 
 /// Manages the runs that entries request at the agent's target: admits what fits, renews the lease while the entries
 /// are in contact, and reports each result once it is certain. A run is never reported as lost or stopped while it may
@@ -95,10 +115,11 @@
  public:
   run_manager(const run_manager_settings& settings, std::uint64_t seed, instant now);
 
-  /// The target announced itself. @p clock is the target's clock, if it sent one.
+  /// A target announced itself. @p clock is the target's clock, if it sent one. An announcement may be late or come
+  /// from another writer, so it neither ends runs nor replaces a target that still answers requests.
   void OnTargetAnnounced(const target_incarnation& announced, const target_description& target,
                          std::optional<target_time> clock, instant now);
-  /// The target announced that it has stopped.
+  /// The target announced that it stops. It accepts no more starts; its runs end when its process does.
   void OnTargetLeft(const std::string& id, instant now);
 
   void OnSessionOpened(const std::string& entry, instant now);
@@ -131,7 +152,8 @@
  private:
   /// State of the agent's view of its target.
   enum class phase : std::uint8_t {
-    kUnknown,      ///< no announcement yet, or the target has stopped
+    kUnknown,      ///< no announcement yet
+    kLost,         ///< the target refuses connections; it is polled in case it returns under its id
     kReconciling,  ///< the target may have unknown runs; no starts and no lease renewals are sent
     kServing,
   };
@@ -146,16 +168,22 @@
 
   struct managed_run {
     run_start start;
-    std::string owner;  ///< address of the entry that requested the run
+    std::string owner;      ///< address of the entry that requested the run
+    std::string target_id;  ///< target that the start requests were sent to
     run_state state = run_state::kWaiting;
-    instant state_since;               ///< when the current state was entered
-    std::uint32_t start_requests = 0;  ///< number of start requests sent
-    instant last_start_request_at;     ///< when the newest start request was sent
-    instant accepted_at;               ///< when the target was first known to have accepted the run; zero if unknown
-    instant start_unanswered_at;       ///< when a start request last timed out
+    instant state_since;                ///< when the current state was entered
+    std::uint32_t start_requests = 0;   ///< number of start requests sent
+    instant last_start_request_at;      ///< when the newest start request was sent
+    std::uint64_t start_token = 0;      ///< fencing token of the newest start request
+    std::uint32_t start_responses = 0;  ///< number of start requests that will not be executed later than now
+    instant accepted_at;                ///< when the target was first known to have accepted the run; zero if unknown
+    instant start_unanswered_at;        ///< when a start request last timed out
     /// The target was lost or restarted during this run. A later incarnation may execute a start request that was sent
-    /// to an earlier one at any later time, and evaluates its lease on another clock.
+    /// to an earlier one, and evaluates its lease on another clock.
     bool spans_incarnations = false;
+    /// Entry that has requested the same run since: its caller submitted the job again. It gets a result when the run
+    /// has ended.
+    std::optional<std::string> next_owner;
     std::optional<instant> last_stop_request_at;  ///< when the newest stop request was sent
     std::optional<instant> stop_accepted_at;      ///< when the target accepted a stop request
   };
@@ -180,15 +208,18 @@
   struct pending_request {
     run_key key;
     instant sent_at;
+    std::uint64_t token = 0;
   };
   struct pending_poll {
     instant sent_at;
+    std::uint64_t token = 0;
     bool waits_for_results = false;
     std::uint64_t acknowledged_sequence = 0;
   };
 
   void LogEvent(std::string event, const std::string& job_id, std::string detail);
   request_context RequestContext() const { return {target_incarnation_.id, token_}; }
+  /// End of the lease that may be granted now; nullopt if there is none or the target's clock is unknown.
   std::optional<target_time> LeaseEnd(instant now) const;
   void SampleClock(const std::optional<target_time>& clock, instant now);
   void HandleStartResponse(run_map::iterator run, request_status status, instant now);
@@ -197,26 +228,53 @@
   static void MarkAccepted(managed_run& run, instant now);
   void HandleUnansweredStart(run_map::iterator run, instant now);
   void HandleResponse(const request_response& response, instant now);
+  /// The target refused a request with the fencing token @p token because it has seen a higher one.
+  void HandleFenced(std::uint64_t token);
   void RecordRequestSent(instant now);
   void RecordResponse(instant now);
   void RaiseToken();
-  /// A target with another id has taken over, so no run of the previous one is active.
+  /// Whether the announcement names another address for the present incarnation.
+  bool IsMoved(const target_incarnation& announced) const;
+  /// Whether the announcement is older than what is known of the target.
+  bool IsOutdated(const target_incarnation& announced, instant now) const;
+  void UpdateDescription(const target_incarnation& announced, const target_description& target,
+                         std::optional<target_time> clock, instant now);
+  /// Another target than the present one announced itself. It is adopted if the present one does not answer a poll.
+  void ConsiderTarget(const target_incarnation& announced, const target_description& target,
+                      std::optional<target_time> clock, instant now);
+  /// Adopts the target that announced itself, if the present one is lost or has not answered for too long.
+  void AdoptCandidate(instant now);
+  void AdoptTarget(const target_incarnation& announced, const target_description& target,
+                   std::optional<target_time> clock, instant now);
+  /// Ends the runs of earlier targets at the address of the present one, which has answered a poll there.
+  void EndRunsOfReplacedTargets(instant now);
+  /// Another incarnation answered at the target's address, so no run of the target is active.
   void ReplaceTarget(const std::string& reason, instant now);
   /// The connection was refused for a request that was sent at @p refused_at. The target may return under its id and
-  /// then execute a pending start request, so only runs whose start requests were settled before that time are certain
-  /// to have ended.
+  /// then execute a start request that got no response, so only runs without one are certain to have ended.
   void HandleTargetLoss(const std::string& reason, instant refused_at, instant now);
-  /// The target restarted under its id. Its previous runs may have ended, and the new incarnation may accept pending
-  /// start requests: its list of runs decides.
+  /// The target restarted under its id. Its previous runs may have ended, and the new incarnation may accept start
+  /// requests that were sent before: its list of runs decides, once it has seen a higher fencing token.
   void HandleTargetRestart(const target_incarnation& restarted, instant now);
+  /// Polls the target until its list shows which runs are active. Raises the fencing token, so that a start request
+  /// that was sent before and is not on the list is never executed.
   void BeginReconciliation();
   /// Ends the waiting runs and notifies all entries that the target accepts no starts.
   void SuspendAdmission(instant now);
   void MarkRunsSpanningIncarnations();
   bool HasAllRuns(span<const run_key> listed) const;
   void Admit(const std::string& entry, const run_start& start, instant now);
-  void EndRun(run_map::iterator run, run_outcome outcome, instant now);
-  void EndAllRuns(run_outcome outcome, instant now);
+  /// The entry requests a run that the agent already has.
+  void HandleRepeatedRun(run_map::iterator run, const std::string& entry, instant now);
+  void AddResult(const std::string& entry, run_result result);
+  /// Reports the run as ended. @p reason says why, for the log.
+  void EndRun(run_map::iterator run, run_outcome outcome, std::string_view reason, instant now);
+  void EndRunsOfTarget(run_outcome outcome, std::string_view reason, instant now);
+  static std::string_view RunStateName(run_state state);
+  /// The state of a run and the ages of the facts that decide what becomes of it, for the log.
+  std::string DescribeRun(const run_key& key, const managed_run& run, instant now) const;
+  /// The agent's clock in the newest message that the entry has certainly received.
+  instant LastContact(const std::string& entry) const;
   void RequestStop(managed_run& run, instant now);
   void SendStop(const run_key& key, instant now);
   void StopRunsOfOwner(const std::string& entry, const std::string& reason, instant now);
@@ -235,8 +293,8 @@
   instant LeaseExpiryBound(const managed_run& run) const;
   void ExpireUnleasedRuns(instant now);
   void HandleFinishedRuns(const poll_response& response, instant now);
-  void ReconcileRunning(const poll_response& response, instant polled_at, instant now);
-  void HandleUnlistedRun(run_map::iterator run, instant polled_at, instant now);
+  void ReconcileRunning(const poll_response& response, const pending_poll& poll, instant now);
+  void HandleUnlistedRun(run_map::iterator run, const pending_poll& poll, instant now);
   void MaintainSessions(instant now);
   void SelectEntries(instant now);
   void EvictUnlistedEntries(instant now);
@@ -257,9 +315,8 @@
   std::map<std::string, entry_endpoint> unlisted_entries_;  ///< entries that only earlier lists contain, by address
   entry_selection selection_;
   instant selected_at_;
-  std::map<std::string, instant> connect_attempted_at_;  ///< start of the newest connection attempt, by address
-  std::map<std::string, instant> disconnected_since_;    ///< when an entry was first seen without a session, by address
-  std::map<std::string, owner> owners_;                  ///< by address
+  std::map<std::string, instant> disconnected_since_;  ///< when an entry was first seen without a session, by address
+  std::map<std::string, owner> owners_;                ///< by address
   run_map runs_;
   std::deque<run_key> waiting_;          ///< in the order of arrival; may contain keys of ended runs
   resource_amount committed_at_target_;  ///< sum over runs in all states except kWaiting
@@ -267,10 +324,21 @@
 
   phase phase_ = phase::kUnknown;
   target_incarnation target_incarnation_;
+  std::map<std::string, std::string> replaced_targets_;  ///< earlier targets that may have runs: address by id
+  /// Another target that announced itself.
+  struct target_candidate {
+    target_incarnation incarnation;
+    target_description target;
+    std::optional<target_time> clock;
+    instant announced_at;
+  };
+  std::optional<target_candidate> candidate_;
   target_description target_;
   bool target_described_ = false;  ///< whether target_ comes from the current incarnation
+  instant described_at_;           ///< when the newest announcement of the target was accepted
   std::uint64_t token_ = 0;
   std::uint64_t token_step_ = 1;
+  std::uint64_t newest_start_token_ = 0;      ///< fencing token of the newest start request
   std::optional<target_time> target_clock_;   ///< newest sample of the target's clock
   instant clock_sampled_at_;                  ///< agent's clock at that sample
   std::uint64_t last_finished_sequence_ = 0;  ///< newest finished run that the target has reported
@@ -280,7 +348,8 @@
   instant last_response_at_;                  ///< when the target last responded
   /// When the oldest request was sent since the last response.
   std::optional<instant> unanswered_since_;
-  instant next_reconcile_poll_;
+  instant next_reconcile_poll_;  ///< in kReconciling and kLost
+  instant lost_at_;              ///< when kLost was entered
   bool draining_ = false;
 
   std::uint64_t last_request_id_ = 0;
--- a/include/bamboowing/service/clock.h
+++ b/include/bamboowing/service/clock.h
@@ -1,16 +1,14 @@
 /// @file
-/// Monotonic clock and random source of the daemons. The core classes read neither: both are passed to them.
+/// Clocks and random source of the daemons. The core classes read none of them: they are passed to them.
 #pragma once
 
 #include <cstdint>
 
+#include "bamboowing/base/clock.h"
 #include "bamboowing/base/types.h"
 
 namespace bamboowing {
 
-/// Current time of the monotonic clock.
-instant Now();
-
 /// Returns a non-zero random number, for incarnations and seeds.
 std::uint64_t RandomNumber();
 
--- a/src/besteffort/run_manager.cc
+++ b/src/besteffort/run_manager.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "bamboowing/besteffort/job.h"
+
 namespace bamboowing {
 namespace {
 
@@ -21,8 +23,26 @@
   }
 }
 
+std::string Milliseconds(duration time) { return std::to_string(time.count() / 1000) + " ms"; }
+
 }  // namespace
 
+std::string_view run_manager::RunStateName(run_state state) {
+  switch (state) {
+    case run_state::kWaiting:
+      return "waiting";
+    case run_state::kStarting:
+      return "starting";
+    case run_state::kUnconfirmed:
+      return "unconfirmed";
+    case run_state::kRunning:
+      return "running";
+    case run_state::kStopping:
+      break;
+  }
+  return "stopping";
+}
+
 run_manager::run_manager(const run_manager_settings& settings, std::uint64_t seed, instant now)
     : settings_(settings),
       sessions_(settings.agent, seed, now),
@@ -36,7 +56,8 @@
 }
 
 void run_manager::Admit(const std::string& entry, const run_start& start, instant now) {
-  if (runs_.count(start.key) != 0) {
+  if (const run_map::iterator present = runs_.find(start.key); present != runs_.end()) {
+    HandleRepeatedRun(present, entry, now);
     return;
   }
   managed_run run;
@@ -49,36 +70,88 @@
   const owner& from = owners_[entry];
   const bool stale = now - from.last_echoed_at >= settings_.max_report_age;
   if (!accepting() || stale || from.released_at) {
-    EndRun(added, run_outcome::kUnavailable, now);
+    EndRun(added, run_outcome::kUnavailable, stale ? "the entry's view is outdated" : "no starts are accepted", now);
     return;
   }
   if (!FitsWithin(start.need, {}, target_.capacity)) {
-    EndRun(added, run_outcome::kNoRoom, now);
+    EndRun(added, run_outcome::kNoRoom, "larger than the target", now);
     return;
   }
   waiting_.push_back(start.key);
 }
 
-void run_manager::EndRun(run_map::iterator run, run_outcome outcome, instant now) {
+std::string run_manager::DescribeRun(const run_key& key, const managed_run& run, instant now) const {
+  std::string text = "task " + std::to_string(key.step) + "." + std::to_string(key.index) + " attempt " +
+                     std::to_string(key.attempt) + ", " + std::string(RunStateName(run.state)) + " for " +
+                     Milliseconds(now - run.state_since) + ", entry " + run.owner + ", start requests " +
+                     std::to_string(run.start_requests);
+  if (run.start_requests > 0) {
+    text += ", the newest " + Milliseconds(now - run.last_start_request_at) + " ago";
+  }
+  text += HasPendingStart(key) ? ", one pending" : "";
+  text +=
+      run.accepted_at == instant{} ? ", never accepted" : ", accepted " + Milliseconds(now - run.accepted_at) + " ago";
+  text += run.stop_accepted_at ? ", stop accepted " + Milliseconds(now - *run.stop_accepted_at) + " ago" : "";
+  text += run.spans_incarnations ? ", spans incarnations of the target" : "";
+  return text + ", contact with the entry " + Milliseconds(now - LastContact(run.owner)) + " ago";
+}
+
+instant run_manager::LastContact(const std::string& entry) const {
+  const std::map<std::string, owner>::const_iterator found = owners_.find(entry);
+  return found == owners_.end() ? instant{} : found->second.last_echoed_at;
+}
+
+void run_manager::EndRun(run_map::iterator run, run_outcome outcome, std::string_view reason, instant now) {
   managed_run& ended = run->second;
+  // A run that was sent to the target and has no result there: the entry may start its task again.
+  if (ended.state != run_state::kWaiting && (outcome == run_outcome::kLost || outcome == run_outcome::kStopped)) {
+    LogEvent(
+        "run_released", run->first.job_id,
+        std::string(RunOutcomeName(outcome)) + ", " + std::string(reason) + ": " + DescribeRun(run->first, ended, now));
+  }
   SubtractFrom(ended.state == run_state::kWaiting ? waiting_amount_ : committed_at_target_, ended.start.need);
-  owner& to = owners_[ended.owner];
   run_result end;
-  end.sequence = ++to.last_result_number;
   end.key = run->first;
   end.outcome = outcome;
   const bool ran = outcome == run_outcome::kDone || outcome == run_outcome::kFailed;
   if (ran && ended.accepted_at != instant{}) {
     end.run_time = now - ended.accepted_at;
   }
-  to.unacknowledged_results.push_back(std::move(end));
+  AddResult(ended.owner, std::move(end));
+  if (ended.next_owner) {
+    // The attempt is used up at the target, so the entry continues with a higher one.
+    AddResult(*ended.next_owner, {0, run->first, run_outcome::kStaleAttempt, duration(0)});
+  }
   runs_.erase(run);
 }
 
-void run_manager::EndAllRuns(run_outcome outcome, instant now) {
+void run_manager::HandleRepeatedRun(run_map::iterator run, const std::string& entry, instant now) {
+  managed_run& present = run->second;
+  if (present.owner == entry) {
+    return;
+  }
+  LogEvent("run_requested_twice", run->first.job_id, "entry " + entry + ", " + DescribeRun(run->first, present, now));
+  present.next_owner = entry;
+  if (present.state == run_state::kWaiting) {
+    EndRun(run, run_outcome::kStopped, "requested by another entry", now);
+  } else {
+    RequestStop(present, now);
+  }
+}
+
+void run_manager::AddResult(const std::string& entry, run_result result) {
+  owner& to = owners_[entry];
+  result.sequence = ++to.last_result_number;
+  to.unacknowledged_results.push_back(std::move(result));
+}
+
+void run_manager::EndRunsOfTarget(run_outcome outcome, std::string_view reason, instant now) {
   for (run_map::iterator run = runs_.begin(); run != runs_.end();) {
     const run_map::iterator ending = run++;
-    EndRun(ending, ending->second.state == run_state::kWaiting ? run_outcome::kUnavailable : outcome, now);
+    const bool waiting = ending->second.state == run_state::kWaiting;
+    if (waiting || ending->second.target_id == target_incarnation_.id) {
+      EndRun(ending, waiting ? run_outcome::kUnavailable : outcome, reason, now);
+    }
   }
 }
 
@@ -87,7 +160,7 @@
   for (run_map::iterator run = runs_.begin(); run != runs_.end();) {
     const run_map::iterator next = std::next(run);
     if (run->second.state == run_state::kWaiting) {
-      EndRun(run, run_outcome::kUnavailable, now);
+      EndRun(run, run_outcome::kUnavailable, "the agent drains", now);
     }
     run = next;
   }
@@ -111,9 +184,9 @@
       continue;
     }
     if (!TargetResponsive(now)) {
-      EndRun(found, run_outcome::kUnavailable, now);
+      EndRun(found, run_outcome::kUnavailable, "the target does not respond", now);
     } else if (now - found->second.state_since >= found->second.start.start_within) {
-      EndRun(found, run_outcome::kNoRoom, now);
+      EndRun(found, run_outcome::kNoRoom, "no free capacity in time", now);
     } else {
       still_waiting.push_back(key);
     }
@@ -144,7 +217,10 @@
 void run_manager::SendStart(const run_key& key, managed_run& run, target_time lease_end, instant now) {
   ++run.start_requests;
   run.last_start_request_at = now;
-  pending_starts_.emplace(++last_request_id_, pending_request{key, now});
+  run.start_token = token_;
+  run.target_id = target_incarnation_.id;
+  newest_start_token_ = token_;
+  pending_starts_.emplace(++last_request_id_, pending_request{key, now, token_});
   actions_.emplace_back(send_start_request{last_request_id_, {RequestContext(), key, run.start.payload, lease_end}});
   last_lease_sent_at_ = now;
   RecordRequestSent(now);
@@ -175,9 +251,10 @@
   }
   HandleResponse(response, now);
   if (response.status == request_status::kFenced) {
-    RaiseToken();
+    HandleFenced(pending.mapped().token);
   }
   if (const run_map::iterator run = runs_.find(pending.mapped().key); run != runs_.end()) {
+    run->second.start_responses += response.status == request_status::kNoResponse ? 0 : 1;
     HandleStartResponse(run, response.status, now);
   }
   if (response.status == request_status::kOtherIncarnation) {
@@ -195,12 +272,12 @@
     MarkAccepted(target_run, now);
     return;
   }
-  if (status == request_status::kNoResponse) {
+  if (status == request_status::kNoResponse || status == request_status::kConnectionBroken) {
     HandleUnansweredStart(run, now);
     return;
   }
   if (!retried) {
-    EndRun(run, OutcomeOfRefusal(status), now);
+    EndRun(run, OutcomeOfRefusal(status), "the target refused the start", now);
     return;
   }
   // An earlier request may still be executed. HandleTargetLoss() handles refused connections.
@@ -239,11 +316,18 @@
 
 void run_manager::HandleResponse(const request_response& response, instant now) {
   SampleClock(response.clock, now);
-  if (response.status != request_status::kNoResponse) {
+  if (response.status != request_status::kNoResponse && response.status != request_status::kConnectionBroken) {
     RecordResponse(now);
   }
 }
 
+void run_manager::HandleFenced(std::uint64_t token) {
+  // A request that was overtaken by one with a higher token of this agent is refused as intended.
+  if (token == token_) {
+    RaiseToken();
+  }
+}
+
 void run_manager::RequestStop(managed_run& run, instant now) {
   if (run.state == run_state::kStopping) {
     return;
@@ -256,12 +340,12 @@
 
 void run_manager::SendStop(const run_key& key, instant now) {
   RecordRequestSent(now);
-  pending_stops_.emplace(++last_request_id_, pending_request{key, now});
+  pending_stops_.emplace(++last_request_id_, pending_request{key, now, token_});
   actions_.emplace_back(send_stop_request{last_request_id_, {RequestContext(), key}});
 }
 
 void run_manager::RetryStops(instant now) {
-  if (phase_ == phase::kUnknown) {
+  if (phase_ == phase::kUnknown || phase_ == phase::kLost) {
     return;
   }
   for (std::pair<const run_key, managed_run>& item : runs_) {
@@ -281,7 +365,7 @@
   }
   HandleResponse(response, now);
   if (response.status == request_status::kFenced) {
-    RaiseToken();
+    HandleFenced(pending.mapped().token);
   }
   if (response.status == request_status::kOtherIncarnation) {
     ReplaceTarget("a stop request reached another incarnation", now);
@@ -304,6 +388,7 @@
 void run_manager::Advance(instant now) {
   last_now_ = now;
   MaintainSessions(now);
+  AdoptCandidate(now);
   ExpireOwners(now);
   ExpireUnleasedRuns(now);
   ExpireWaitingRuns(now);
--- a/src/service/agent_daemon.cc
+++ b/src/service/agent_daemon.cc
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "bamboowing/agent/agent_core.h"
+#include "bamboowing/base/json_reader.h"
 #include "bamboowing/base/ring.h"
 #include "bamboowing/service/agent_rpc.h"
 #include "bamboowing/service/caller_api.h"
@@ -13,6 +14,7 @@
 #include "bamboowing/service/daemon.h"
 #include "bamboowing/service/event_log.h"
 #include "bamboowing/service/log.h"
+#include "bamboowing/service/pause_log.h"
 #include "bamboowing/transport/http_server.h"
 #include "bamboowing/transport/target_runner.h"
 #include "drain_latch.h"
@@ -120,6 +122,7 @@
       const std::optional<instant> due = core_.next_wakeup();
       const duration wait = due ? std::clamp(*due - before, duration(0), kMaxWait) : kMaxWait;
       std::optional<agent_input> next = ring_.PopFor(wait);
+      pause_log_.OnRound(kMaxWait);
       instant now = Now();
       while (next) {
         std::visit([this, now](const auto& alternative) { Handle(alternative, now); }, *next);
@@ -204,7 +207,11 @@
   }
 
   std::optional<target_announcement> ParseAnnouncement(const std::string& text, failure& error) const {
-    const nlohmann::json body = nlohmann::json::parse(text, nullptr, false);
+    const std::optional<nlohmann::json> parsed = ParseJson(text, error);
+    if (!parsed) {
+      return std::nullopt;
+    }
+    const nlohmann::json& body = *parsed;
     if (!body.is_object()) {
       error = failure(error_kind::kInvalidJson, "the announcement is not a JSON object");
       return std::nullopt;
@@ -232,6 +239,7 @@
   bounded_ring<agent_input> ring_;
   event_log events_;
   agent_core core_;
+  pause_log pause_log_;
   drain_latch drained_;
   std::unique_ptr<target_runner> target_;
   std::unique_ptr<http_server> announce_server_;
--- a/src/service/clock.cc
+++ b/src/service/clock.cc
@@ -6,8 +6,6 @@
 
 namespace bamboowing {
 
-instant Now() { return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now()); }
-
 std::uint64_t RandomNumber() {
   std::random_device source;
   std::uint64_t number = 0;
--- a/src/transport/minion_runner.cc
+++ b/src/transport/minion_runner.cc
@@ -4,6 +4,8 @@
 #include <mutex>
 #include <nlohmann/json.hpp>
 
+#include "bamboowing/base/clock.h"
+#include "bamboowing/base/json_reader.h"
 #include "bamboowing/transport/http_client.h"
 #include "bamboowing/transport/target_runner.h"
 #include "run_url.h"
@@ -14,8 +16,6 @@
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 
-instant Now() { return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now()); }
-
 std::string StringField(const nlohmann::json& body, const char* name) {
   const bool present = body.is_object() && body.contains(name) && body[name].is_string();
   return present ? body[name].get<std::string>() : std::string();
@@ -81,7 +81,8 @@
 };
 
 void FinishWithResponse(minion_runs& runs, const task_key& key, const http_response& response) {
-  const nlohmann::json body = nlohmann::json::parse(response.body, nullptr, false);
+  failure malformed;
+  const nlohmann::json body = ParseJson(response.body, malformed).value_or(nlohmann::json());
   if (response.status == kOk && body.is_object() && body.contains("result")) {
     const nlohmann::json& result = body["result"];
     runs.Finish({key, task_status::kSucceeded, result.is_string() ? result.get<std::string>() : result.dump(), {}});
--- a/tests/besteffort/run_manager_test.cc
+++ b/tests/besteffort/run_manager_test.cc
@@ -89,6 +89,8 @@
     Step();
   }
 
+  std::uint64_t NewestPollToken() const { return ActionsOf<send_poll_request>().back().request.context.token; }
+
   /// Starts a run that the target accepts.
   void StartAccepted(const std::string& job) {
     run_requests requests;
@@ -99,6 +101,21 @@
     Step();
   }
 
+  /// Starts a run that the target accepts by the second start request; the first one has no response.
+  void StartAcceptedByRepeatedRequest(const std::string& job) {
+    run_requests requests;
+    requests.starts.push_back(Start(job));
+    SendRequests(requests);
+    now += Settings().start_retry_interval;
+    Step();
+    const std::vector<send_start_request> starts = ActionsOf<send_start_request>();
+    ASSERT_EQ(starts.size(), 2U);
+    manager.OnStartResponse(starts[1].request_id, {request_status::kAccepted, target_time(1013)}, now);
+    manager.OnStartResponse(starts[0].request_id, {request_status::kNoResponse, std::nullopt}, now);
+    now += Settings().poll_overdue_after;
+    Step();
+  }
+
   void SendRequests(const run_requests& requests) {
     entry_batch batch;
     batch.header.sender = "entry";
@@ -379,6 +396,30 @@
   EXPECT_EQ(ActionsOf<send_stop_request>().size(), 1U);
 }
 
+// Guards against runs that outlive their owner timeout because a session was opened to a restarted entry: until its
+// first message, the entry may be another process, which does not know the runs.
+TEST_F(run_manager_fixture, OpenedSessionWithoutMessageIsNoContactWithOwner) {
+  StartAccepted("a");
+  const instant closed_at = now;
+  manager.OnSessionClosed(kEntry, "closed", now);
+  bool opened = false;
+  while (now - closed_at < Settings().owner_timeout) {
+    actions.clear();
+    now += std::chrono::milliseconds(10);
+    Step();
+    if (HasAction<open_session>()) {
+      opened = now - closed_at >= Settings().owner_timeout / 2;
+      if (opened) {
+        manager.OnSessionOpened(kEntry, now);
+      } else {
+        manager.OnSessionClosed(kEntry, "refused", now);
+      }
+    }
+  }
+  ASSERT_TRUE(opened);
+  EXPECT_TRUE(HasAction<send_stop_request>());
+}
+
 // Guards against runs that are considered active after the target's process has restarted under its id.
 TEST_F(run_manager_fixture, RunsEndWhenTargetRestarts) {
   StartAccepted("a");
@@ -433,27 +474,141 @@
   EXPECT_EQ(Results()[0].outcome, run_outcome::kDone);
 }
 
-// Guards against a start that the next incarnation executes after the run was reported as lost.
-TEST_F(run_manager_fixture, StopsUnconfirmedRunInNextIncarnationBeforeReportingIt) {
+// Guards against a start that the next incarnation executes after the run was reported as lost: the run is reported
+// only when that incarnation has seen a fencing token above that of the start.
+TEST_F(run_manager_fixture, FencesPendingStartInNextIncarnationBeforeReportingIt) {
   run_requests requests;
   requests.starts.push_back(Start("a"));
   SendRequests(requests);
   const send_start_request start = ActionsOf<send_start_request>()[0];
   manager.OnTargetAnnounced({"minion", 6}, Description(), target_time(10), now);
   Step();
-  AnswerNewestPoll(6, {});
   EXPECT_TRUE(Results().empty());
-  manager.OnStartResponse(start.request_id, {request_status::kNoResponse, std::nullopt}, now);
+  EXPECT_GT(NewestPollToken(), start.request.context.token);
+  AnswerNewestPoll(6, {});
+  ASSERT_EQ(Results().size(), 1U);
+  EXPECT_EQ(Results()[0].outcome, run_outcome::kLost);
+}
+
+// Guards against two runs of one task: a repeated start request that is still in transit is executed by the restarted
+// target after its list of runs was made without the run.
+TEST_F(run_manager_fixture, RepeatedStartInTransitIsNotReportedAsLostAfterRestart) {
+  run_requests requests;
+  requests.starts.push_back(Start("a"));
+  SendRequests(requests);
+  now += Settings().start_retry_interval;
+  Step();
+  const std::vector<send_start_request> starts = ActionsOf<send_start_request>();
+  ASSERT_EQ(starts.size(), 2U);
+  manager.OnStartResponse(starts[0].request_id, {request_status::kAccepted, target_time(1013)}, now);
+  actions.clear();
+  now += Settings().poll_overdue_after;
   Step();
   AnswerNewestPoll(6, {});
-  ASSERT_EQ(ActionsOf<send_stop_request>().size(), 1U);
-  EXPECT_TRUE(Results().empty());
-  manager.OnStopResponse(ActionsOf<send_stop_request>()[0].request_id, {request_status::kAccepted, target_time(60)},
-                         now);
+  EXPECT_TRUE(Results().empty()) << "the restarted target may still execute the second request";
+  EXPECT_GT(NewestPollToken(), starts[1].request.context.token);
+  poll_response executed;
+  executed.running.push_back({"a", 0, 0, 1});
+  AnswerNewestPoll(6, executed);
+  EXPECT_TRUE(Results().empty()) << "the run is active in the new incarnation";
+}
+
+// Guards against two runs of one task: the target has accepted the second start request of a run, restarts, and
+// executes the first one, which had no response, after its list of runs was made.
+TEST_F(run_manager_fixture, UnansweredStartOfAcceptedRunIsNotReportedAsLostAfterRestart) {
+  StartAcceptedByRepeatedRequest("a");
+  const std::uint64_t start_token = ActionsOf<send_start_request>().back().request.context.token;
+  manager.OnTargetAnnounced({"minion", 6}, Description(), target_time(10), now);
   Step();
+  // A poll with a higher token makes the restarted target reject the start.
+  const bool fenced = ActionsOf<send_poll_request>().back().request.context.token > start_token;
   AnswerNewestPoll(6, {});
+  EXPECT_TRUE(fenced || Results().empty()) << "the restarted target may still execute the first request";
+}
+
+// Guards against two runs of one task: as above, but the target is lost by a refused connection and returns.
+TEST_F(run_manager_fixture, UnansweredStartOfAcceptedRunIsNotReportedAsLostAfterRefusedConnection) {
+  StartAcceptedByRepeatedRequest("a");
+  poll_response refused;
+  refused.status = request_status::kConnectionRefused;
+  manager.OnPollResponse(ActionsOf<send_poll_request>().back().request_id, refused, now);
+  Step();
+  EXPECT_TRUE(Results().empty()) << "the target may return under its id and execute the first request";
+}
+
+// Guards against two runs of one task: a heartbeat of an earlier target at the same address arrives late, and the runs
+// of the present target are reported as lost while they are active.
+TEST_F(run_manager_fixture, LateHeartbeatOfEarlierTargetDoesNotEndRuns) {
+  StartAccepted("a");
+  manager.OnTargetAnnounced({"earlier", 4}, Description(), target_time(5000), now);
+  Step();
+  EXPECT_TRUE(Results().empty()) << "the run is active at the present target";
+}
+
+// Guards against an interruption of service by a late heartbeat of an earlier incarnation of the target.
+TEST_F(run_manager_fixture, LateHeartbeatOfEarlierIncarnationIsIgnored) {
+  StartAccepted("a");
+  manager.OnTargetAnnounced({"minion", 4}, Description(), target_time(5000), now);
+  Step();
+  EXPECT_TRUE(Results().empty());
+  EXPECT_TRUE(manager.accepting());
+}
+
+// Guards against starts at a draining target: an announcement of its earlier state arrives late.
+TEST_F(run_manager_fixture, LateHeartbeatOfEarlierStateIsIgnored) {
+  target_description draining = Description();
+  draining.draining = true;
+  manager.OnTargetAnnounced({"minion", 5, "", 8}, draining, target_time(1000), now);
+  manager.OnTargetAnnounced({"minion", 5, "", 7}, Description(), target_time(900), now);
+  Step();
+  EXPECT_FALSE(manager.accepting());
+}
+
+// Guards against requests to another address than that of the target, which another writer has announced under its id.
+TEST_F(run_manager_fixture, AnnouncementWithAnotherAddressIsIgnored) {
+  StartAccepted("a");
+  actions.clear();
+  manager.OnTargetAnnounced({"minion", 5, "10.0.0.9:99"}, Description(), target_time(1000), now);
+  Step();
+  EXPECT_FALSE(HasAction<use_target>());
+  EXPECT_TRUE(manager.accepting());
+}
+
+// Guards against an agent that keeps a target which has vanished without closing its port, and against an early report
+// of its runs: they end with their lease at the latest, not with the announcement of another target.
+TEST_F(run_manager_fixture, AdoptsAnnouncedTargetWhenPresentOneIsSilent) {
+  StartAccepted("a");
+  manager.OnTargetAnnounced({"other", 7, "10.0.0.9:99"}, Description(), target_time(10), now);
+  Step();
+  EXPECT_FALSE(HasAction<use_target>());
+  now += Settings().replace_target_after;
+  Step();
+  ASSERT_TRUE(HasAction<use_target>());
+  EXPECT_EQ(ActionsOf<use_target>().back().address, "10.0.0.9:99");
+  AnswerNewestPoll(7, {});
+  EXPECT_TRUE(manager.accepting());
+  EXPECT_TRUE(Results().empty()) << "the run may be active at the silent target until its lease ends";
+}
+
+// Guards against runs that are kept until their lease ends although another target answers at the address of theirs.
+TEST_F(run_manager_fixture, RunsEndWhenAnotherTargetAnswersAtTheAddress) {
+  StartAccepted("a");
+  manager.OnTargetAnnounced({"other", 7}, Description(), target_time(10), now);
+  now += Settings().replace_target_after;
+  Step();
+  EXPECT_TRUE(Results().empty());
+  AnswerNewestPoll(7, {});
   ASSERT_EQ(Results().size(), 1U);
-  EXPECT_EQ(Results()[0].outcome, run_outcome::kStopped);
+  EXPECT_EQ(Results()[0].outcome, run_outcome::kLost);
+}
+
+// Guards against two runs of one task: a target that announces its end continues its runs until its process ends, and
+// the announcement may come late from an earlier incarnation with the same id.
+TEST_F(run_manager_fixture, AnnouncedEndOfTargetDoesNotEndActiveRuns) {
+  StartAccepted("a");
+  manager.OnTargetLeft("minion", now);
+  Step();
+  EXPECT_TRUE(Results().empty()) << "nothing shows that the target's process has ended";
 }
 
 // Guards against relying on a stop request that only the previous incarnation has accepted.
@@ -461,6 +616,7 @@
   run_requests requests;
   requests.starts.push_back(Start("a"));
   SendRequests(requests);
+  const std::uint64_t start_token = ActionsOf<send_start_request>()[0].request.context.token;
   run_requests stop;
   stop.stops.push_back({"a", 0, 0, 1});
   SendRequests(stop);
@@ -471,9 +627,12 @@
   manager.OnTargetAnnounced({"minion", 6}, Description(), target_time(10), now);
   now += Settings().stop_retry_interval;
   Step();
-  AnswerNewestPoll(6, {});
   EXPECT_TRUE(Results().empty()) << "the start may still arrive";
   EXPECT_EQ(ActionsOf<send_stop_request>().size(), 2U);
+  EXPECT_GT(NewestPollToken(), start_token);
+  AnswerNewestPoll(6, {});
+  ASSERT_EQ(Results().size(), 1U) << "the start is fenced";
+  EXPECT_EQ(Results()[0].outcome, run_outcome::kLost);
 }
 
 // Guards against a delay of 1 s, the lease, before the accepted runs of a crashed target are reported as lost.
@@ -495,12 +654,12 @@
 
 // Guards against a delay of 1 s, the lease, for a start whose connection broke when the target crashed: the request
 // failed before connections were refused.
-TEST_F(run_manager_fixture, RefusedConnectionEndsUnansweredStart) {
+TEST_F(run_manager_fixture, RefusedConnectionEndsStartWithBrokenConnection) {
   run_requests requests;
   requests.starts.push_back(Start("a"));
   SendRequests(requests);
-  manager.OnStartResponse(ActionsOf<send_start_request>()[0].request_id, {request_status::kNoResponse, std::nullopt},
-                          now);
+  manager.OnStartResponse(ActionsOf<send_start_request>()[0].request_id,
+                          {request_status::kConnectionBroken, std::nullopt}, now);
   Step();
   poll_response refused;
   refused.status = request_status::kConnectionRefused;
@@ -510,21 +669,48 @@
   EXPECT_EQ(Results()[0].outcome, run_outcome::kLost);
 }
 
+// Guards against two runs of one task: a start request without a response may be executed seconds later, by the next
+// incarnation of a target that has crashed since. The run is reported when that incarnation has seen a higher token.
+TEST_F(run_manager_fixture, RefusedConnectionDoesNotEndStartWithoutResponse) {
+  run_requests requests;
+  requests.starts.push_back(Start("a"));
+  SendRequests(requests);
+  const send_start_request start = ActionsOf<send_start_request>()[0];
+  manager.OnStartResponse(start.request_id, {request_status::kNoResponse, std::nullopt}, now);
+  Step();
+  poll_response refused;
+  refused.status = request_status::kConnectionRefused;
+  manager.OnPollResponse(ActionsOf<send_poll_request>().back().request_id, refused, now);
+  Step();
+  EXPECT_TRUE(Results().empty());
+  actions.clear();
+  now += Settings().lost_poll_interval;
+  Step();
+  EXPECT_GT(NewestPollToken(), start.request.context.token) << "the lost target is polled in case it returns";
+  AnswerNewestPoll(6, {});
+  EXPECT_TRUE(Results().empty()) << "the list of an incarnation that was not known decides only after another poll";
+  AnswerNewestPoll(6, {});
+  ASSERT_EQ(Results().size(), 1U);
+  EXPECT_EQ(Results()[0].outcome, run_outcome::kLost);
+}
+
 // Guards against a run that is reported as lost after its lease and then runs twice (soak seed 27): a restarted target
 // evaluates the lease on another clock and executed the start 0.7 s late.
 TEST_F(run_manager_fixture, UnansweredStartOutlivesItsLeaseAfterTargetRestart) {
   run_requests requests;
   requests.starts.push_back(Start("a"));
   SendRequests(requests);
+  const std::uint64_t start_token = ActionsOf<send_start_request>()[0].request.context.token;
   manager.OnStartResponse(ActionsOf<send_start_request>()[0].request_id, {request_status::kNoResponse, std::nullopt},
                           now);
   manager.OnTargetAnnounced({"minion", 6}, Description(), target_time(10), now);
   now += std::chrono::milliseconds(1100);
   Step();
   EXPECT_TRUE(Results().empty()) << "the next incarnation may have just started the run";
+  EXPECT_GT(NewestPollToken(), start_token);
   AnswerNewestPoll(6, {});
-  EXPECT_TRUE(Results().empty());
-  EXPECT_TRUE(HasAction<send_stop_request>());
+  ASSERT_EQ(Results().size(), 1U) << "the start is fenced";
+  EXPECT_EQ(Results()[0].outcome, run_outcome::kLost);
 }
 
 // Guards against runs that are never reported when the target crashes during their start and does not return.
@@ -551,6 +737,10 @@
   ASSERT_EQ(ActionsOf<send_stop_request>().size(), 1U);
   manager.OnTargetAnnounced({"other", 7}, Description(), target_time(10), now);
   Step();
+  poll_response replaced;
+  replaced.status = request_status::kOtherIncarnation;
+  manager.OnPollResponse(ActionsOf<send_poll_request>().back().request_id, replaced, now);
+  Step();
   AnswerNewestPoll(7, {});
   ASSERT_TRUE(manager.accepting());
   manager.OnStopResponse(ActionsOf<send_stop_request>()[0].request_id,
--- a/tests/end_to_end/platform_test.py
+++ b/tests/end_to_end/platform_test.py
@@ -15,6 +15,7 @@
 sys.path.insert(0, str(ROOT / "scripts"))
 sys.path.insert(0, str(ROOT / "standins"))
 
+from end_to_end import save_logs_on_failure, skip_if_known_red  # noqa: E402
 from fleet import BUILD, Fleet, free_ports, http as call, wait_until  # noqa: E402
 from platform_standin import Minion, Store, overlapping_runs  # noqa: E402
 
@@ -46,6 +47,13 @@
         self.peers_port = free_ports(1)[0]
         self.platform_minions = []
         self.addresses = {}
+        try:
+            self.start_processes(entries, agents)
+        except Exception:
+            self.stop()
+            raise
+
+    def start_processes(self, entries, agents):
         for i in range(entries):
             self.start_platform_entry(f"entry-{i + 1}", f"127.0.0.{i + 2}")
         for i in range(agents):
@@ -68,6 +76,8 @@
 
     def usable_targets(self, name):
         """Returns the number of agents whose target the entry has listed as usable in its log."""
+        for process in self.processes:
+            self.check_alive(process)
         details = [json.loads(line).get("detail", "") for line in self.output(name).splitlines()]
         return len({d for d in details if d.startswith("agent ") and d.endswith("cpu 4000")})
 
@@ -207,7 +217,7 @@
         wait_until(lambda: "00000000000000a9" in self.fleet.output("entry-1"), "the log lines")
         lines = [json.loads(line) for line in self.fleet.output("entry-1").splitlines()]
         events = [line["event"] for line in lines if line.get("job") == "00000000000000a9"]
-        self.assertEqual(events, ["run_ended"] * 3 + ["job_answered"])
+        self.assertEqual(events, ["run_ended", "task_restarted"] * 2 + ["run_ended", "job_answered"])
 
     def test_a_configuration_change_takes_effect_within_two_seconds(self):
         """Guards against an entry that keeps routing by an outdated configuration."""
@@ -226,8 +236,10 @@
     """Tests with faults; each test has a fleet of its own."""
 
     def setUp(self):
+        skip_if_known_red(self)
         self.fleet = PlatformFleet()
         self.addCleanup(self.fleet.stop)
+        self.addCleanup(save_logs_on_failure, self, self.fleet)
 
     def load(self, seconds, entry_of, work_ms=100):
         """Submits jobs for the given time; returns (status, response time in seconds) of each."""
@@ -285,6 +297,36 @@
                    "service after the restart", 5)
         self.assertEqual(overlapping_runs(self.fleet.platform_minions), [])
 
+    def check_runs_outlast_late_message(self, method, next_id):
+        """Restarts a minion, then delivers a message of its previous incarnation while runs are active."""
+        minion = self.fleet.platform_minions[0]
+        previous_id, heartbeat = minion.id, minion.heartbeat()
+        usable = self.fleet.output("agent-1").count("target_usable")
+        minion.fail()
+        minion.restart(next_id)
+        wait_until(lambda: self.fleet.output("agent-1").count("target_usable") > usable, "the new incarnation", 5)
+        count = sum(m.cores for m in self.fleet.platform_minions) // 2  # leaves room for tasks that are started again
+        with concurrent.futures.ThreadPoolExecutor() as pool:
+            answer = pool.submit(self.fleet.ask, "entry-1", "POST", QUEUE + "00000000000000c1",
+                                 job(count=count, work_ms=1500), 9000)
+            wait_until(lambda: sum(len(m.running) for m in self.fleet.platform_minions) == count, "all runs", 2)
+            self.assertNotEqual(minion.running, {})
+            minion.announce(method, previous_id, heartbeat if method == "PUT" else {})
+            self.assertEqual(answer.result(), (200, {"state": "completed"}))
+        self.assertEqual(overlapping_runs(self.fleet.platform_minions), [])
+
+    def test_a_late_heartbeat_of_the_previous_incarnation_ends_no_run(self):
+        """Guards against runs that are started again because a heartbeat of an incarnation before the present one arrived."""
+        self.check_runs_outlast_late_message("PUT", "minion-agent-1-second")
+
+    def test_a_late_heartbeat_under_the_same_id_ends_no_run(self):
+        """Guards against runs that are started again because a heartbeat with an older start time arrived."""
+        self.check_runs_outlast_late_message("PUT", None)
+
+    def test_a_late_deregistration_under_the_same_id_ends_no_run(self):
+        """Guards against runs that are started again because the DELETE of the previous incarnation arrived."""
+        self.check_runs_outlast_late_message("DELETE", None)
+
     def test_jobs_are_served_while_the_store_is_down(self):
         """Guards against a dependency of job processing on the store."""
         self.fleet.kv.down = True
@@ -292,5 +334,205 @@
         self.assertEqual([status for status, _ in results if status != 200], [])
 
 
+def nested(levels):
+    """JSON text of lists that are nested this deeply."""
+    return b"[" * levels + b"]" * levels
+
+
+def without(fields, name):
+    return {key: value for key, value in fields.items() if key != name}
+
+
+class OddEntries(unittest.TestCase):
+    """Tests that write what another writer may leave; each test has a fleet of its own."""
+
+    def setUp(self):
+        self.fleet = PlatformFleet(entries=1, agents=2)
+        self.addCleanup(self.fleet.stop)
+
+    def heartbeat(self, minion, **changes):
+        return {"backend": SERVICE, "address": minion.address, "zone": "hobart", "version": "v1", "slots": 8,
+                "state": "ready", "cold_ms": 0, "labels": ["a", "r1-1"], "clock_ms": minion.clock(),
+                "capacity": {"cpu": 4000, "mem_mb": 8192, "gpu": 0}, "seq": minion.seq, "born": minion.born, **changes}
+
+    def test_an_address_that_the_target_never_had_leaves_its_runs_active(self):
+        """Guards against a second run of each task while the first is active at a target that another writer moved."""
+        with concurrent.futures.ThreadPoolExecutor() as pool:
+            answer = self.submit_long_job(pool, "00000000000000c5", count=4)
+            minion = max(self.fleet.platform_minions, key=lambda m: len(m.running))
+            for port in free_ports(3):
+                body = json.dumps(self.heartbeat(minion, address=f"127.0.0.1:{port}")).encode()
+                self.send(minion.announce_address, "PUT", f"/instances/{minion.name}", body)
+                time.sleep(0.1)  # the agent polls its target in the meantime
+            self.assertEqual(answer.result(), (200, {"state": "completed"}))
+        self.assertEqual(overlapping_runs(self.fleet.platform_minions), [])
+        self.assert_served()
+
+    def odd_heartbeats(self, minion):
+        """Bodies that name no minion to use."""
+        fields = self.heartbeat(minion)
+        numbers = (-1, 1.5, 1e300, 2 ** 63, 2 ** 64, "7", None, [], {})
+        bodies = [{**fields, "born": value} for value in numbers]
+        bodies += [{**fields, "clock_ms": value} for value in (-1, 1e300, 2 ** 63, "7", None, [])]
+        bodies += [{**fields, "capacity": {"cpu": value, "mem_mb": 8192}} for value in numbers]
+        bodies += [{**fields, "capacity": value} for value in (None, 7, [], "4000")]
+        bodies += [{**fields, "address": value}
+                   for value in ("127.0.0.1:0", "127.0.0.1:65536", "127.0.0.1:99999", "127.0.0.1:http", "127.0.0.1",
+                                 "nowhere", "", ":", 7, None, "x" * 500_000)]
+        bodies += [{**fields, "state": value} for value in ("sleeping", "", 7, None)]
+        bodies += [{**fields, "backend": value} for value in ("", 7, None, "x" * 500_000)]
+        bodies += [{**fields, "labels": value} for value in (7, "a", [7], ["x" * 500_000], ["x"] * 100_000)]
+        bodies += [without(fields, name) for name in ("address", "backend", "zone", "state", "capacity")]
+        bodies += [[], 7, "text", None]
+        texts = [json.dumps(body).encode() for body in bodies]
+        for name in ("born", "labels", "capacity", "extra"):
+            texts.append(json.dumps({**fields, name: "@"}).encode().replace(b'"@"', nested(100_000)))
+        return texts + [b"", b"{", b"\xff\xfe\x00", b'{"backend":"\xff"}', nested(400_000), b"[" * 900_000]
+
+    def send(self, address, method, path, body=b""):
+        """Returns the status; None if the connection ended without a response."""
+        connection = http.client.HTTPConnection(address, timeout=5)
+        try:
+            connection.request(method, path, body, {"Content-Type": "application/json", "Host": HOST})
+            return connection.getresponse().status
+        except (http.client.HTTPException, OSError):
+            return None
+        finally:
+            connection.close()
+
+    def submit_long_job(self, pool, job_id, count=8):
+        """Submits a job, which occupies all targets by default; returns the future of its answer."""
+        answer = pool.submit(self.fleet.ask, "entry-1", "POST", QUEUE + job_id, job(count=count, work_ms=3000),
+                             deadline_ms=9000)
+        wait_until(lambda: sum(len(m.running) for m in self.fleet.platform_minions) == count, "its tasks")
+        return answer
+
+    def assert_served(self):
+        """Checks that all processes run and serve, and that no run was repeated or abandoned."""
+        for name in self.fleet.processes:
+            self.fleet.check_alive(name)
+        answer = self.fleet.ask("entry-1", "POST", f"{QUEUE}{time.monotonic_ns():016x}", job(count=8))
+        self.assertEqual(answer, (200, {"state": "completed"}))
+        outcomes = [run for m in self.fleet.platform_minions for run in m.runs if run[1] != 1 or run[4] != "done"]
+        self.assertEqual(outcomes, [])
+        for name in ("agent-1", "agent-2"):
+            lines = [json.loads(line) for line in self.fleet.output(name).splitlines()]
+            self.assertEqual([line for line in lines if line["event"] in ("target_lost", "target_restarted")], [])
+
+    def test_a_malformed_address_leaves_the_client_of_the_running_target_in_use(self):
+        """Guards against an agent that ends because it gave up the client of its target for an address it can't open."""
+        minion = self.fleet.platform_minions[0]
+        with concurrent.futures.ThreadPoolExecutor() as pool:
+            answer = self.submit_long_job(pool, "00000000000000c0")
+            for address in ("127.0.0.1:0", "127.0.0.1:65536", "127.0.0.1:99999", "127.0.0.1:http", "nowhere", "", ":"):
+                body = json.dumps(self.heartbeat(minion, address=address)).encode()
+                self.assertIsNotNone(self.send(minion.announce_address, "PUT", f"/instances/{minion.name}", body))
+                time.sleep(0.05)  # the agent polls its target in the meantime
+            self.assertEqual(answer.result(), (200, {"state": "completed"}))
+        self.assert_served()
+
+    def test_odd_heartbeats_leave_the_running_target_in_use(self):
+        """Guards against an agent that ends, or gives up its target and its runs, after a heartbeat of another writer."""
+        minion = self.fleet.platform_minions[0]
+        with concurrent.futures.ThreadPoolExecutor() as pool:
+            answer = self.submit_long_job(pool, "00000000000000c1")
+            for body in self.odd_heartbeats(minion):
+                for name in (minion.name, "another"):
+                    status = self.send(minion.announce_address, "PUT", f"/instances/{name}", body)
+                    self.assertIn(status, (400, 413), body[:200])
+            self.assertEqual(answer.result(), (200, {"state": "completed"}))
+        self.assert_served()
+
+    def test_odd_request_targets_are_refused(self):
+        """Guards against a process that ends because a request target has a malformed escape or control characters."""
+        minion = self.fleet.platform_minions[0]
+        body = json.dumps(self.heartbeat(minion)).encode()
+        for target in ("/instances/a?x=%q", "/instances/a?%zz=1", "/instances/%zz", "/instances/a%0d%0aX:%20y",
+                       "/instances/", "/instances/" + "x" * 5000):
+            for method in ("PUT", "DELETE"):
+                status = self.send(minion.announce_address, method, target, body)
+                self.assertIn(status, (400, 413, 414, 431), f"{method} {target[:80]}")
+        for target in (QUEUE + "%zz?x=%q", "/metrics?x=%q"):
+            for address in (self.fleet.metrics["entry-1"], "{0}:{1}".format(*self.fleet.addresses["entry-1"])):
+                self.assertIsNotNone(self.send(address, "GET", target))
+        self.assert_served()
+
+    def odd_registrations(self):
+        """Values that are not the registration of an entry."""
+        fields = {"id": "odd", "life": 1, "peers_address": "127.0.0.1:9", "failure_domain": "hobart"}
+        odd = [{**fields, "life": value} for value in (-1, 1.5, 1e300, 2 ** 64, "1", None)]
+        odd += [{**fields, "peers_address": value}
+                for value in ("127.0.0.1:0", "127.0.0.1:99999", "*:80", "unix:x", "a.example:80", "", 7, "x" * 300_000)]
+        odd += [{**fields, "failure_domain": 7}, {**fields, "wants_agents": 7}, {**fields, "id": 7}, [], 7, None]
+        odd += [{**fields, "id": "entry-1"}]  # at another key
+        values = [json.dumps(value).encode() for value in odd]
+        for name in ("wants_agents", "failure_domain", "extra"):
+            values.append(json.dumps({**fields, name: "@"}).encode().replace(b'"@"', nested(400_000)))
+        return values + [b"", b"\xff\xfe", b"{", nested(400_000)]
+
+    def put_odd_items(self):
+        """Leaves registrations, and items that are not of the format of the store, among the entries."""
+        for i, value in enumerate(self.odd_registrations()):
+            self.fleet.kv.put(f"bamboowing/entries/odd{i}" if i else "bamboowing/entries/odd", value)
+        for i, item in enumerate(({"value": "%%%%"}, {"value": 7}, {"value": None}, {"value": "YQ"}, {})):
+            self.fleet.kv.put_raw(f"bamboowing/entries/raw{i}", item)
+
+    def test_odd_entries_leave_the_list_of_entries_in_use(self):
+        """Guards against an agent that ends or stops following the list of entries because of one odd item."""
+        with concurrent.futures.ThreadPoolExecutor() as pool:
+            answer = self.submit_long_job(pool, "00000000000000c2")
+            self.put_odd_items()
+            self.assertEqual(answer.result(), (200, {"state": "completed"}))
+        self.fleet.start_platform_entry("entry-9", "127.0.0.9")
+        wait_until(lambda: self.fleet.ready("entry-9"), "the entry that registered after the odd items", 10)
+        self.fleet.kill("agent-1")
+        self.fleet.launch_agent("agent-1")  # lists all items from the start
+        wait_until(lambda: self.fleet.output("agent-1").count('"session_opened"') >= 2, "sessions of a new agent", 10)
+        self.assert_served()
+
+    def test_an_entry_registers_over_bytes_of_another_writer(self):
+        """Guards against an entry that never registers because its key holds a value that can't be read."""
+        self.fleet.kv.put_raw("bamboowing/entries/entry-9", {"value": "%%%%"})
+        self.fleet.start_platform_entry("entry-9", "127.0.0.9")
+        wait_until(lambda: self.fleet.ready("entry-9"), "its registration", 10)
+        self.assert_served()
+
+    def test_odd_configurations_leave_the_present_one_in_force(self):
+        """Guards against an entry that ends, or no longer follows the configuration, after an odd document."""
+        fields = configuration(5)
+        odd = [{**fields, "version": value} for value in (-1, 1.5, 1e300, 2 ** 64, "9", None)]
+        odd += [{**fields, "routes": value} for value in (7, None, [7], [{}], {"a": 7})]
+        for name, value in (("prefix", 7), ("priority", -1), ("max_attempts", 1e300), ("slack_factor", 1e300),
+                            ("target_latency_ms", 2 ** 63), ("backend", None)):
+            odd.append({**fields, "routes": [{**fields["routes"][0], name: value}]})
+        values = [json.dumps(value).encode() for value in odd]
+        values += [b"", b"\xff", nested(400_000), b'{"version":5,"routes":[{"name":' + nested(400_000) + b"}]}"]
+        for value in values:
+            self.fleet.kv.put("op/config", value)
+            time.sleep(0.05)
+        self.assert_served()
+        self.fleet.kv.put_configuration(configuration(6, prefix="/moved/"))
+        wait_until(lambda: self.fleet.ask("entry-1", "POST", "/moved/00000000000000c4", job())[0] == 200,
+                   "the next configuration", 2)
+
+    def test_odd_jobs_are_refused(self):
+        """Guards against an entry that ends, or serves another job than the caller wrote."""
+        ip, callers, _ = self.fleet.addresses["entry-1"]
+        changes = [(name, value) for name in ("count", "cpu", "mem_mb", "gpu", "anti_affinity")
+                   for value in (-1, 1.5, 1e300, 2 ** 64, "1", [])]
+        changes += [("estimate_ms", value) for value in (-1, 1e300, 2 ** 63, "1")]
+        changes += [("after", value) for value in ([-1], [1.5], [0], [7], ["0"], 7)] + [("count", 2 ** 32 - 1)]
+        bodies = [job() for _ in changes]
+        for body, (name, value) in zip(bodies, changes):
+            body["steps"][0][name] = value
+        texts = [json.dumps(body).encode() for body in bodies + [[], 7, None, {"best_effort": True, "steps": {"a": {}}}]]
+        texts += [b"", b"\xff", b'{"best_effort":true,"steps":[{"count":1}],"x":' + nested(100_000) + b"}"]
+        for text in texts:
+            status = self.send(f"{ip}:{callers}", "POST", f"{QUEUE}{time.monotonic_ns():016x}", text)
+            self.assertEqual(status, 400, text[:200])
+        self.assertEqual([run for m in self.fleet.platform_minions for run in m.runs], [])
+        self.assert_served()
+
+
 if __name__ == "__main__":
     unittest.main()
