Reproduce ends of runs that are active: a colliding key and a fixed bound

ResultOfEarlierSubmissionDoesNotEndRunAtAnotherAgent: the attempts of each submission of a job begin at 1, and OnRunEnded() looks a result up by its key only. The late result of a run of an earlier submission ends the run of the present one at another agent, and the task is started once more. Trace in ms of virtual time: 20000 entry 0 starts attempt 1 at agent 0 20100 entry 0 and agent 0 are disconnected until 22600; the caller disconnects; the stop does not arrive 20670 owner_dropped: agent 0 stops the run, its result waits for a session 21855 agent_lost: entry 0 takes the run as ended and removes the job 22300 the caller submits the job again at entry 0: attempt 1 starts at agent 1 22693 the new session of agent 0 delivers "attempt 1 stopped" 22693 entry 0 starts attempt 2 at agent 2 while attempt 1 is active at agent 1, without end

RunThatContinuesAfterRestartIsNotReportedAsLostLater: LeaseExpiryBound() of a run that spans incarnations counts 16.04 s from its last start request and ignores later renewals of the lease. A longer run that continues in the restarted target is then reported as lost while the target lists it.

The trace of the simulation now also shows requests of entries and injected faults.

--- a/tests/besteffort/cluster_overlap_test.cc
+++ b/tests/besteffort/cluster_overlap_test.cc
@@ -185,6 +185,18 @@
   EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
 }
 
+// Guards against a result that ends another run: the result of a run of an earlier submission of the job arrives from a
+// disconnected agent and has the same key as an active run at another agent.
+TEST_F(cluster_overlap, ResultOfEarlierSubmissionDoesNotEndRunAtAnotherAgent) {
+  const std::size_t target = StartLongTask();
+  sim.Partition(0, target, Ms(2500));
+  sim.DisconnectCaller(0);
+  sim.RunFor(Ms(2200));
+  sim.Submit(0, "job", 1, kLongWorkMs);
+  sim.RunFor(std::chrono::seconds(3));
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
 // Guards against a second submission of a job that is never answered: its start has the same key as a run of the first
 // submission that is active at the same agent.
 TEST_F(cluster_overlap, SecondSubmissionCompletesAtTargetOfFirst) {
--- a/tests/besteffort/cluster_sim.cc
+++ b/tests/besteffort/cluster_sim.cc
@@ -13,6 +13,11 @@
 constexpr duration kPollTimeout = std::chrono::milliseconds(200);
 constexpr duration kHeartbeat = std::chrono::milliseconds(1500);
 constexpr std::size_t kDomains = 4;
+
+std::string Describe(const run_key& key) {
+  return key.job_id + "." + std::to_string(key.step) + "." + std::to_string(key.index) + " attempt " +
+         std::to_string(key.attempt);
+}
 // Bounds of the time from sending a late request to its execution.
 constexpr duration kMinLateDelay = std::chrono::seconds(2);
 constexpr duration kLateSpread = std::chrono::seconds(4);
@@ -106,6 +111,22 @@
   After(kHeartbeat, [this, agent] { Announce(agent); });
 }
 
+void cluster_sim::Trace(const std::string& line) const {
+  if (trace) {
+    trace(line);
+  }
+}
+
+void cluster_sim::TraceRequests(std::size_t entry, std::size_t agent, const run_requests& requests) const {
+  const std::string between = "entry " + std::to_string(entry) + " to agent " + std::to_string(agent) + " ";
+  for (const run_start& start : requests.starts) {
+    Trace(between + "start " + Describe(start.key));
+  }
+  for (const run_key& key : requests.stops) {
+    Trace(between + "stop " + Describe(key));
+  }
+}
+
 void cluster_sim::SendHeartbeat(std::size_t agent, duration delay) {
   target_description target;
   target.service = kSimService;
@@ -217,6 +238,7 @@
       if (session == agents_[agent]->sessions.end() || session->second != send->session) {
         continue;
       }
+      TraceRequests(entry, agent, send->batch.runs);
       After(Delay(entry, agent), [this, agent, entry, id = send->session, batch = send->batch] {
         const std::map<std::size_t, session_id>& open = agents_[agent]->sessions;
         if (open.count(entry) != 0 && open.at(entry) == id) {
--- a/tests/besteffort/cluster_sim.h
+++ b/tests/besteffort/cluster_sim.h
@@ -115,7 +115,7 @@
   std::uint32_t task_millicores = 1000;  ///< CPU need of each task
   sim_faults faults;
   std::size_t reports = 0;                             ///< number of batches sent by agents
-  std::function<void(const std::string& line)> trace;  ///< receives the logged decisions of all processes; may be empty
+  std::function<void(const std::string& line)> trace;  ///< receives decisions, requests and faults; may be empty
 
   /// Number of open sessions of an agent.
   std::size_t SessionsOf(std::size_t agent) const { return agents_[agent]->sessions.size(); }
@@ -156,6 +156,10 @@
   bool Stopped(const Node& node) const {
     return node.frozen_until > now_ || node.clock.Suspended(now_);
   }
+  void Trace(const std::string& line) const;
+  void TraceRequests(std::size_t entry, std::size_t agent, const run_requests& requests) const;
+  /// Traces a fault at a process or target with this index.
+  void TraceFault(const std::string& fault, std::size_t index, duration time) const;
   void StartEntry(std::size_t entry);
   void StartAgent(std::size_t agent);
   void DeliverToEntry(std::size_t entry, std::function<void(dispatch_core&, instant)> input);
--- a/tests/besteffort/cluster_sim_inputs.cc
+++ b/tests/besteffort/cluster_sim_inputs.cc
@@ -15,6 +15,10 @@
 
 }  // namespace
 
+void cluster_sim::TraceFault(const std::string& fault, std::size_t index, duration time) const {
+  Trace("fault: " + fault + " " + std::to_string(index) + " for " + std::to_string(time.count() / 1000) + " ms");
+}
+
 std::size_t cluster_sim::Submit(std::size_t entry, const std::string& id, std::uint32_t tasks, int work_ms) {
   sim_job submitted;
   submitted.id = id;
@@ -49,6 +53,7 @@
 }
 
 void cluster_sim::KillEntry(std::size_t entry, duration down) {
+  TraceFault("kill entry", entry, down);
   entries_[entry]->core.reset();
   entries_[entry]->deferred_inputs.clear();
   for (sim_job& job : jobs_) {
@@ -60,9 +65,13 @@
   After(down, [this, entry] { StartEntry(entry); });
 }
 
-void cluster_sim::FreezeEntry(std::size_t entry, duration time) { entries_[entry]->frozen_until = now_ + time; }
+void cluster_sim::FreezeEntry(std::size_t entry, duration time) {
+  TraceFault("freeze entry", entry, time);
+  entries_[entry]->frozen_until = now_ + time;
+}
 
 void cluster_sim::KillAgent(std::size_t agent, duration down) {
+  TraceFault("kill agent", agent, down);
   agents_[agent]->core.reset();
   agents_[agent]->deferred_inputs.clear();
   agents_[agent]->agent_incarnation = 0;
@@ -72,23 +81,30 @@
   After(down, [this, agent] { StartAgent(agent); });
 }
 
-void cluster_sim::FreezeAgent(std::size_t agent, duration time) { agents_[agent]->frozen_until = now_ + time; }
+void cluster_sim::FreezeAgent(std::size_t agent, duration time) {
+  TraceFault("freeze agent", agent, time);
+  agents_[agent]->frozen_until = now_ + time;
+}
 
 void cluster_sim::SuspendEntry(std::size_t entry, duration time) {
+  TraceFault("suspend entry", entry, time);
   entries_[entry]->clock.Suspend(now_, time, faults.clocks_count_suspension);
 }
 
 void cluster_sim::SuspendAgent(std::size_t agent, duration time) {
+  TraceFault("suspend agent", agent, time);
   agents_[agent]->clock.Suspend(now_, time, faults.clocks_count_suspension);
 }
 
 void cluster_sim::Partition(std::size_t entry, std::size_t agent, duration time) {
+  TraceFault("partition from agent", agent, time);
   partitioned_until_[{entry, agent}] = now_ + time;
 }
 
 void cluster_sim::ResetSession(std::size_t entry, std::size_t agent) { CloseSession(entry, agent, true, true); }
 
 void cluster_sim::CrashTarget(std::size_t target, duration down) {
+  TraceFault("crash target", target, down);
   agents_[target]->target->Restart(now_);
   agents_[target]->target_down_until = now_ + down;
 }
@@ -99,12 +115,14 @@
 }
 
 void cluster_sim::LeaveTarget(std::size_t target, duration end_delay, duration down) {
+  TraceFault("announce end of target", target, end_delay);
   DeliverToAgent(target,
                  [id = agents_[target]->target->id()](run_manager& core, instant now) { core.OnTargetLeft(id, now); });
   After(end_delay, [this, target, down] { CrashTarget(target, down); });
 }
 
 void cluster_sim::SilenceTarget(std::size_t target, duration time) {
+  TraceFault("silence target", target, time);
   agents_[target]->target_silent_until = now_ + time;
 }
 
--- a/tests/besteffort/run_manager_test.cc
+++ b/tests/besteffort/run_manager_test.cc
@@ -472,6 +472,24 @@
   EXPECT_EQ(Results()[0].outcome, run_outcome::kDone);
 }
 
+// Guards against two runs of one task: a run that continues in the next incarnation of the target is reported as lost a
+// fixed time after its start, although its lease is renewed.
+TEST_F(run_manager_fixture, RunThatContinuesAfterRestartIsNotReportedAsLostLater) {
+  StartAccepted("a");
+  manager.OnTargetAnnounced({"minion", 6}, Description(), target_time(10), now);
+  Step();
+  poll_response answer;
+  answer.running.push_back({"a", 0, 0, 1});
+  const instant restarted_at = now;
+  while (now - restarted_at < std::chrono::seconds(20)) {
+    SendRequests({});  // a heartbeat
+    ASSERT_TRUE(Results().empty()) << "after " << (now - restarted_at).count() / 1000 << " ms";
+    AnswerNewestPoll(6, answer);
+    actions.clear();
+    now += std::chrono::milliseconds(100);
+  }
+}
+
 // Guards against a start that the next incarnation executes after the run was reported as lost.
 TEST_F(run_manager_fixture, StopsUnconfirmedRunInNextIncarnationBeforeReportingIt) {
   run_requests requests;
