--- a/tests/besteffort/cluster_test.cc
+++ b/tests/besteffort/cluster_test.cc
@@ -4,6 +4,7 @@
 
 #include <cstdlib>
 #include <iostream>
+#include <map>
 
 #include "cluster_sim.h"
 
@@ -102,6 +103,195 @@
   }
 }
 
+/// End of the range of seeds of the fault groups; a longer one is set by CLUSTER_SEEDS.
+int LastSeed() {
+  constexpr int kSeeds = 20;
+  const char* const seeds = std::getenv("CLUSTER_SEEDS");
+  return 1 + (seeds == nullptr ? kSeeds : std::atoi(seeds));
+}
+
+/// Kinds of faults beyond those of InjectFault().
+enum class fault_group : std::uint8_t {
+  kRestarts,       ///< targets restart under their id, and requests are slow or executed late
+  kSuspensions,    ///< machines are suspended
+  kAnnouncements,  ///< heartbeats and announced ends of targets arrive late or early
+  kKilledEntries,  ///< entries are killed while an agent or target stops responding
+  kAll,
+};
+
+void InjectRestart(cluster_sim& sim, std::size_t agent) {
+  const duration down = sim.random().Below(2) == 0 ? duration(0) : duration(sim.random().Below(400'000));
+  sim.CrashTarget(agent, down);
+}
+
+void InjectSuspension(cluster_sim& sim, std::size_t entries, std::size_t agent, duration time) {
+  if (sim.random().Below(4) == 0) {
+    sim.SuspendEntry(sim.random().Below(entries), time);
+  } else {
+    sim.SuspendAgent(agent, time);
+  }
+}
+
+void InjectAnnouncement(cluster_sim& sim, std::size_t agent, duration time) {
+  switch (sim.random().Below(4)) {
+    case 0:
+      sim.DelayHeartbeat(agent, time);
+      sim.ReplaceTarget(agent, duration(sim.random().Below(300'000)));
+      break;
+    case 1:
+      sim.DelayHeartbeat(agent, time);
+      sim.CrashTarget(agent, duration(sim.random().Below(300'000)));
+      break;
+    case 2:
+      sim.ReplaceTarget(agent, time);
+      break;
+    default:
+      sim.LeaveTarget(agent, duration(sim.random().Below(600'000)), time);
+  }
+}
+
+/// Submits a job and, like a caller, submits it again at another entry after it was not answered.
+class retrying_caller {
+ public:
+  retrying_caller(cluster_sim& sim, std::size_t entries) : sim_(sim), entries_(entries) {}
+
+  void Submit(std::size_t entry, const std::string& id, int work_ms, int submissions = kMaxSubmissions) {
+    const std::size_t job = sim_.Submit(entry, id, 3, work_ms);
+    Watch(job, submissions - 1);
+  }
+
+ private:
+  static constexpr int kMaxSubmissions = 3;
+  static constexpr duration kCheckInterval = std::chrono::milliseconds(10);
+  static constexpr duration kAnswerTimeout = std::chrono::milliseconds(4000);
+  static constexpr duration kRetransmitDelay = std::chrono::milliseconds(1300);
+
+  void Watch(std::size_t job, int submissions_left) {
+    sim_.After(kCheckInterval, [this, job, submissions_left] {
+      const sim_job watched = sim_.jobs()[job];
+      const bool timed_out = !watched.verdict && !watched.caller_gone && sim_.now() - watched.sent >= kAnswerTimeout;
+      if (timed_out) {
+        sim_.DisconnectCaller(job);
+      }
+      const bool unanswered = watched.verdict == job_verdict::kUnknown || watched.caller_gone || timed_out;
+      if (unanswered && submissions_left > 0) {
+        sim_.After(kRetransmitDelay, [this, watched, submissions_left] {
+          Submit((watched.entry + 1) % entries_, watched.id, watched.work_ms, submissions_left);
+        });
+      } else if (!unanswered && !watched.verdict) {
+        Watch(job, submissions_left);
+      }
+    });
+  }
+
+  cluster_sim& sim_;
+  std::size_t entries_;
+};
+
+void InjectKill(cluster_sim& sim, std::size_t entries, std::size_t agent, duration time) {
+  sim.KillEntry(sim.random().Below(entries), time / 4);
+  sim.After(duration(sim.random().Below(700'000)), [&sim, agent, time] {
+    if (sim.random().Below(2) == 0) {
+      sim.FreezeAgent(agent, time);
+    } else {
+      sim.SilenceTarget(agent, time);
+    }
+  });
+}
+
+void InjectGroupFault(cluster_sim& sim, fault_group group, std::size_t entries, std::size_t targets) {
+  const std::size_t agent = sim.random().Below(targets);
+  const duration time = std::chrono::milliseconds(200) + duration(sim.random().Below(3'500'000));
+  switch (group) {
+    case fault_group::kRestarts:
+      InjectRestart(sim, agent);
+      break;
+    case fault_group::kSuspensions:
+      InjectSuspension(sim, entries, agent, time);
+      break;
+    case fault_group::kAnnouncements:
+      InjectAnnouncement(sim, agent, time);
+      break;
+    case fault_group::kKilledEntries:
+      InjectKill(sim, entries, agent, time);
+      break;
+    case fault_group::kAll:
+      InjectGroupFault(sim, static_cast<fault_group>(sim.random().Below(4)), entries, targets);
+  }
+}
+
+/// Ids of jobs of which each submission was refused although a task ran.
+std::vector<std::string> RefusedJobsThatRan(const cluster_sim& sim) {
+  std::map<std::string, bool> refused;
+  for (const sim_job& job : sim.jobs()) {
+    const bool now_refused = job.verdict == job_verdict::kRefused;
+    refused[job.id] = now_refused && (refused.count(job.id) == 0 || refused[job.id]);
+  }
+  std::vector<std::string> found;
+  for (const run_record& run : sim.history()) {
+    if (refused[run.key.job_id]) {
+      found.push_back(run.key.job_id);
+    }
+  }
+  return found;
+}
+
+/// Work of a task in milliseconds. Some tasks outlast the time after which a caller submits its job again.
+int WorkOf(int job) {
+  if (job % 40 == 4) {
+    return 2500;
+  }
+  return job % 8 == 0 ? 900 : 60;
+}
+
+void RunWithFaultGroup(fault_group group, int seed) {
+  cluster_sim sim(kEntries, kTargets, static_cast<std::uint64_t>(seed));
+  if (std::getenv("CLUSTER_TRACE") != nullptr) {
+    sim.trace = [&sim](const std::string& line) {
+      std::cout << sim.now().time_since_epoch().count() / 1000 << " " << line << "\n";
+    };
+  }
+  retrying_caller caller(sim, kEntries);
+  // The clocks of the targets show more than a late request takes.
+  sim.RunFor(std::chrono::seconds(15));
+  if (group == fault_group::kRestarts || group == fault_group::kAll) {
+    sim.faults.late_requests_outlive_target = true;
+    sim.faults.late_requests = 0.06;
+    sim.faults.slow_requests = 0.06;
+    sim.faults.lost_responses = 0.03;
+    sim.faults.lost_polls = 0.06;
+  }
+  for (int i = 0; i < 200; ++i) {
+    caller.Submit(sim.random().Below(kEntries), JobId(i), WorkOf(i));
+    if (i % 12 == 5) {
+      InjectFault(sim, kEntries, kTargets);
+    }
+    if (i % 12 == 8) {
+      InjectGroupFault(sim, group, kEntries, kTargets);
+    }
+    sim.RunFor(std::chrono::milliseconds(20) + duration(sim.random().Below(60'000)));
+  }
+  sim.faults = {};
+  // Late requests are executed after up to 12 s.
+  sim.RunFor(std::chrono::seconds(45));
+
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+  EXPECT_EQ(RefusedJobsThatRan(sim), std::vector<std::string>());
+  for (const sim_job& job : sim.jobs()) {
+    EXPECT_TRUE(job.verdict || job.caller_gone) << job.id << " was never answered by entry " << job.entry;
+  }
+  const std::size_t last = sim.Submit(0, "last", 3, 60);
+  sim.RunFor(std::chrono::seconds(1));
+  EXPECT_TRUE(sim.jobs()[last].verdict == job_verdict::kCompleted);
+  for (std::size_t i = 0; i < kTargets; ++i) {
+    EXPECT_EQ(sim.target(i).running(), 0U);
+    EXPECT_EQ(sim.manager(i)->runs(), 0U);
+  }
+  for (std::size_t i = 0; i < kEntries; ++i) {
+    EXPECT_EQ(sim.entry(i)->runs(), 0U) << "entry " << i;
+  }
+}
+
 class cluster : public testing::TestWithParam<int> {};
 
 TEST_P(cluster, KeepsGuaranteesUnderRandomFaults) { RunWithRandomFaults(kEntries, kTargets, GetParam()); }
@@ -120,6 +310,33 @@
 // - 548, 832: defects of the simulation, in which a stopped target executed requests.
 INSTANTIATE_TEST_SUITE_P(FailedBefore, cluster, testing::Values(548, 832, 877, 1148, 1312));
 
+class restarted_cluster : public testing::TestWithParam<int> {};
+class suspended_cluster : public testing::TestWithParam<int> {};
+class announced_cluster : public testing::TestWithParam<int> {};
+class killed_cluster : public testing::TestWithParam<int> {};
+class troubled_cluster : public testing::TestWithParam<int> {};
+
+// Guards against starts that a restarted target executes late, after their runs were taken as ended.
+TEST_P(restarted_cluster, KeepsGuarantees) { RunWithFaultGroup(fault_group::kRestarts, GetParam()); }
+
+// Guards against decisions by a clock that has not counted the suspension of its machine.
+TEST_P(suspended_cluster, KeepsGuarantees) { RunWithFaultGroup(fault_group::kSuspensions, GetParam()); }
+
+// Guards against runs that end as lost by an announcement while they are active.
+TEST_P(announced_cluster, KeepsGuarantees) { RunWithFaultGroup(fault_group::kAnnouncements, GetParam()); }
+
+// Guards against runs of a killed entry that are active when its callers submit their jobs again.
+TEST_P(killed_cluster, KeepsGuarantees) { RunWithFaultGroup(fault_group::kKilledEntries, GetParam()); }
+
+// Combines all faults.
+TEST_P(troubled_cluster, KeepsGuarantees) { RunWithFaultGroup(fault_group::kAll, GetParam()); }
+
+INSTANTIATE_TEST_SUITE_P(Seeds, restarted_cluster, testing::Range(1, LastSeed()));
+INSTANTIATE_TEST_SUITE_P(Seeds, suspended_cluster, testing::Range(1, LastSeed()));
+INSTANTIATE_TEST_SUITE_P(Seeds, announced_cluster, testing::Range(1, LastSeed()));
+INSTANTIATE_TEST_SUITE_P(Seeds, killed_cluster, testing::Range(1, LastSeed()));
+INSTANTIATE_TEST_SUITE_P(Seeds, troubled_cluster, testing::Range(1, LastSeed()));
+
 TEST(cluster_without_faults, CompletesAllJobsWithinTheirObjective) {
   cluster_sim sim(kEntries, kTargets, 1);
   sim.RunFor(std::chrono::seconds(2));
