Reproduce a lease that a late poll renews at a restarted target

No start is late here: a poll that was sent to the previous incarnation is executed by the new one. Its lease end is a time of the old clock, which lies in the future of the new one, so the lease is renewed for 1 s. The agent counts from the last lease that it has sent itself and reports the runs as lost too early.

Trace in ms of virtual time; the targets are up for 20 s: 20100 polls of agent 0 have no response until 20250 and are executed 4 s later 20250 target 0 restarts; usable again at 21035 22251 two tasks of "wide" start on minion-0 23550 minion-0 does not respond any more 24201 the last late poll renews the lease until 25201 24780 lease_lapsed, the runs are reported as lost; their tasks start again at 24782 25201 the lease at minion-0 ends: two runs of each task for 419 ms

--- a/tests/besteffort/cluster_overlap_test.cc
+++ b/tests/besteffort/cluster_overlap_test.cc
@@ -129,6 +129,28 @@
   EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
 }
 
+// Guards against a lease that is renewed at a restarted target by a late poll which was sent to the previous
+// incarnation: its lease end lies in the future of the new clock, and the agent takes the runs as ended before the
+// lease has expired.
+TEST_F(cluster_overlap, LatePollOfEarlierIncarnationDoesNotExtendLease) {
+  const std::size_t target = StartLongTask();
+  sim.faults.late_requests_outlive_target = true;
+  sim.faults.late_delay = std::chrono::seconds(4);
+  sim.faults.lost_polls = 1;
+  sim.RunFor(Ms(150));
+  sim.faults.lost_polls = 0;
+  sim.CrashTarget(target, duration(0));
+  sim.DisconnectCaller(0);
+  sim.RunFor(std::chrono::seconds(2));
+  constexpr std::uint32_t kTasks = 8;  // two on each target
+  sim.Submit(0, "wide", kTasks, kLongWorkMs);
+  sim.RunFor(Ms(1300));
+  ASSERT_GT(sim.target(target).running(), 0U);
+  sim.SilenceTarget(target, std::chrono::seconds(3));
+  sim.RunFor(std::chrono::seconds(2));
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
 // Guards against runs that are reported as lost while they are active because a heartbeat of the target's predecessor
 // arrives after the target has registered.
 TEST_F(cluster_overlap, LateHeartbeatOfEarlierTargetDoesNotEndRuns) {
