Reproduce a result for an earlier entry process that ends another run

The first report of a new session carries results that the agent has kept for the previous process of the entry. OnRunEnded() looks them up by their key only, so they also match a run that the restarted entry has started at another agent.

Trace in ms of virtual time: 20000 entry 0 starts attempt 1 at agent 0 20100 entry 0 is killed and back at 20200; it and agent 0 are disconnected until 21800 20670 owner_dropped: agent 0 stops the run, its result waits for a session 21401 the caller submits the job again at entry 0: attempt 1 starts at agent 2 22068 the new session of agent 0 delivers "attempt 1 stopped" 22068 entry 0 starts attempt 2 at agent 1 while attempt 1 is active at agent 2, without end

--- a/tests/besteffort/cluster_overlap_test.cc
+++ b/tests/besteffort/cluster_overlap_test.cc
@@ -219,6 +219,17 @@
   EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
 }
 
+// As above, but the earlier submission was accepted by the previous process of a restarted entry.
+TEST_F(cluster_overlap, ResultForRestartedEntryDoesNotEndItsRunAtAnotherAgent) {
+  const std::size_t target = StartLongTask();
+  sim.Partition(0, target, Ms(1700));
+  sim.KillEntry(0, Ms(100));
+  sim.RunFor(kRetransmitDelay + Ms(1));
+  sim.Submit(0, "job", 1, kLongWorkMs);
+  sim.RunFor(std::chrono::seconds(3));
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
 // Guards against a second submission of a job that is never answered: its start has the same key as a run of the first
 // submission that is active at the same agent.
 TEST_F(cluster_overlap, SecondSubmissionCompletesAtTargetOfFirst) {
