Reproduce a late start at the restarted target of a frozen agent

Hypothesis H1 of the incident "two runs of one task". An entry takes the runs of a silent agent as ended after 1,850 ms: owner timeout, lease and margin. The bound does not hold if the target restarts meanwhile and executes an unanswered start late, because its frozen agent can neither stop the run nor raise the token.

Trace in ms of virtual time: 20015 the repeated start request starts attempt 1 on minion-0; the first one is executed 4 s late 20050 agent 0 is frozen for 6 s, its target restarts 21855 agent_lost: entry 0 takes the run as ended and starts attempt 2 at agent 1 24001 minion-0 executes the first start request of attempt 1, until 25001

--- a/tests/besteffort/cluster_overlap_test.cc
+++ b/tests/besteffort/cluster_overlap_test.cc
@@ -115,6 +115,16 @@
   EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
 }
 
+// Guards against a start without a response that a restarted target executes seconds later while its agent is frozen,
+// after the entry has taken the runs of the silent agent as ended.
+TEST_F(cluster_overlap, RestartedTargetOfFrozenAgentDoesNotExecuteEarlierStart) {
+  const std::size_t target = StartLongTaskByRepeatedRequest(std::chrono::seconds(4));
+  sim.FreezeAgent(target, std::chrono::seconds(6));
+  sim.CrashTarget(target, duration(0));
+  sim.RunFor(std::chrono::seconds(6));
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
 // Guards against a start without a response that a restarted target executes seconds later, although the previous
 // incarnation had accepted a stop of that run: the new one knows neither the stop nor a fencing token.
 TEST_F(cluster_overlap, RestartedTargetDoesNotExecuteStoppedStart) {
