--- a/tests/besteffort/cluster_overlap_test.cc
+++ b/tests/besteffort/cluster_overlap_test.cc
@@ -205,5 +205,39 @@
   EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
 }
 
+// Guards against a start without a response that the second incarnation after it executes, which has not been fenced
+// yet, after the first one has been.
+TEST_F(cluster_overlap, TwiceRestartedTargetDoesNotExecuteEarlierStart) {
+  // The late request arrives between the second restart and the next heartbeat of the target.
+  const std::size_t target = StartLongTaskByRepeatedRequest(Ms(4300));
+  sim.CrashTarget(target, duration(0));
+  sim.RunFor(Ms(4300 - 50 - 10));
+  sim.CrashTarget(target, duration(0));
+  sim.RunFor(std::chrono::seconds(6));
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
+// Guards against a run that continues because its stop requests are lost while its lease is renewed: its entry is in
+// contact, but its caller has disconnected.
+TEST_F(cluster_overlap, RunOfDisconnectedCallerEndsInTimeWhenStopsAreLost) {
+  StartLongTask();
+  sim.faults.late_requests = 1;
+  sim.DisconnectCaller(0);
+  sim.RunFor(kRetransmitDelay);
+  sim.faults.late_requests = 0;
+  sim.Submit(1, "job", 1, kLongWorkMs);
+  sim.RunFor(std::chrono::seconds(3));
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
+// Guards against a task that is not started again for as long as the target of a restarted agent stays away.
+TEST_F(cluster_overlap, TaskOfLostMachineIsRestartedAlthoughItsAgentReturns) {
+  const std::size_t target = StartLongTask();
+  sim.CrashTarget(target, std::chrono::seconds(60));
+  sim.KillAgent(target, Ms(300));
+  sim.RunFor(std::chrono::seconds(10));
+  EXPECT_TRUE(sim.jobs()[0].verdict == job_verdict::kCompleted);
+}
+
 }  // namespace
 }  // namespace bamboowing
--- a/tests/besteffort/cluster_test.cc
+++ b/tests/besteffort/cluster_test.cc
@@ -74,6 +74,7 @@
     };
   }
   sim.faults.late_requests = seed % 3 == 0 ? 0.06 : 0;
+  sim.faults.lost_polls = sim.faults.late_requests;
   sim.RunFor(std::chrono::seconds(2));
   for (int i = 0; i < 200; ++i) {
     const int work_ms = i % 4 == 0 ? 900 : 60;
@@ -85,6 +86,7 @@
     sim.RunFor(std::chrono::milliseconds(20) + duration(sim.random().Below(60'000)));
   }
   sim.faults.late_requests = 0;
+  sim.faults.lost_polls = 0;
   sim.RunFor(std::chrono::seconds(15));
 
   EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
--- a/tests/besteffort/run_manager_test.cc
+++ b/tests/besteffort/run_manager_test.cc
@@ -749,5 +749,209 @@
   EXPECT_TRUE(manager.accepting());
 }
 
+// Guards against two runs of one task: the next incarnation of the target has executed a start request late and lists
+// the run, whose lease began with that execution and not with the newest request of the agent.
+TEST_F(run_manager_fixture, RunListedByRestartedTargetIsNotReportedAsLost) {
+  run_requests requests;
+  requests.starts.push_back(Start("a"));
+  SendRequests(requests);
+  manager.OnStartResponse(ActionsOf<send_start_request>()[0].request_id, {request_status::kNoResponse, std::nullopt},
+                          now);
+  Step();
+  poll_response refused;
+  refused.status = request_status::kConnectionRefused;
+  manager.OnPollResponse(ActionsOf<send_poll_request>().back().request_id, refused, now);
+  Step();
+  now += std::chrono::seconds(2);
+  SendRequests({});
+  poll_response executed;
+  executed.running.push_back({"a", 0, 0, 1});
+  AnswerNewestPoll(6, executed);
+  AnswerNewestPoll(6, executed);
+  EXPECT_TRUE(Results().empty()) << "the run is active in the new incarnation";
+}
+
+// Guards against two runs of one task: a run that started longer ago than a request may be late is reported as lost
+// as soon as its target announces its end, while its lease is valid.
+TEST_F(run_manager_fixture, AnnouncedEndOfTargetDoesNotEndLongRun) {
+  StartAccepted("a");
+  poll_response active;
+  active.running.push_back({"a", 0, 0, 1});
+  for (int i = 0; i < 170; ++i) {
+    now += std::chrono::milliseconds(100);
+    SendRequests({});
+    AnswerPolls(active);
+  }
+  ASSERT_TRUE(Results().empty());
+  manager.OnTargetLeft("minion", now);
+  Step();
+  EXPECT_TRUE(Results().empty()) << "the lease was renewed less than 250 ms ago";
+}
+
+// Guards against two runs of one task: a refused connection to a target that was adopted by its announcement shows
+// nothing about the runs of the silent target before it.
+TEST_F(run_manager_fixture, RefusedConnectionToAdoptedTargetDoesNotEndRunsOfSilentOne) {
+  StartAccepted("a");
+  manager.OnTargetAnnounced({"other", 7, "10.0.0.9:99"}, Description(), target_time(10), now);
+  now += Settings().replace_target_after;
+  Step();
+  ASSERT_TRUE(HasAction<use_target>());
+  poll_response refused;
+  refused.status = request_status::kConnectionRefused;
+  manager.OnPollResponse(ActionsOf<send_poll_request>().back().request_id, refused, now);
+  Step();
+  EXPECT_TRUE(Results().empty()) << "the run is active at the silent target until its lease ends";
+}
+
+// Guards against a target that is never adopted: the one before has answered a start request after the announcement
+// and has been silent since.
+TEST_F(run_manager_fixture, AdoptsAnnouncedTargetWhenPresentOneAnsweredOnceMore) {
+  run_requests requests;
+  requests.starts.push_back(Start("a"));
+  SendRequests(requests);
+  manager.OnTargetAnnounced({"other", 7, "10.0.0.9:99"}, Description(), target_time(10), now);
+  now += std::chrono::milliseconds(5);
+  manager.OnStartResponse(ActionsOf<send_start_request>().back().request_id,
+                          {request_status::kAccepted, target_time(1005)}, now);
+  Step();
+  for (int i = 0; i < 100; ++i) {
+    now += std::chrono::milliseconds(100);
+    manager.OnTargetAnnounced({"other", 7, "10.0.0.9:99"}, Description(), target_time(10), now);
+    Step();
+  }
+  EXPECT_TRUE(HasAction<use_target>());
+}
+
+// Guards against capacity and results that are withheld for 15 s after the lease of a replaced target has ended,
+// although the target had answered all start requests.
+TEST_F(run_manager_fixture, AnsweredRunOfReplacedTargetEndsWithItsLease) {
+  StartAccepted("a");
+  manager.OnTargetAnnounced({"other", 7, "10.0.0.9:99"}, Description(), target_time(10), now);
+  now += Settings().replace_target_after;
+  Step();
+  AnswerNewestPoll(7, {});
+  now += std::chrono::milliseconds(1500);
+  SendRequests({});
+  ASSERT_EQ(Results().size(), 1U);
+  EXPECT_EQ(Results()[0].outcome, run_outcome::kLost);
+}
+
+// Guards against announcements that are ignored for good after one with an odd sequence number.
+TEST_F(run_manager_fixture, OddSequenceNumberDoesNotHideDrainingTarget) {
+  manager.OnTargetAnnounced({"minion", 5, "", 7}, Description(), target_time(1000), now);
+  manager.OnTargetAnnounced({"minion", 5, "", std::uint64_t{1} << 62U}, Description(), target_time(1000), now);
+  target_description draining = Description();
+  draining.draining = true;
+  for (std::uint64_t sequence = 8; sequence < 12; ++sequence) {
+    manager.OnTargetAnnounced({"minion", 5, "", sequence}, draining, target_time(1000), now);
+    Step();
+  }
+  EXPECT_FALSE(manager.accepting());
+}
+
+// Guards against an agent that wakes every millisecond for as long as its target is lost.
+TEST_F(run_manager_fixture, LostTargetDoesNotKeepAgentBusy) {
+  StartAccepted("a");
+  poll_response refused;
+  refused.status = request_status::kConnectionRefused;
+  manager.OnPollResponse(ActionsOf<send_poll_request>().back().request_id, refused, now);
+  Step();
+  actions.clear();
+  for (int i = 0; i < 200; ++i) {
+    now += std::chrono::milliseconds(100);
+    Step();
+    for (const send_poll_request& poll : ActionsOf<send_poll_request>()) {
+      manager.OnPollResponse(poll.request_id, refused, now);
+    }
+    for (const open_session& open : ActionsOf<open_session>()) {
+      manager.OnSessionClosed(open.address, "refused", now);
+    }
+    actions.clear();
+  }
+  const instant from = now;
+  int rounds = 0;
+  while (now - from < std::chrono::seconds(1)) {
+    now = *manager.next_wakeup();
+    Step();
+    for (const open_session& open : ActionsOf<open_session>()) {
+      manager.OnSessionClosed(open.address, "refused", now);
+    }
+    actions.clear();
+    ++rounds;
+  }
+  EXPECT_LT(rounds, 100);
+}
+
+// Guards against a target that gets no starts and no lease renewals for 15 s: a run of the target before it is kept,
+// and the entry of that run has ended.
+TEST_F(run_manager_fixture, RunOfReplacedTargetAndEndedEntryDoesNotBlockLeases) {
+  StartAccepted("a");
+  const char* const other_entry = "10.0.0.2:7000";
+  const std::vector<entry_endpoint> entries{{kEntry, "zone", false}, {other_entry, "zone", true}};
+  manager.OnEntries(entries, now);
+  actions.clear();
+  for (int i = 0; i < 10 && !HasAction<open_session>(); ++i) {
+    now += std::chrono::milliseconds(10);
+    Step();
+  }
+  ASSERT_TRUE(HasAction<open_session>());
+  manager.OnSessionOpened(other_entry, now);
+  manager.OnTargetAnnounced({"other", 7, "10.0.0.9:99"}, Description(), target_time(10), now);
+  now += Settings().replace_target_after;
+  Step();
+  AnswerNewestPoll(7, {});
+  ASSERT_TRUE(manager.accepting());
+  now += std::chrono::milliseconds(1200);
+  Step();
+  actions.clear();
+  entry_batch batch;
+  batch.header.sender = "other";
+  batch.header.incarnation = 4;
+  batch.header.sent_at = now;
+  batch.header.echo = now;
+  batch.header.echo_incarnation = 9;
+  batch.runs.starts.push_back(Start("b"));
+  batch.runs.starts.back().need = {1000, 64, 0};
+  manager.OnBatch(other_entry, batch, now);
+  Step();
+  EXPECT_TRUE(HasAction<send_start_request>());
+}
+
+// Guards against the loss of a target that answers: the agent stood still, and handles a repeated announcement of
+// another target before the responses of the present one, which have arrived meanwhile.
+TEST_F(run_manager_fixture, PausedAgentDoesNotReplaceTargetWhoseResponseHasArrived) {
+  StartAccepted("a");
+  manager.OnTargetAnnounced({"other", 7, "10.0.0.9:99"}, Description(), target_time(10), now);
+  Step();
+  now += std::chrono::seconds(1);
+  manager.OnTargetAnnounced({"other", 7, "10.0.0.9:99"}, Description(), target_time(10), now);
+  poll_response active;
+  active.running.push_back({"a", 0, 0, 1});
+  AnswerNewestPoll(5, active);
+  EXPECT_FALSE(HasAction<use_target>());
+}
+
+// Guards against two runs of one task: the response to a start request that was sent to the previous target says that
+// another one has answered, and the runs of the present target are reported as lost.
+TEST_F(run_manager_fixture, LateResponseToStartAtPreviousTargetDoesNotEndRunsOfNewOne) {
+  run_requests requests;
+  requests.starts.push_back(Start("a"));
+  SendRequests(requests);
+  const std::uint64_t earlier_start = ActionsOf<send_start_request>()[0].request_id;
+  poll_response refused;
+  refused.status = request_status::kConnectionRefused;
+  manager.OnPollResponse(ActionsOf<send_poll_request>().back().request_id, refused, now);
+  manager.OnTargetAnnounced({"other", 7}, Description(), target_time(10), now);
+  Step();
+  AnswerNewestPoll(7, {});
+  ASSERT_TRUE(manager.accepting());
+  StartAccepted("b");
+  manager.OnStartResponse(earlier_start, {request_status::kOtherIncarnation, target_time(20)}, now);
+  Step();
+  for (const run_result& ended : Results()) {
+    EXPECT_NE(ended.key.job_id, "b") << "the run is active at the present target";
+  }
+}
+
 }  // namespace
 }  // namespace bamboowing
