--- a/include/bamboowing/besteffort/run_manager.h
+++ b/include/bamboowing/besteffort/run_manager.h
@@ -230,8 +230,10 @@
   void RecordRequestSent(instant now);
   void RecordResponse(instant now);
   void RaiseToken();
+  /// Whether the announcement names another address for the present incarnation.
+  bool IsMoved(const target_incarnation& announced) const;
   /// Whether the announcement is older than what is known of the target.
-  bool IsOutdated(const target_incarnation& announced) const;
+  bool IsOutdated(const target_incarnation& announced, instant now) const;
   void UpdateDescription(const target_incarnation& announced, const target_description& target,
                          std::optional<target_time> clock, instant now);
   /// Another target than the present one announced itself. It is adopted if the present one does not answer a poll.
@@ -327,6 +329,7 @@
   std::optional<target_candidate> candidate_;
   target_description target_;
   bool target_described_ = false;  ///< whether target_ comes from the current incarnation
+  instant described_at_;           ///< when the newest announcement of the target was accepted
   std::uint64_t token_ = 0;
   std::uint64_t token_step_ = 1;
   std::uint64_t newest_start_token_ = 0;      ///< fencing token of the newest start request
