Match the result of a run by its agent, not only by its key

Cause: each submission of a job numbers the attempts of its tasks from 1. An entry that got a job again, or that was restarted, took the late result of an earlier submission's run at one agent for the result of its own run, with the same key, at another agent. It started the task once more while the run went on. An inventory with such a key was also taken as that of the entry's own run, so the run was not stopped. The class of the fault: an identifier that is not unique over the lifetime of what it names.

Change: a result or an active run in an inventory counts only for a run at that agent.

--- a/src/besteffort/dispatch_runs.cc
+++ b/src/besteffort/dispatch_runs.cc
@@ -83,7 +83,8 @@
     }
   }
   for (const run_key& key : report.active_runs) {
-    if (runs_.count(key) == 0) {
+    const run_map::const_iterator run = runs_.find(key);
+    if (run == runs_.end() || run->second.target != target.index) {
       target.pending_requests.stops.push_back(key);  // no job of this entry needs the run
     }
   }
@@ -107,7 +108,9 @@
 
 void dispatch_core::OnRunEnded(fleet_target& from, const run_result& end, instant now) {
   const run_map::iterator run = runs_.find(end.key);
-  if (run == runs_.end()) {
+  // Each submission of a job numbers its attempts from 1: an agent may still report a run of an earlier submission that
+  // has the key of a run at another agent.
+  if (run == runs_.end() || run->second.target != from.index) {
     return;
   }
   ++outcome_counts_[end.outcome];
