End runs at an agent whose earlier process is gone, and starts lost with a session

What callers saw: jobs that stayed open until their deadline.

Causes: an entry kept the runs of an agent's earlier process until the new process had a usable target; if the target stayed away, its reports kept the loss timeout from expiring. And after a new session, a result that had been received before, of an earlier submission's run with the same key, was taken as a sign that a lost start had arrived.

Change: the loss timeout of an earlier process counts from its last report; an inventory counts only results that are new.

--- a/include/bamboowing/besteffort/target_fleet.h
+++ b/include/bamboowing/besteffort/target_fleet.h
@@ -28,13 +28,14 @@
   /// Starts sent in this session that the newest report does not include yet, by sequence number.
   std::deque<std::pair<std::uint64_t, resource_amount>> unreported_starts;
   resource_amount unreported_sum;
-  std::uint64_t starts_sent = 0;       ///< in this session
-  std::uint64_t results_received = 0;  ///< number of the newest result from this incarnation of the agent
-  instant last_report_at;              ///< when the newest report arrived; set to the opening time by a new session
-  instant agent_clock;                 ///< agent's clock in the newest report, echoed to the agent
-  instant last_sent_at;                ///< when the newest batch was sent
-  instant last_success_at;             ///< when a run of this entry last succeeded at the target
-  instant backoff_until;               ///< no starts before this time, after the target rejected one
+  std::uint64_t starts_sent = 0;             ///< in this session
+  std::uint64_t results_received = 0;        ///< number of the newest result from this incarnation of the agent
+  std::optional<instant> earlier_report_at;  ///< when the newest report of an earlier incarnation of the agent arrived
+  instant last_report_at;   ///< when the newest report arrived; set to the opening time by a new session
+  instant agent_clock;      ///< agent's clock in the newest report, echoed to the agent
+  instant last_sent_at;     ///< when the newest batch was sent
+  instant last_success_at;  ///< when a run of this entry last succeeded at the target
+  instant backoff_until;    ///< no starts before this time, after the target rejected one
   speed_estimate speed;
   std::uint32_t own_runs = 0;  ///< runs of this entry at the target
   run_requests pending_requests;
--- a/src/besteffort/dispatch_runs.cc
+++ b/src/besteffort/dispatch_runs.cc
@@ -68,7 +68,10 @@
 void dispatch_core::ReconcileInventory(fleet_target& target, const run_report& report, instant now) {
   std::set<run_key> reported(report.active_runs.begin(), report.active_runs.end());
   for (const run_result& end : report.results) {
-    reported.insert(end.key);
+    // A result that was received before may be that of an earlier run with the same key.
+    if (end.sequence > target.results_received) {
+      reported.insert(end.key);
+    }
   }
   std::vector<run_key> missing;
   for (run_map::value_type& item : runs_) {
@@ -272,6 +275,10 @@
       LogEvent("agent_lost", "", "agent " + target.agent + ", runs " + std::to_string(target.own_runs));
       EndLostRuns(target, true, now);
     }
+    if (target.earlier_report_at && now - *target.earlier_report_at >= loss_timeout) {
+      target.earlier_report_at.reset();
+      EndLostRuns(target, false, now);
+    }
   }
 }
 
--- a/src/besteffort/target_fleet.cc
+++ b/src/besteffort/target_fleet.cc
@@ -68,6 +68,7 @@
   const bool restarted = target.agent_incarnation != 0 && target.agent_incarnation != batch.header.incarnation;
   if (target.agent_incarnation != batch.header.incarnation) {
     target.agent_incarnation = batch.header.incarnation;
+    target.earlier_report_at = target.last_report_at;
     target.results_received = 0;
     target.agent_clock = instant{};
   }
