Bound the runs of lost, restarted and replaced targets by what may still happen

Other effects: a busy loop while a target is lost, no leases or capacity because of a run at a replaced target, a candidate that was never adopted, a draining target hidden by an odd sequence number, and stops that are lost while their caller submits again.

Change: runs and requests carry the generation of the target that they were sent to; a response counts for the run, and for the target only if it is the present one. A run has one time until which it may be active, from its lease, its start requests without a response, and the longest lease of a target that lists it. While a start request without a response may still be executed, a lost or idle target is polled every 60 ms, and not otherwise.

A broken connection counts as no response: the protocol does not say that such a request is never executed later.

--- a/include/bamboowing/besteffort/leased_target.h
+++ b/include/bamboowing/besteffort/leased_target.h
@@ -28,7 +28,6 @@
   kRejected,           ///< the target or the client could not parse the message; a malformed request is not executed
   kOtherIncarnation,   ///< another incarnation of the target answered; not executed
   kConnectionRefused,  ///< nothing listens at the address; not executed
-  kConnectionBroken,   ///< the peer closed the connection: may have been executed, will not be executed later
   kNoResponse,         ///< may have been executed, or may be executed later, also by a later incarnation of the target
 };
 
--- a/include/bamboowing/besteffort/run_manager.h
+++ b/include/bamboowing/besteffort/run_manager.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -23,14 +24,18 @@
   agent_settings agent;           ///< identity and sessions; the entries are set by OnEntries()
   std::uint64_t first_token = 1;  ///< fencing token of this agent process; raised when the target has seen a higher one
   duration lease{1'000'000};      ///< duration of the lease of all runs at the target
+  duration max_lease{1'000'000};  ///< the target shortens longer leases to this, also those of late requests
   duration renew_after{250'000};  ///< age at which a lease is renewed
   duration poll_wait{200'000};    ///< how long the target may delay the response to a poll until a run finishes
   /// A target that leaves a request unanswered for this long receives no starts and no lease renewals.
   duration unresponsive_after{120'000};
   duration poll_interval{50'000};  ///< interval between polls of an unresponsive target
-  /// Interval between polls of a target that refuses connections. Each poll carries a fencing token above those of all
-  /// earlier starts, so the next incarnation executes a delayed start at most until its first poll.
-  duration lost_poll_interval{60'000};
+  /// Upper bound of the time from sending a request to its execution at a target that leaves it unanswered. Assumed:
+  /// the targets state no bound.
+  duration max_request_delay{15'000'000};
+  /// Interval between polls of a lost or idle target while a start request without a response may still be executed:
+  /// its next incarnation executes such a request at most until its first poll, which carries a higher fencing token.
+  duration fence_poll_interval{60'000};
   /// The response to a long poll may be lost. While the target has runs, it is polled again after this time.
   duration poll_overdue_after{45'000};
   duration stop_retry_interval{60'000};  ///< interval between stop requests for the same run
@@ -168,8 +173,8 @@
 
   struct managed_run {
     run_start start;
-    std::string owner;      ///< address of the entry that requested the run
-    std::string target_id;  ///< target that the start requests were sent to
+    std::string owner;                    ///< address of the entry that requested the run
+    std::uint64_t target_generation = 0;  ///< target that the start requests were sent to
     run_state state = run_state::kWaiting;
     instant state_since;                ///< when the current state was entered
     std::uint32_t start_requests = 0;   ///< number of start requests sent
@@ -178,12 +183,12 @@
     std::uint32_t start_responses = 0;  ///< number of start requests that will not be executed later than now
     instant accepted_at;                ///< when the target was first known to have accepted the run; zero if unknown
     instant start_unanswered_at;        ///< when a start request last timed out
-    /// The target was lost or restarted during this run. A later incarnation may execute a start request that was sent
-    /// to an earlier one, and evaluates its lease on another clock.
-    bool spans_incarnations = false;
-    /// Entry that has requested the same run since: its caller submitted the job again. It gets a result when the run
-    /// has ended.
-    std::optional<std::string> next_owner;
+    /// Set if the target was lost, restarted or replaced during this run: the run may be active until then even if no
+    /// request reaches the target.
+    std::optional<instant> may_run_until;
+    /// Entries that have requested the same run since: the caller submitted the job again. They get a result when the
+    /// run has ended.
+    std::set<std::string> later_owners;
     std::optional<instant> last_stop_request_at;  ///< when the newest stop request was sent
     std::optional<instant> stop_accepted_at;      ///< when the target accepted a stop request
   };
@@ -209,6 +214,7 @@
     run_key key;
     instant sent_at;
     std::uint64_t token = 0;
+    std::uint64_t target_generation = 0;
   };
   struct pending_poll {
     instant sent_at;
@@ -225,9 +231,15 @@
   void HandleStartResponse(run_map::iterator run, request_status status, instant now);
   /// Whether a start request for the run is unanswered and has not timed out.
   bool HasPendingStart(const run_key& key) const;
+  /// Whether a start request without a response may still be executed.
+  bool MayExecuteLateStart(instant now) const { return now < late_start_until_; }
+  /// Whether the target is polled although it has no runs and refuses connections or is idle: its next incarnation must
+  /// see a higher fencing token before it executes a late start request.
+  bool FencePollDue(instant now) const;
   static void MarkAccepted(managed_run& run, instant now);
   void HandleUnansweredStart(run_map::iterator run, instant now);
-  void HandleResponse(const request_response& response, instant now);
+  /// Returns whether the response is that of the present target.
+  bool HandleResponse(const request_response& response, const pending_request& request, instant now);
   /// The target refused a request with the fencing token @p token because it has seen a higher one.
   void HandleFenced(std::uint64_t token);
   void RecordRequestSent(instant now);
@@ -261,7 +273,8 @@
   void BeginReconciliation();
   /// Ends the waiting runs and notifies all entries that the target accepts no starts.
   void SuspendAdmission(instant now);
-  void MarkRunsSpanningIncarnations();
+  /// Sets how long the present target's runs may be active although it is lost, restarted or replaced.
+  void ExtendRunsOverLoss(instant now);
   bool HasAllRuns(span<const run_key> listed) const;
   void Admit(const std::string& entry, const run_start& start, instant now);
   /// The entry requests a run that the agent already has.
@@ -289,6 +302,8 @@
   void SendPoll(duration wait, instant now);
   /// When the target is polled again although a response is outstanding.
   instant NextPollAt() const;
+  /// Longest lease at the target by the agent's clock, with the delay of the request that grants it.
+  duration MaxLease() const;
   /// When the run has certainly ended because its lease expired, if the target does not respond.
   instant LeaseExpiryBound(const managed_run& run) const;
   void ExpireUnleasedRuns(instant now);
@@ -324,7 +339,8 @@
 
   phase phase_ = phase::kUnknown;
   target_incarnation target_incarnation_;
-  std::map<std::string, std::string> replaced_targets_;  ///< earlier targets that may have runs: address by id
+  std::uint64_t target_generation_ = 0;                    ///< increases when another target or address is adopted
+  std::map<std::uint64_t, std::string> replaced_targets_;  ///< earlier targets that may have runs: their addresses
   /// Another target that announced itself.
   struct target_candidate {
     target_incarnation incarnation;
@@ -349,7 +365,7 @@
   /// When the oldest request was sent since the last response.
   std::optional<instant> unanswered_since_;
   instant next_reconcile_poll_;  ///< in kReconciling and kLost
-  instant lost_at_;              ///< when kLost was entered
+  instant late_start_until_;     ///< until then, a start request without a response may be executed
   bool draining_ = false;
 
   std::uint64_t last_request_id_ = 0;
--- a/src/besteffort/run_manager.cc
+++ b/src/besteffort/run_manager.cc
@@ -92,7 +92,7 @@
   text +=
       run.accepted_at == instant{} ? ", never accepted" : ", accepted " + Milliseconds(now - run.accepted_at) + " ago";
   text += run.stop_accepted_at ? ", stop accepted " + Milliseconds(now - *run.stop_accepted_at) + " ago" : "";
-  text += run.spans_incarnations ? ", spans incarnations of the target" : "";
+  text += run.may_run_until ? ", the target was lost or restarted" : "";
   return text + ", contact with the entry " + Milliseconds(now - LastContact(run.owner)) + " ago";
 }
 
@@ -118,9 +118,9 @@
     end.run_time = now - ended.accepted_at;
   }
   AddResult(ended.owner, std::move(end));
-  if (ended.next_owner) {
+  for (const std::string& entry : ended.later_owners) {
     // The attempt is used up at the target, so the entry continues with a higher one.
-    AddResult(*ended.next_owner, {0, run->first, run_outcome::kStaleAttempt, duration(0)});
+    AddResult(entry, {0, run->first, run_outcome::kStaleAttempt, duration(0)});
   }
   runs_.erase(run);
 }
@@ -131,7 +131,7 @@
     return;
   }
   LogEvent("run_requested_twice", run->first.job_id, "entry " + entry + ", " + DescribeRun(run->first, present, now));
-  present.next_owner = entry;
+  present.later_owners.insert(entry);
   if (present.state == run_state::kWaiting) {
     EndRun(run, run_outcome::kStopped, "requested by another entry", now);
   } else {
@@ -149,7 +149,7 @@
   for (run_map::iterator run = runs_.begin(); run != runs_.end();) {
     const run_map::iterator ending = run++;
     const bool waiting = ending->second.state == run_state::kWaiting;
-    if (waiting || ending->second.target_id == target_incarnation_.id) {
+    if (waiting || ending->second.target_generation == target_generation_) {
       EndRun(ending, waiting ? run_outcome::kUnavailable : outcome, reason, now);
     }
   }
@@ -218,9 +218,9 @@
   ++run.start_requests;
   run.last_start_request_at = now;
   run.start_token = token_;
-  run.target_id = target_incarnation_.id;
+  run.target_generation = target_generation_;
   newest_start_token_ = token_;
-  pending_starts_.emplace(++last_request_id_, pending_request{key, now, token_});
+  pending_starts_.emplace(++last_request_id_, pending_request{key, now, token_, target_generation_});
   actions_.emplace_back(send_start_request{last_request_id_, {RequestContext(), key, run.start.payload, lease_end}});
   last_lease_sent_at_ = now;
   RecordRequestSent(now);
@@ -249,14 +249,17 @@
   if (pending.empty()) {
     return;
   }
-  HandleResponse(response, now);
-  if (response.status == request_status::kFenced) {
-    HandleFenced(pending.mapped().token);
+  const bool of_present_target = HandleResponse(response, pending.mapped(), now);
+  if (response.status == request_status::kNoResponse) {
+    late_start_until_ = std::max(late_start_until_, pending.mapped().sent_at + settings_.max_request_delay);
   }
   if (const run_map::iterator run = runs_.find(pending.mapped().key); run != runs_.end()) {
     run->second.start_responses += response.status == request_status::kNoResponse ? 0 : 1;
     HandleStartResponse(run, response.status, now);
   }
+  if (!of_present_target) {
+    return;
+  }
   if (response.status == request_status::kOtherIncarnation) {
     ReplaceTarget("a start request reached another incarnation", now);
   } else if (response.status == request_status::kConnectionRefused) {
@@ -272,7 +275,7 @@
     MarkAccepted(target_run, now);
     return;
   }
-  if (status == request_status::kNoResponse || status == request_status::kConnectionBroken) {
+  if (status == request_status::kNoResponse) {
     HandleUnansweredStart(run, now);
     return;
   }
@@ -314,11 +317,18 @@
   LogEvent("start_unanswered", run->first.job_id, "attempt " + std::to_string(run->first.attempt));
 }
 
-void run_manager::HandleResponse(const request_response& response, instant now) {
+bool run_manager::HandleResponse(const request_response& response, const pending_request& request, instant now) {
+  if (request.target_generation != target_generation_) {
+    return false;
+  }
   SampleClock(response.clock, now);
-  if (response.status != request_status::kNoResponse && response.status != request_status::kConnectionBroken) {
+  if (response.status != request_status::kNoResponse) {
     RecordResponse(now);
   }
+  if (response.status == request_status::kFenced) {
+    HandleFenced(request.token);
+  }
+  return true;
 }
 
 void run_manager::HandleFenced(std::uint64_t token) {
@@ -340,7 +350,7 @@
 
 void run_manager::SendStop(const run_key& key, instant now) {
   RecordRequestSent(now);
-  pending_stops_.emplace(++last_request_id_, pending_request{key, now, token_});
+  pending_stops_.emplace(++last_request_id_, pending_request{key, now, token_, target_generation_});
   actions_.emplace_back(send_stop_request{last_request_id_, {RequestContext(), key}});
 }
 
@@ -363,9 +373,8 @@
   if (pending.empty()) {
     return;
   }
-  HandleResponse(response, now);
-  if (response.status == request_status::kFenced) {
-    HandleFenced(pending.mapped().token);
+  if (!HandleResponse(response, pending.mapped(), now)) {
+    return;
   }
   if (response.status == request_status::kOtherIncarnation) {
     ReplaceTarget("a stop request reached another incarnation", now);
--- a/src/besteffort/run_manager_entries.cc
+++ b/src/besteffort/run_manager_entries.cc
@@ -265,7 +265,7 @@
   if (!to.initial_report_sent) {
     report.has_inventory = true;
     for (const std::pair<const run_key, managed_run>& run : runs_) {
-      if (run.second.owner == session.address) {
+      if (run.second.owner == session.address || run.second.later_owners.count(session.address) != 0) {
         report.active_runs.push_back(run.first);
       }
     }
--- a/src/besteffort/run_manager_incarnations.cc
+++ b/src/besteffort/run_manager_incarnations.cc
@@ -26,6 +26,12 @@
   } else if (announced.id != target_incarnation_.id || IsMoved(announced)) {
     ConsiderTarget(announced, target, clock, now);
   } else if (IsOutdated(announced, now)) {
+    // Draining is final for an incarnation, so it holds whatever the order of the announcements.
+    const bool drains = announced == target_incarnation_ && target.draining && !target_.draining;
+    target_.draining = target_.draining || drains;
+    for (std::pair<const std::string, owner>& to : owners_) {
+      to.second.target_update_pending = to.second.target_update_pending || drains;
+    }
     LogEvent("announcement_ignored", "", Describe(announced) + ", present " + Describe(target_incarnation_));
   } else {
     UpdateDescription(announced, target, clock, now);
@@ -84,10 +90,11 @@
   if (first) {
     LogEvent("target_announced", "", Describe(announced) + ", present " + Describe(target_incarnation_));
   }
-  if (phase_ != phase::kLost) {
+  if (phase_ == phase::kLost) {
+    AdoptCandidate(now);
+  } else {
     SendPoll(duration(0), now);
   }
-  AdoptCandidate(now);
 }
 
 void run_manager::AdoptCandidate(instant now) {
@@ -95,8 +102,8 @@
     return;
   }
   const bool gone = phase_ == phase::kUnknown || phase_ == phase::kLost;
-  const bool silent =
-      now - candidate_->announced_at >= settings_.replace_target_after && last_response_at_ <= candidate_->announced_at;
+  // Checked once all inputs are handled: after a pause of the agent, a response may wait behind the announcement.
+  const bool silent = now - std::max(candidate_->announced_at, last_response_at_) >= settings_.replace_target_after;
   if (gone || silent) {
     const target_candidate adopted = *std::exchange(candidate_, std::nullopt);
     AdoptTarget(adopted.incarnation, adopted.target, adopted.clock, now);
@@ -106,11 +113,11 @@
 void run_manager::AdoptTarget(const target_incarnation& announced, const target_description& target,
                               std::optional<target_time> clock, instant now) {
   if (!target_incarnation_.id.empty()) {
-    replaced_targets_[target_incarnation_.id] = target_incarnation_.address;
+    replaced_targets_[target_generation_] = target_incarnation_.address;
     SuspendAdmission(now);
-    MarkRunsSpanningIncarnations();
+    ExtendRunsOverLoss(now);
   }
-  replaced_targets_.erase(announced.id);
+  ++target_generation_;
   target_incarnation_ = announced;
   target_ = target;
   target_described_ = true;
@@ -131,8 +138,8 @@
   }
   for (run_map::iterator run = runs_.begin(); run != runs_.end();) {
     const run_map::iterator ending = run++;
-    const std::map<std::string, std::string>::const_iterator replaced =
-        replaced_targets_.find(ending->second.target_id);
+    const std::map<std::uint64_t, std::string>::const_iterator replaced =
+        replaced_targets_.find(ending->second.target_generation);
     if (replaced != replaced_targets_.end() && replaced->second == target_incarnation_.address) {
       EndRun(ending, run_outcome::kLost, "another target answers at its address", now);
     }
@@ -147,7 +154,7 @@
   LogEvent("target_leaves", "", Describe(target_incarnation_) + ", runs " + std::to_string(runs_.size()));
   target_.draining = true;
   SuspendAdmission(now);
-  MarkRunsSpanningIncarnations();
+  ExtendRunsOverLoss(now);
   BeginReconciliation();
 }
 
@@ -175,15 +182,14 @@
     const run_map::iterator ending = run++;
     const managed_run& lost = ending->second;
     const instant settled = std::max(lost.accepted_at, lost.start_unanswered_at);
-    if (settled <= refused_at && lost.start_responses == lost.start_requests) {
+    const bool at_target = lost.target_generation == target_generation_;
+    if (at_target && settled <= refused_at && lost.start_responses == lost.start_requests) {
       EndRun(ending, run_outcome::kLost, reason, now);
     }
   }
-  MarkRunsSpanningIncarnations();
+  ExtendRunsOverLoss(now);
   BeginReconciliation();
   phase_ = phase::kLost;
-  lost_at_ = now;
-  next_reconcile_poll_ = now + settings_.lost_poll_interval;
   AdoptCandidate(now);
 }
 
@@ -199,13 +205,22 @@
     // The new incarnation has no record of stop requests that the previous one accepted.
     run.second.stop_accepted_at.reset();
   }
-  MarkRunsSpanningIncarnations();
+  ExtendRunsOverLoss(now);
   BeginReconciliation();
 }
 
-void run_manager::MarkRunsSpanningIncarnations() {
-  for (std::pair<const run_key, managed_run>& run : runs_) {
-    run.second.spans_incarnations = true;
+void run_manager::ExtendRunsOverLoss(instant now) {
+  for (std::pair<const run_key, managed_run>& item : runs_) {
+    managed_run& run = item.second;
+    if (run.target_generation != target_generation_ || run.state == run_state::kWaiting) {
+      continue;
+    }
+    instant until = std::max(now, LeaseExpiryBound(run));
+    if (run.start_responses < run.start_requests) {
+      // A later incarnation may execute the request, with a lease on another clock.
+      until = std::max(until, run.last_start_request_at + settings_.max_request_delay + MaxLease());
+    }
+    run.may_run_until = until;
   }
 }
 
--- a/src/besteffort/run_manager_target.cc
+++ b/src/besteffort/run_manager_target.cc
@@ -15,8 +15,6 @@
 constexpr duration kListDelay = std::chrono::milliseconds(200);
 // Upper bound of the time from sending a request to its arrival at a target on the same machine.
 constexpr duration kRequestDelay = std::chrono::milliseconds(50);
-// Upper bound of the time from sending a request to its execution at a target that leaves requests unanswered.
-constexpr duration kMaxRequestDelay = std::chrono::seconds(15);
 constexpr duration kMinSleep = std::chrono::milliseconds(1);
 constexpr std::uint64_t kMaxTokenStep = 1ULL << 40U;
 
@@ -50,8 +48,14 @@
   }
   instant end = now + settings_.lease;
   for (const std::pair<const run_key, managed_run>& run : runs_) {
-    if (run.second.state != run_state::kWaiting) {
-      end = std::min(end, LastContact(run.second.owner) + settings_.owner_lease_limit);
+    const bool at_target =
+        run.second.state != run_state::kWaiting && run.second.target_generation == target_generation_;
+    if (!at_target) {
+      continue;
+    }
+    end = std::min(end, LastContact(run.second.owner) + settings_.owner_lease_limit);
+    if (run.second.state == run_state::kStopping) {
+      end = std::min(end, run.second.state_since + settings_.owner_lease_limit);
     }
   }
   if (end <= now) {
@@ -76,25 +80,41 @@
 instant run_manager::LeaseExpiryBound(const managed_run& run) const {
   const duration lease(
       static_cast<std::int64_t>(static_cast<double>(settings_.lease.count()) * (1 + 2 * settings_.clock_drift)));
-  if (run.spans_incarnations) {
-    return run.last_start_request_at + kMaxRequestDelay + lease;
-  }
   // Without a response for this long, the lease has expired at the target even if every request arrived late.
-  return last_lease_sent_at_ + lease + kRequestDelay;
+  const instant renewed_until = last_lease_sent_at_ + lease + kRequestDelay;
+  if (!run.may_run_until) {
+    return renewed_until;
+  }
+  const bool at_target = run.target_generation == target_generation_;
+  return at_target ? std::max(renewed_until, *run.may_run_until) : *run.may_run_until;
+}
+
+duration run_manager::MaxLease() const {
+  const double lease = static_cast<double>(settings_.max_lease.count()) * (1 + 2 * settings_.clock_drift);
+  return duration(static_cast<std::int64_t>(lease)) + kRequestDelay;
+}
+
+bool run_manager::FencePollDue(instant now) const {
+  const bool idle = phase_ == phase::kServing && !TargetHasRuns() && TargetResponsive(now);
+  return (phase_ == phase::kLost || idle) && MayExecuteLateStart(now) && pending_polls_.empty() &&
+         now - last_poll_at_ >= settings_.fence_poll_interval;
 }
 
 void run_manager::ExpireUnleasedRuns(instant now) {
   bool lapsed = false;
+  bool lapsed_at_target = false;
   for (run_map::iterator run = runs_.begin(); run != runs_.end();) {
     const run_map::iterator ending = run++;
     if (ending->second.state != run_state::kWaiting && now >= LeaseExpiryBound(ending->second)) {
+      const bool at_target = ending->second.target_generation == target_generation_;
       EndRun(ending, run_outcome::kLost, "its lease expired without a response", now);
       lapsed = true;
+      lapsed_at_target = lapsed_at_target || at_target;
     }
   }
   if (lapsed) {
     LogEvent("lease_lapsed", "", "lease expired without a response from the target");
-    if (phase_ == phase::kServing) {
+    if (lapsed_at_target && phase_ == phase::kServing) {
       BeginReconciliation();
     }
     for (std::pair<const std::string, owner>& to : owners_) {
@@ -107,12 +127,16 @@
   if (phase_ == phase::kUnknown) {
     return;
   }
-  if (phase_ == phase::kLost && now - lost_at_ >= kMaxRequestDelay + settings_.lease) {
-    return;  // no start request is left that the next incarnation could execute
+  if (FencePollDue(now)) {
+    SendPoll(duration(0), now);
+    return;
+  }
+  if (phase_ == phase::kLost) {
+    return;
   }
-  if (phase_ == phase::kReconciling || phase_ == phase::kLost) {
+  if (phase_ == phase::kReconciling) {
     if (pending_polls_.empty() && now >= next_reconcile_poll_) {
-      next_reconcile_poll_ = now + (phase_ == phase::kLost ? settings_.lost_poll_interval : kReconcileInterval);
+      next_reconcile_poll_ = now + kReconcileInterval;
       SendPoll(duration(0), now);
     }
     return;
@@ -254,13 +278,16 @@
       continue;
     }
     MarkAccepted(run->second, now);
-    // The present incarnation has the run and evaluates its lease.
-    run->second.spans_incarnations = false;
+    managed_run& listed_run = run->second;
+    listed_run.target_generation = target_generation_;
+    if (listed_run.may_run_until) {
+      listed_run.may_run_until = std::max(*listed_run.may_run_until, now + MaxLease());
+    }
   }
   for (run_map::iterator run = runs_.begin(); run != runs_.end();) {
     const run_map::iterator known = run++;
     const bool at_target =
-        known->second.state != run_state::kWaiting && known->second.target_id == target_incarnation_.id;
+        known->second.state != run_state::kWaiting && known->second.target_generation == target_generation_;
     if (at_target && !std::binary_search(listed.begin(), listed.end(), known->first)) {
       HandleUnlistedRun(known, poll, now);
     }
@@ -302,9 +329,12 @@
   if (const std::optional<instant> session = sessions_.next_wakeup({}); session) {
     next = std::min(next, *session);
   }
-  if ((phase_ == phase::kReconciling || phase_ == phase::kLost) && pending_polls_.empty()) {
+  if (phase_ == phase::kReconciling && pending_polls_.empty()) {
     next = std::min(next, next_reconcile_poll_);
   }
+  if (MayExecuteLateStart(last_now_) && pending_polls_.empty()) {
+    next = std::min(next, last_poll_at_ + settings_.fence_poll_interval);
+  }
   for (const std::pair<const run_key, managed_run>& run : runs_) {
     if (run.second.state != run_state::kWaiting) {
       next = std::min(next, LeaseExpiryBound(run.second));
--- a/src/service/best_effort_agent.cc
+++ b/src/service/best_effort_agent.cc
@@ -99,6 +99,7 @@
   manager.agent.backoff_max = kBackoffMax;
   manager.first_token = InitialToken();
   manager.lease = std::min(settings.best_effort.lease, kMaxLease);
+  manager.max_lease = settings.best_effort.lease;
   return manager;
 }
 
