--- a/src/besteffort/dispatch_runs.cc
+++ b/src/besteffort/dispatch_runs.cc
@@ -68,7 +68,10 @@
 void dispatch_core::ReconcileInventory(fleet_target& target, const run_report& report, instant now) {
   std::set<run_key> reported(report.active_runs.begin(), report.active_runs.end());
   for (const run_result& end : report.results) {
-    reported.insert(end.key);
+    // A result that was received before may be that of an earlier run with the same key.
+    if (end.sequence > target.results_received) {
+      reported.insert(end.key);
+    }
   }
   std::vector<run_key> missing;
   for (run_map::value_type& item : runs_) {
@@ -83,7 +86,8 @@
     }
   }
   for (const run_key& key : report.active_runs) {
-    if (runs_.count(key) == 0) {
+    const run_map::const_iterator run = runs_.find(key);
+    if (run == runs_.end() || run->second.target != target.index) {
       target.pending_requests.stops.push_back(key);  // no job of this entry needs the run
     }
   }
@@ -107,7 +111,9 @@
 
 void dispatch_core::OnRunEnded(fleet_target& from, const run_result& end, instant now) {
   const run_map::iterator run = runs_.find(end.key);
-  if (run == runs_.end()) {
+  // Each submission of a job numbers its attempts from 1: an agent may still report a run of an earlier submission that
+  // has the key of a run at another agent.
+  if (run == runs_.end() || run->second.target != from.index) {
     return;
   }
   ++outcome_counts_[end.outcome];
@@ -269,6 +275,10 @@
       LogEvent("agent_lost", "", "agent " + target.agent + ", runs " + std::to_string(target.own_runs));
       EndLostRuns(target, true, now);
     }
+    if (target.earlier_report_at && now - *target.earlier_report_at >= loss_timeout) {
+      target.earlier_report_at.reset();
+      EndLostRuns(target, false, now);
+    }
   }
 }
 
--- a/tests/besteffort/cluster_overlap_test.cc
+++ b/tests/besteffort/cluster_overlap_test.cc
@@ -115,6 +115,16 @@
   EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
 }
 
+// Guards against a start without a response that a restarted target executes seconds later while its agent is frozen,
+// after the entry has taken the runs of the silent agent as ended.
+TEST_F(cluster_overlap, RestartedTargetOfFrozenAgentDoesNotExecuteEarlierStart) {
+  const std::size_t target = StartLongTaskByRepeatedRequest(std::chrono::seconds(4));
+  sim.FreezeAgent(target, std::chrono::seconds(6));
+  sim.CrashTarget(target, duration(0));
+  sim.RunFor(std::chrono::seconds(6));
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
 // Guards against a start without a response that a restarted target executes seconds later, although the previous
 // incarnation had accepted a stop of that run: the new one knows neither the stop nor a fencing token.
 TEST_F(cluster_overlap, RestartedTargetDoesNotExecuteStoppedStart) {
@@ -129,6 +139,28 @@
   EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
 }
 
+// Guards against a lease that is renewed at a restarted target by a late poll which was sent to the previous
+// incarnation: its lease end lies in the future of the new clock, and the agent takes the runs as ended before the
+// lease has expired.
+TEST_F(cluster_overlap, LatePollOfEarlierIncarnationDoesNotExtendLease) {
+  const std::size_t target = StartLongTask();
+  sim.faults.late_requests_outlive_target = true;
+  sim.faults.late_delay = std::chrono::seconds(4);
+  sim.faults.lost_polls = 1;
+  sim.RunFor(Ms(150));
+  sim.faults.lost_polls = 0;
+  sim.CrashTarget(target, duration(0));
+  sim.DisconnectCaller(0);
+  sim.RunFor(std::chrono::seconds(2));
+  constexpr std::uint32_t kTasks = 8;  // two on each target
+  sim.Submit(0, "wide", kTasks, kLongWorkMs);
+  sim.RunFor(Ms(1300));
+  ASSERT_GT(sim.target(target).running(), 0U);
+  sim.SilenceTarget(target, std::chrono::seconds(3));
+  sim.RunFor(std::chrono::seconds(2));
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
 // Guards against runs that are reported as lost while they are active because a heartbeat of the target's predecessor
 // arrives after the target has registered.
 TEST_F(cluster_overlap, LateHeartbeatOfEarlierTargetDoesNotEndRuns) {
@@ -185,6 +217,29 @@
   EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
 }
 
+// Guards against a result that ends another run: the result of a run of an earlier submission of the job arrives from a
+// disconnected agent and has the same key as an active run at another agent.
+TEST_F(cluster_overlap, ResultOfEarlierSubmissionDoesNotEndRunAtAnotherAgent) {
+  const std::size_t target = StartLongTask();
+  sim.Partition(0, target, Ms(2500));
+  sim.DisconnectCaller(0);
+  sim.RunFor(Ms(2200));
+  sim.Submit(0, "job", 1, kLongWorkMs);
+  sim.RunFor(std::chrono::seconds(3));
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
+// As above, but the earlier submission was accepted by the previous process of a restarted entry.
+TEST_F(cluster_overlap, ResultForRestartedEntryDoesNotEndItsRunAtAnotherAgent) {
+  const std::size_t target = StartLongTask();
+  sim.Partition(0, target, Ms(1700));
+  sim.KillEntry(0, Ms(100));
+  sim.RunFor(kRetransmitDelay + Ms(1));
+  sim.Submit(0, "job", 1, kLongWorkMs);
+  sim.RunFor(std::chrono::seconds(3));
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
 // Guards against a second submission of a job that is never answered: its start has the same key as a run of the first
 // submission that is active at the same agent.
 TEST_F(cluster_overlap, SecondSubmissionCompletesAtTargetOfFirst) {
@@ -205,5 +260,39 @@
   EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
 }
 
+// Guards against a start without a response that the second incarnation after it executes, which has not been fenced
+// yet, after the first one has been.
+TEST_F(cluster_overlap, TwiceRestartedTargetDoesNotExecuteEarlierStart) {
+  // The late request arrives between the second restart and the next heartbeat of the target.
+  const std::size_t target = StartLongTaskByRepeatedRequest(Ms(4300));
+  sim.CrashTarget(target, duration(0));
+  sim.RunFor(Ms(4300 - 50 - 10));
+  sim.CrashTarget(target, duration(0));
+  sim.RunFor(std::chrono::seconds(6));
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
+// Guards against a run that continues because its stop requests are lost while its lease is renewed: its entry is in
+// contact, but its caller has disconnected.
+TEST_F(cluster_overlap, RunOfDisconnectedCallerEndsInTimeWhenStopsAreLost) {
+  StartLongTask();
+  sim.faults.late_requests = 1;
+  sim.DisconnectCaller(0);
+  sim.RunFor(kRetransmitDelay);
+  sim.faults.late_requests = 0;
+  sim.Submit(1, "job", 1, kLongWorkMs);
+  sim.RunFor(std::chrono::seconds(3));
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
+// Guards against a task that is not started again for as long as the target of a restarted agent stays away.
+TEST_F(cluster_overlap, TaskOfLostMachineIsRestartedAlthoughItsAgentReturns) {
+  const std::size_t target = StartLongTask();
+  sim.CrashTarget(target, std::chrono::seconds(60));
+  sim.KillAgent(target, Ms(300));
+  sim.RunFor(std::chrono::seconds(10));
+  EXPECT_TRUE(sim.jobs()[0].verdict == job_verdict::kCompleted);
+}
+
 }  // namespace
 }  // namespace bamboowing
