--- a/include/bamboowing/besteffort/run_manager.h
+++ b/include/bamboowing/besteffort/run_manager.h
@@ -74,9 +74,10 @@
   /// When the incarnation started, on the target's clock: distinguishes incarnations with the same id and increases
   /// from one to the next. 0 if the target does not send it.
   std::uint64_t start_id = 0;
-  std::string address;  ///< where it accepts requests; not part of the identity
-  std::uint64_t sequence =
-      0;  ///< increases with each announcement of the incarnation; 0 if the target does not send it
+  /// Where it accepts requests. Not part of the identity.
+  std::string address;
+  /// Increases with each announcement of the incarnation. 0 if the target does not send it.
+  std::uint64_t sequence = 0;
 
   friend bool operator==(const target_incarnation& a, const target_incarnation& b) {
     return a.id == b.id && a.start_id == b.start_id;
@@ -158,7 +159,7 @@
   /// State of the agent's view of its target.
   enum class phase : std::uint8_t {
     kUnknown,      ///< no announcement yet
-    kLost,         ///< the target refuses connections; it is polled in case it returns under its id
+    kLost,         ///< the target refuses connections; it may return under its id
     kReconciling,  ///< the target may have unknown runs; no starts and no lease renewals are sent
     kServing,
   };
@@ -180,7 +181,7 @@
     std::uint32_t start_requests = 0;   ///< number of start requests sent
     instant last_start_request_at;      ///< when the newest start request was sent
     std::uint64_t start_token = 0;      ///< fencing token of the newest start request
-    std::uint32_t start_responses = 0;  ///< number of start requests that will not be executed later than now
+    std::uint32_t start_responses = 0;  ///< number of start requests with a response
     instant accepted_at;                ///< when the target was first known to have accepted the run; zero if unknown
     instant start_unanswered_at;        ///< when a start request last timed out
     /// Set if the target was lost, restarted or replaced during this run: the run may be active until then even if no
@@ -208,6 +209,14 @@
     instant reported_at;
   };
 
+  /// Another target that announced itself.
+  struct target_candidate {
+    target_incarnation incarnation;
+    target_description target;
+    std::optional<target_time> clock;
+    instant announced_at;
+  };
+
   using run_map = std::map<run_key, managed_run>;
   /// A start or stop request without a response.
   struct pending_request {
@@ -249,6 +258,7 @@
   bool IsMoved(const target_incarnation& announced) const;
   /// Whether the announcement is older than what is known of the target.
   bool IsOutdated(const target_incarnation& announced, instant now) const;
+  /// The present target, or a later incarnation of it, announced itself.
   void UpdateDescription(const target_incarnation& announced, const target_description& target,
                          std::optional<target_time> clock, instant now);
   /// Another target than the present one announced itself. It is adopted if the present one does not answer a poll.
@@ -256,6 +266,7 @@
                       std::optional<target_time> clock, instant now);
   /// Adopts the target that announced itself, if the present one is lost or has not answered for too long.
   void AdoptCandidate(instant now);
+  /// Sends further requests to the target, and starts with a reconciliation.
   void AdoptTarget(const target_incarnation& announced, const target_description& target,
                    std::optional<target_time> clock, instant now);
   /// Ends the runs of earlier targets at the address of the present one, which has answered a poll there.
@@ -279,6 +290,7 @@
   void Admit(const std::string& entry, const run_start& start, instant now);
   /// The entry requests a run that the agent already has.
   void HandleRepeatedRun(run_map::iterator run, const std::string& entry, instant now);
+  /// Queues a result for an entry and gives it the next sequence number.
   void AddResult(const std::string& entry, run_result result);
   /// Reports the run as ended. @p reason says why, for the log.
   void EndRun(run_map::iterator run, run_outcome outcome, std::string_view reason, instant now);
@@ -341,13 +353,6 @@
   target_incarnation target_incarnation_;
   std::uint64_t target_generation_ = 0;                    ///< increases when another target or address is adopted
   std::map<std::uint64_t, std::string> replaced_targets_;  ///< earlier targets that may have runs: their addresses
-  /// Another target that announced itself.
-  struct target_candidate {
-    target_incarnation incarnation;
-    target_description target;
-    std::optional<target_time> clock;
-    instant announced_at;
-  };
   std::optional<target_candidate> candidate_;
   target_description target_;
   bool target_described_ = false;  ///< whether target_ comes from the current incarnation
@@ -364,8 +369,8 @@
   instant last_response_at_;                  ///< when the target last responded
   /// When the oldest request was sent since the last response.
   std::optional<instant> unanswered_since_;
-  instant next_reconcile_poll_;  ///< in kReconciling and kLost
-  instant late_start_until_;     ///< until then, a start request without a response may be executed
+  instant next_reconcile_poll_;
+  instant late_start_until_;  ///< until then, a start request without a response may be executed
   bool draining_ = false;
 
   std::uint64_t last_request_id_ = 0;
