Answer all jobs of a terminated entry before its grace period ends

Cause: a draining entry accepted jobs for another 2.2 s and kept each until its own deadline, which may lie after the exit. Targets that restart or hang make jobs wait that long. The process also waited for the last runs, whose agent may be silent.

The entry now has a drain deadline, 1 s before the end of the grace period: open jobs are answered by then, and a job whose expected run time does not fit is refused at once as not run. Runs whose end is not reported 300 ms later end with their lease.

--- a/include/bamboowing/besteffort/dispatch_core.h
+++ b/include/bamboowing/besteffort/dispatch_core.h
@@ -98,6 +98,9 @@
   void OnCallerDisconnected(call_id call, instant now);
   /// Returns whether this entry has the job; if so, the job is answered as cancelled.
   bool OnCancel(const std::string& job_id, instant now);
+  /// The process was asked to exit: all open and further jobs are answered by @p answer_by. A job that is expected to
+  /// take longer is refused.
+  void OnDrain(instant answer_by);
   std::optional<job_phase> PhaseOf(const std::string& job_id) const;
   /// Number of jobs in a queue without a started task.
   std::uint32_t PendingJobs(const std::string& queue) const;
@@ -120,7 +123,9 @@
 
   /// Whether at least one target accepts runs.
   bool HasUsableTarget(instant now) const;
+  /// Number of jobs that are not answered or whose runs have not ended.
   std::size_t jobs() const { return jobs_.size(); }
+  std::size_t unanswered_jobs() const { return calls_.size(); }
   const target_fleet& fleet() const { return fleet_; }
 
  private:
@@ -230,6 +235,8 @@
   void EndLostRuns(fleet_target& target, bool all_incarnations, instant now);
   void ReconcileInventory(fleet_target& target, const run_report& report, instant now);
   void ExpireAgents(instant now);
+  /// When the job is answered at the latest.
+  instant AnswerDeadline(const open_job& job) const;
   void ExpireJobs(instant now);
   void StopStragglers(instant now);
   void SendBatches(instant now);
@@ -252,6 +259,7 @@
   instant decayed_at_;
   instant checked_at_;
   instant last_now_;
+  std::optional<instant> drain_deadline_;  ///< set while draining: all jobs are answered by then
   std::vector<dispatch_action> actions_;
 };
 
--- a/src/besteffort/dispatch_core.cc
+++ b/src/besteffort/dispatch_core.cc
@@ -157,6 +157,12 @@
     full.retry_after = kMinRetryAfter;
     return full;
   }
+  const duration run_time = job.objective - job.latest_start;
+  if (drain_deadline_ && now + run_time > *drain_deadline_) {
+    failure draining(error_kind::kDraining, not_run_state::kYes, "the entry exits before the job could complete");
+    draining.retry_after = kMinRetryAfter;
+    return draining;
+  }
   const duration wait(static_cast<std::int64_t>(QueueWaitUs()));
   const duration longest = std::min(job.latest_start - now, MaxQueueWait(now));
   if (wait.count() > 0 && wait > longest) {
@@ -197,6 +203,8 @@
   return true;
 }
 
+void dispatch_core::OnDrain(instant answer_by) { drain_deadline_ = answer_by; }
+
 std::optional<job_phase> dispatch_core::PhaseOf(const std::string& job_id) const {
   const job_map::const_iterator found = jobs_.find(job_id);
   if (found == jobs_.end() || found->second->answered) {
@@ -274,11 +282,16 @@
   }
 }
 
+instant dispatch_core::AnswerDeadline(const open_job& job) const {
+  const instant deadline = job.ever_started ? job.caller_deadline : job.start_by;
+  return drain_deadline_ ? std::min(deadline, *drain_deadline_) : deadline;
+}
+
 void dispatch_core::ExpireJobs(instant now) {
   std::vector<std::string> overdue;
   for (const job_map::value_type& item : jobs_) {
     const open_job& job = *item.second;
-    if (!job.answered && (job.ever_started ? job.caller_deadline : job.start_by) <= now) {
+    if (!job.answered && AnswerDeadline(job) <= now) {
       overdue.push_back(item.first);
     }
   }
--- a/src/service/best_effort_entry.cc
+++ b/src/service/best_effort_entry.cc
@@ -26,6 +26,10 @@
 constexpr duration kMaxWait = std::chrono::seconds(1);
 constexpr duration kRegistrationLease = std::chrono::seconds(5);
 constexpr duration kRegistrationRenewInterval = std::chrono::milliseconds(1500);
+// Part of the grace period after the last answer: it is transmitted, the remaining runs are stopped, and the process exits.
+constexpr duration kExitReserve = std::chrono::seconds(1);
+// Time for agents to report the runs that were stopped with the last answer.
+constexpr duration kStopWait = std::chrono::milliseconds(300);
 // A target on which all tasks fail is ejected for this time; afterwards it gets a single task at first.
 constexpr duration kFirstEjectionTime = std::chrono::seconds(2);
 
@@ -208,12 +212,17 @@
       MaintainRegistration(now);
       ExecuteActions();
       ready_.store(!draining_ && core_.HasUsableTarget(now));
-      if (finishing_ && core_.jobs() == 0) {
+      if (finishing_ && Drained(now)) {
         drained_.Open();
       }
     }
   }
 
+  /// Whether the process may exit. Runs that an agent has not reported as stopped by then end with their lease.
+  bool Drained(instant now) const {
+    return core_.jobs() == 0 || (core_.unanswered_jobs() == 0 && now >= answer_by_ + kStopWait);
+  }
+
   void Handle(job_submitted& input, instant now) { core_.OnSubmit(input.call, std::move(input.job), input.queue, now); }
   void Handle(caller_disconnected& input, instant now) { core_.OnCallerDisconnected(input.call, now); }
   void Handle(cancel_requested& input, instant now) {
@@ -231,8 +240,11 @@
     UpdateMetrics();
     input.answer({200, "text/plain; version=0.0.4", metrics_.ToText(), std::nullopt});
   }
-  void Handle(drain_requested& /*input*/, instant /*now*/) {
+  void Handle(drain_requested& /*input*/, instant now) {
     draining_ = true;
+    const duration grace = settings_.best_effort.grace;
+    answer_by_ = now + std::max(grace - kExitReserve, grace / 2);
+    core_.OnDrain(answer_by_);
     std::vector<entry_action> calls;
     registration_.Revoke(last_store_call_, calls);
     CallStore(calls);
@@ -308,6 +320,7 @@
   registration registration_;
   std::uint64_t last_store_call_ = 0;
   bool draining_ = false;
+  instant answer_by_;  ///< while draining: when the last job is answered
   bool finishing_ = false;  ///< WaitDrained() was called: no further jobs are submitted
   pause_log pause_log_;
   detail::drain_latch drained_;
--- a/tests/end_to_end/platform_test.py
+++ b/tests/end_to_end/platform_test.py
@@ -288,6 +288,18 @@
         self.assertEqual([status for status, _ in results if status not in (200, 503)], [])
         self.assertEqual(process.wait(timeout=6), 0)
 
+    def test_a_terminated_entry_answers_a_job_that_outlasts_its_grace_period(self):
+        """Guards against callers whose connection ends without an answer because their deadline lies after the exit."""
+        process = self.fleet.processes["entry-1"]
+        with concurrent.futures.ThreadPoolExecutor() as pool:
+            answer = pool.submit(self.fleet.ask, "entry-1", "POST", QUEUE + "00000000000000d1", job(work_ms=20000),
+                                 deadline_ms=9000)
+            wait_until(lambda: any(m.running for m in self.fleet.platform_minions), "its tasks")
+            process.send_signal(signal.SIGTERM)
+            self.assertEqual(process.wait(timeout=6), 0)
+            self.assertEqual(answer.result()[0], 504)
+        wait_until(lambda: not any(m.running for m in self.fleet.platform_minions), "the end of its runs", 1)
+
     def test_a_restarted_agent_serves_again(self):
         """Guards against a minion that permanently refuses the token of a restarted agent."""
         for name in ("agent-1", "agent-2", "agent-3"):
