--- a/src/service/best_effort_entry.cc
+++ b/src/service/best_effort_entry.cc
@@ -26,7 +26,8 @@
 constexpr duration kMaxWait = std::chrono::seconds(1);
 constexpr duration kRegistrationLease = std::chrono::seconds(5);
 constexpr duration kRegistrationRenewInterval = std::chrono::milliseconds(1500);
-// Part of the grace period after the last answer: it is transmitted, the remaining runs are stopped, and the process exits.
+// Part of the grace period after the last answer: it is transmitted, the remaining runs are stopped, and the process
+// exits.
 constexpr duration kExitReserve = std::chrono::seconds(1);
 // Time for agents to report the runs that were stopped with the last answer.
 constexpr duration kStopWait = std::chrono::milliseconds(300);
@@ -320,7 +321,7 @@
   registration registration_;
   std::uint64_t last_store_call_ = 0;
   bool draining_ = false;
-  instant answer_by_;  ///< while draining: when the last job is answered
+  instant answer_by_;       ///< while draining: when the last job is answered
   bool finishing_ = false;  ///< WaitDrained() was called: no further jobs are submitted
   pause_log pause_log_;
   detail::drain_latch drained_;
