--- a/src/besteffort/run_manager.cc
+++ b/src/besteffort/run_manager.cc
@@ -84,7 +84,8 @@
   std::string text = "task " + std::to_string(key.step) + "." + std::to_string(key.index) + " attempt " +
                      std::to_string(key.attempt) + ", " + std::string(RunStateName(run.state)) + " for " +
                      Milliseconds(now - run.state_since) + ", entry " + run.owner + ", start requests " +
-                     std::to_string(run.start_requests);
+                     std::to_string(run.start_requests) + ", without response " +
+                     std::to_string(run.start_requests - run.start_responses);
   if (run.start_requests > 0) {
     text += ", the newest " + Milliseconds(now - run.last_start_request_at) + " ago";
   }
