Add the outcome unknown and the unsettled runs to the reports of agents

A start request without a response may be executed by a later incarnation of its target. The reports could only say that a run is lost, upon which its task is started again.

On the wire, kUnknown is a flag beside the outcome lost: entries of the previous version reject a report with an outcome that they do not know, and continue to treat such a run as lost. An agent of the previous version reports no unsettled runs, as before.

--- a/include/bamboowing/message/best_effort.h
+++ b/include/bamboowing/message/best_effort.h
@@ -82,6 +82,9 @@
   kNoRoom,        ///< never started: no free capacity in time
   kUnavailable,   ///< never started: the target is leaving, unhealthy or unknown
   kStaleAttempt,  ///< never started: the target has seen this attempt or a higher one
+  /// The target was lost while a start request had no response, so that a later incarnation may still execute it: the
+  /// task must not be started again. May also be reported for a run that has ended before.
+  kUnknown,
 };
 
 /// The result of a run.
@@ -111,6 +114,8 @@
   std::vector<run_result> results;
   bool has_inventory = false;        ///< whether `held` is set: in the first report of a session
   std::vector<run_key> active_runs;  ///< runs of this entry that have not ended
+  /// Runs of this entry whose starts are not all answered; other runs are not started again by an earlier request.
+  std::vector<run_key> unsettled_runs;
 };
 
 }  // namespace bamboowing
--- a/schema/wire.capnp
+++ b/schema/wire.capnp
@@ -61,6 +61,7 @@
   key @1 :RunKey;
   outcome @2 :UInt8;
   runTimeUs @3 :Int64;
+  unknown @4 :Bool;  # overrides the outcome; processes that do not know the field take the run as lost
 }
 
 struct TargetDescription {
@@ -79,6 +80,7 @@
   ends @4 :List(RunEnd);
   hasInventory @5 :Bool;
   held @6 :List(RunKey);
+  unsettled @7 :List(RunKey);
 }
 
 struct EntryBatch {
--- a/src/besteffort/job.cc
+++ b/src/besteffort/job.cc
@@ -28,9 +28,11 @@
     case run_outcome::kUnavailable:
       return "unavailable";
     case run_outcome::kStaleAttempt:
+      return "stale_attempt";
+    case run_outcome::kUnknown:
       break;
   }
-  return "stale_attempt";
+  return "unknown";
 }
 
 }  // namespace bamboowing
--- a/src/wire/runs_codec.cc
+++ b/src/wire/runs_codec.cc
@@ -95,11 +95,14 @@
     rpc::RunEnd::Builder item = results[i++];
     item.setNumber(result.sequence);
     WriteRunKey(result.key, item.initKey());
-    item.setOutcome(static_cast<std::uint8_t>(result.outcome));
+    const bool unknown = result.outcome == run_outcome::kUnknown;
+    item.setOutcome(static_cast<std::uint8_t>(unknown ? run_outcome::kLost : result.outcome));
+    item.setUnknown(unknown);
     item.setRunTimeUs(result.run_time.count());
   }
   out.setHasInventory(report.has_inventory);
   WriteRunKeys(report.active_runs, out.initHeld(report.active_runs.size()));
+  WriteRunKeys(report.unsettled_runs, out.initUnsettled(report.unsettled_runs.size()));
 }
 
 bool ReadReport(rpc::RunReport::Reader in, run_report& report) {
@@ -114,10 +117,12 @@
     if (!outcome) {
       return false;
     }
-    report.results.push_back({item.getNumber(), ReadRunKey(item.getKey()), *outcome, duration(item.getRunTimeUs())});
+    report.results.push_back({item.getNumber(), ReadRunKey(item.getKey()),
+                              item.getUnknown() ? run_outcome::kUnknown : *outcome, duration(item.getRunTimeUs())});
   }
   report.has_inventory = in.getHasInventory();
   report.active_runs = ReadRunKeys(in.getHeld());
+  report.unsettled_runs = ReadRunKeys(in.getUnsettled());
   return true;
 }
 
--- a/tests/wire/codec_test.cc
+++ b/tests/wire/codec_test.cc
@@ -85,6 +85,32 @@
   EXPECT_TRUE(copy->status_reply);
 }
 
+// Guards against a task that is started twice because its entry takes an earlier start as answered.
+TEST(Codec, ReportKeepsRunsThatMayBeStarted) {
+  agent_batch batch;
+  batch.runs.results.push_back({7, {"job", 1, 2, 3}, run_outcome::kUnknown, duration(0)});
+  batch.runs.results.push_back({8, {"job", 1, 3, 3}, run_outcome::kStopped, duration(0)});
+  batch.runs.unsettled_runs.push_back({"other", 4, 5, 6});
+  const std::optional<agent_batch> copy = RoundTrip<rpc::AgentBatch>(batch);
+  ASSERT_TRUE(copy);
+  ASSERT_EQ(copy->runs.results.size(), 2U);
+  EXPECT_EQ(copy->runs.results[0].outcome, run_outcome::kUnknown);
+  EXPECT_EQ(copy->runs.results[0].sequence, 7U);
+  EXPECT_EQ(copy->runs.results[1].outcome, run_outcome::kStopped);
+  ASSERT_EQ(copy->runs.unsettled_runs.size(), 1U);
+  EXPECT_TRUE(copy->runs.unsettled_runs[0] == (run_key{"other", 4, 5, 6}));
+}
+
+// Guards against an entry of the previous version that rejects all reports of an agent because of a new outcome.
+TEST(Codec, UnknownRunIsLostForEarlierVersions) {
+  agent_batch batch;
+  batch.runs.results.push_back({7, {"job", 1, 2, 3}, run_outcome::kUnknown, duration(0)});
+  capnp::MallocMessageBuilder arena;
+  rpc::AgentBatch::Builder builder = arena.initRoot<rpc::AgentBatch>();
+  Write(batch, builder);
+  EXPECT_EQ(builder.getRuns().getEnds()[0].getOutcome(), static_cast<std::uint8_t>(run_outcome::kLost));
+}
+
 // Guards against a relayed job that differs from the one that the caller sent.
 TEST(Codec, RelayKeepsEveryField) {
   relay_request request;
