Do not start a task again while an earlier start may be executed

A start request without a response may be executed seconds later, by whichever incarnation of the target then runs. No field of the request lets an incarnation that has just started refuse it, and the fence that the agent sets with its first poll ends with that incarnation. The task was started elsewhere all the same: by an entry whose agent was silent or had restarted (agent_lost), and by an agent that had fenced the first of several incarnations.

Waiting until the request can no longer be executed takes 15 s, longer than any caller's deadline. So the job ends instead: - If a target is lost, or has restarted and does not list the run, the agent reports a run with an unanswered start as unknown, also one that was stopped before. It tells all its entries, since the job may have been submitted again to another one. - Agents list the runs whose starts are not all answered, and report again within the report interval when the list shrinks. An entry takes the other runs of a lost agent as lost, as before, and these as unknown. - A job with a run of unknown fate is answered with the new verdict kNotRepeatable (error outcome_unknown), on the platform as 200 failed: a 504 makes callers repeat the job, 429 and 503 would claim that it never runs. Further submissions of it at entries that know are answered alike for 15 s. A run without a response at a target that continues to run is stopped and its task is started elsewhere, as before.

Six tests of run_manager expected such a run to be reported as lost after the fence, or not at all while its target was away. They now require kUnknown, at once when the connection is refused, and that a run which a returned target lists is stopped. UnansweredStartOfAcceptedRunIsNotReportedAsLostAfterRestart requires both the fence and the result; it accepted either.

--- a/include/bamboowing/besteffort/dispatch_core.h
+++ b/include/bamboowing/besteffort/dispatch_core.h
@@ -29,6 +29,9 @@
   duration session_timeout{900'000};   ///< a session without a report for this long is closed
   duration owner_timeout{700'000};     ///< an agent stops this entry's runs after this time without contact
   duration lease{1'000'000};           ///< longest lease of the runs at a target
+  /// Upper bound of the time from sending a start request to its execution by a later incarnation of the target, as at
+  /// the agents.
+  duration max_request_delay{15'000'000};
   duration loss_margin{150'000};   ///< added to owner_timeout and lease before the runs of a lost agent count as ended
   duration capacity_wait{12'000};  ///< how long a start may wait at the agent for capacity that was expected to be free
   /// A job without a started task after this multiple of its objective is refused, so that its caller can retry
@@ -171,6 +174,9 @@
     double expected_us = 0;  ///< run time on a target of mean speed
     bool stopping = false;
     bool straggler = false;
+    /// Whether all start requests of the run have had a response. If not, a later incarnation of the target may start
+    /// the run after the agent is lost.
+    bool settled = false;
   };
 
   using job_map = std::map<std::string, std::unique_ptr<open_job>>;
@@ -229,6 +235,21 @@
   /// incarnations of its agent.
   void EndLostRuns(fleet_target& target, bool all_incarnations, instant now);
   void ReconcileInventory(fleet_target& target, const run_report& report, instant now);
+  /// Marks the runs whose starts the agent has received and does not report as unsettled.
+  void MarkSettledRuns(fleet_target& target, const run_report& report);
+  /// How a run of a lost agent ended.
+  static run_outcome LostRunOutcome(const dispatched_run& run);
+  /// A run of the job may still be started by an earlier request. Abandons the job if a task could run twice.
+  void HandleUnknownRun(const run_key& key, instant now);
+  /// Submissions of the job are answered as not repeatable for as long as an earlier request may start a task.
+  void ForbidRepetition(const std::string& job_id, instant now);
+  /// Answers the job so that its caller does not submit it again, and stops its runs.
+  void AbandonJob(open_job& job, instant now);
+  static failure NotRepeatableError();
+  /// Whether a run of the job may still be started at a target whose agent is not in contact.
+  bool HasUnsettledRunOfSilentAgent(const open_job& job, instant now);
+  /// Whether a submission of the job must not start its tasks, since a run of an earlier one may still be started.
+  bool IsNotRepeatable(const std::string& job_id, instant now);
   void ExpireAgents(instant now);
   void ExpireJobs(instant now);
   void StopStragglers(instant now);
@@ -244,6 +265,7 @@
   std::map<call_id, std::string> calls_;
   waiting_queue queue_;  ///< jobs with waiting tasks by latest start
   run_map runs_;
+  std::map<std::string, instant> not_repeatable_until_;  ///< by job id
   std::map<run_outcome, std::uint64_t> outcome_counts_;
   double waiting_work_us_ = 0;
   double waiting_cpu_ = 0;
--- a/include/bamboowing/besteffort/run_manager.h
+++ b/include/bamboowing/besteffort/run_manager.h
@@ -16,6 +16,7 @@
 #include "bamboowing/agent/session_table.h"
 #include "bamboowing/besteffort/entry_selection.h"
 #include "bamboowing/besteffort/leased_target.h"
+#include "bamboowing/besteffort/unsettled_starts.h"
 #include "bamboowing/message/batch.h"
 
 namespace bamboowing {
@@ -116,7 +117,8 @@
 
 /// Manages the runs that entries request at the agent's target: admits what fits, renews the lease while the entries
 /// are in contact, and reports each result once it is certain. A run is never reported as lost or stopped while it may
-/// still run. Does no I/O and reads no clock; each input carries the time and may append actions.
+/// still run. If a start request without a response may be executed by a later incarnation of the target, the run is
+/// reported as kUnknown. Does no I/O and reads no clock; each input carries the time and may append actions.
 class run_manager {
  public:
   run_manager(const run_manager_settings& settings, std::uint64_t seed, instant now);
@@ -206,6 +208,7 @@
     bool target_update_pending = false;
     std::optional<instant> released_at;  ///< when the session became unneeded
     resource_amount reported_amount;     ///< committed amount in the newest report to the entry
+    std::size_t reported_unsettled = 0;  ///< number of unsettled runs in the newest report to the entry
     instant reported_at;
   };
 
@@ -247,6 +250,20 @@
   bool FencePollDue(instant now) const;
   static void MarkAccepted(managed_run& run, instant now);
   void HandleUnansweredStart(run_map::iterator run, instant now);
+  /// Whether a start request of the run has had no response and may still be executed.
+  bool IsUnsettled(const managed_run& run, instant now) const;
+  /// Runs of the entry with a start request that will be sent, or has had no response and may still be executed.
+  std::vector<run_key> UnsettledRunsOf(const std::string& entry, instant now) const;
+  /// Whether the load or the number of unsettled runs differs from the newest report to the entry.
+  bool LoadReportPending(const std::string& entry, const owner& to, instant now) const;
+  /// Records a start request without a response for as long as it may be executed, whether or not its run has ended.
+  void RecordUnansweredStart(const pending_request& start, instant now);
+  /// Ends the runs of lost, replaced and silent restarted targets that may still be started there.
+  void EndUnsettledRunsOfLostTargets(instant now);
+  /// The target was lost, restarted or replaced: a later incarnation may execute start requests of ended runs.
+  void ReportReleasedStarts(instant now);
+  /// Reports to all entries that the run may still be started: its job may have been submitted to another one.
+  void ReportUnknown(const run_key& key);
   /// Returns whether the response is that of the present target.
   bool HandleResponse(const request_response& response, const pending_request& request, instant now);
   /// The target refused a request with the fencing token @p token because it has seen a higher one.
@@ -371,6 +388,8 @@
   std::optional<instant> unanswered_since_;
   instant next_reconcile_poll_;
   instant late_start_until_;  ///< until then, a start request without a response may be executed
+  unsettled_starts unsettled_starts_;
+  instant target_ended_at_;  ///< when the target was last lost, restarted or replaced
   bool draining_ = false;
 
   std::uint64_t last_request_id_ = 0;
--- a/include/bamboowing/besteffort/target_fleet.h
+++ b/include/bamboowing/besteffort/target_fleet.h
@@ -28,7 +28,10 @@
   /// Starts sent in this session that the newest report does not include yet, by sequence number.
   std::deque<std::pair<std::uint64_t, resource_amount>> unreported_starts;
   resource_amount unreported_sum;
-  std::uint64_t starts_sent = 0;             ///< in this session
+  std::uint64_t starts_sent = 0;  ///< in this session
+  /// Runs of this entry that no report has shown to be settled, with the number of the start in its session; 0 if it
+  /// was sent in an earlier session.
+  std::vector<std::pair<run_key, std::uint64_t>> unsettled_starts;
   std::uint64_t results_received = 0;        ///< number of the newest result from this incarnation of the agent
   std::optional<instant> earlier_report_at;  ///< when the newest report of an earlier incarnation of the agent arrived
   instant last_report_at;   ///< when the newest report arrived; set to the opening time by a new session
--- a/src/besteffort/dispatch_core.cc
+++ b/src/besteffort/dispatch_core.cc
@@ -31,9 +31,11 @@
     case job_verdict::kRefused:
       return "refused";
     case job_verdict::kUnknown:
+      return "given_up";
+    case job_verdict::kNotRepeatable:
       break;
   }
-  return "given_up";
+  return "not_repeatable";
 }
 
 dispatch_core::dispatch_core(const dispatch_core_settings& settings, std::uint64_t seed, instant now)
@@ -96,6 +98,12 @@
   const std::string id = job.id;
   std::optional<failure> refused = ValidateJob(job);
   const job_map::iterator known = jobs_.find(id);
+  const bool open = known != jobs_.end() && !known->second->answered;
+  if (!refused && !open && IsNotRepeatable(id, now)) {
+    LogEvent("job_not_repeatable", id, "a run of an earlier submission may still be started");
+    actions_.emplace_back(answer_job{call, id, job_verdict::kNotRepeatable, NotRepeatableError()});
+    return;
+  }
   if (!refused && known != jobs_.end()) {
     if (!known->second->answered) {
       // The caller repeated its submission; the newest call receives the answer.
@@ -285,6 +293,11 @@
   for (const std::string& id : overdue) {
     open_job& job = *jobs_.at(id);
     const std::string waited = std::to_string((now - job.arrival).count() / 1000) + " ms";
+    if (HasUnsettledRunOfSilentAgent(job, now)) {
+      AbandonJob(job, now);
+      EraseIfFinished(id);
+      continue;
+    }
     if (job.ever_started) {
       Answer(job, job_verdict::kUnknown,
              failure(error_kind::kDeadlineExceeded, not_run_state::kUnknown, "job not completed within " + waited));
--- a/src/besteffort/dispatch_place.cc
+++ b/src/besteffort/dispatch_place.cc
@@ -263,6 +263,7 @@
   runs_.emplace(start.key, run);
   ++chosen.target->own_runs;
   fleet_.CountStart(*chosen.target, step.need);
+  chosen.target->unsettled_starts.emplace_back(start.key, chosen.target->starts_sent);
   chosen.target->pending_requests.starts.push_back(std::move(start));
 }
 
--- a/src/besteffort/dispatch_runs.cc
+++ b/src/besteffort/dispatch_runs.cc
@@ -46,6 +46,7 @@
   }
   const bool first = !target->described;
   fleet_.OnReport(*target, batch, now);
+  MarkSettledRuns(*target, batch.runs);
   if (batch.runs.has_inventory) {
     ReconcileInventory(*target, batch.runs, now);
   }
@@ -114,6 +115,9 @@
   // Each submission of a job numbers its attempts from 1: an agent may still report a run of an earlier submission that
   // has the key of a run at another agent.
   if (run == runs_.end() || run->second.target != from.index) {
+    if (end.outcome == run_outcome::kUnknown) {
+      HandleUnknownRun(end.key, now);
+    }
     return;
   }
   ++outcome_counts_[end.outcome];
@@ -132,6 +136,9 @@
     LogEvent("run_ended", end.key.job_id, job.last_run_result);
   }
   RecordRunResult(job, task, ended, end, from);
+  if (end.outcome == run_outcome::kUnknown) {
+    ForbidRepetition(job.spec.id, now);
+  }
   if (!job.answered) {
     switch (end.outcome) {
       case run_outcome::kDone:
@@ -154,6 +161,9 @@
         task.avoided_target = ended.target;
         ++task.restarts;
         RequeueTask(job, task);
+        break;
+      case run_outcome::kUnknown:
+        AbandonJob(job, now);
     }
   }
   EraseIfFinished(end.key.job_id);
@@ -256,7 +266,9 @@
     }
   }
   for (const run_key& key : lost) {
-    OnRunEnded(target, {0, key, run_outcome::kLost, duration(0)}, now);
+    if (const run_map::const_iterator run = runs_.find(key); run != runs_.end()) {
+      OnRunEnded(target, {0, key, LostRunOutcome(run->second), duration(0)}, now);
+    }
   }
 }
 
--- /dev/null
+++ b/src/besteffort/dispatch_unsettled.cc
@@ -0,0 +1,89 @@
+// Runs of dispatch_core that a later incarnation of their target may still start.
+
+#include <algorithm>
+#include <utility>
+
+#include "bamboowing/besteffort/dispatch_core.h"
+
+namespace bamboowing {
+namespace {
+
+// An agent without a report for this long may not learn of the loss of its target before a job's deadline.
+constexpr duration kSilentAfter = std::chrono::milliseconds(450);
+
+}  // namespace
+
+void dispatch_core::MarkSettledRuns(fleet_target& target, const run_report& report) {
+  std::vector<std::pair<run_key, std::uint64_t>> unsettled;
+  for (std::pair<run_key, std::uint64_t>& start : target.unsettled_starts) {
+    const run_map::iterator run = runs_.find(start.first);
+    if (run == runs_.end() || run->second.target != target.index ||
+        run->second.agent_incarnation != target.agent_incarnation) {
+      continue;  // the run has ended, or its agent has restarted and can't settle it any more
+    }
+    const std::vector<run_key>& reported = report.unsettled_runs;
+    const bool received = start.second <= report.starts_received;
+    run->second.settled = received && std::find(reported.begin(), reported.end(), start.first) == reported.end();
+    if (!run->second.settled) {
+      unsettled.push_back(std::move(start));
+    }
+  }
+  target.unsettled_starts = std::move(unsettled);
+}
+
+run_outcome dispatch_core::LostRunOutcome(const dispatched_run& run) {
+  return run.settled ? run_outcome::kLost : run_outcome::kUnknown;
+}
+
+failure dispatch_core::NotRepeatableError() {
+  return {error_kind::kOutcomeUnknown, not_run_state::kUnknown,
+          "the target or its agent was lost while a start had no response, so a task may still be started"};
+}
+
+void dispatch_core::ForbidRepetition(const std::string& job_id, instant now) {
+  not_repeatable_until_[job_id] = now + settings_.max_request_delay;
+}
+
+void dispatch_core::AbandonJob(open_job& job, instant now) {
+  ForbidRepetition(job.spec.id, now);
+  Answer(job, job_verdict::kNotRepeatable, NotRepeatableError());
+  StopRuns(job, now);
+}
+
+void dispatch_core::HandleUnknownRun(const run_key& key, instant now) {
+  const job_map::iterator found = jobs_.find(key.job_id);
+  if (found == jobs_.end()) {
+    ForbidRepetition(key.job_id, now);
+    return;
+  }
+  open_job& job = *found->second;
+  const bool done = std::any_of(job.tasks.begin(), job.tasks.end(), [&key](const job_task& task) {
+    return task.step == key.step && task.index == key.index && task.state == task_state::kDone;
+  });
+  if (!done) {
+    AbandonJob(job, now);
+    EraseIfFinished(key.job_id);
+  }
+}
+
+bool dispatch_core::HasUnsettledRunOfSilentAgent(const open_job& job, instant now) {
+  for (run_map::const_iterator run = runs_.lower_bound({job.spec.id, 0, 0, 0});
+       run != runs_.end() && run->first.job_id == job.spec.id; ++run) {
+    const fleet_target* target = fleet_.FindByIndex(run->second.target);
+    const bool silent = target == nullptr || target->session == 0 || now - target->last_report_at >= kSilentAfter;
+    if (silent && !run->second.settled) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool dispatch_core::IsNotRepeatable(const std::string& job_id, instant now) {
+  for (std::map<std::string, instant>::iterator item = not_repeatable_until_.begin();
+       item != not_repeatable_until_.end();) {
+    item = item->second <= now ? not_repeatable_until_.erase(item) : std::next(item);
+  }
+  return not_repeatable_until_.count(job_id) != 0;
+}
+
+}  // namespace bamboowing
--- a/src/besteffort/run_manager.cc
+++ b/src/besteffort/run_manager.cc
@@ -49,6 +49,7 @@
       selection_(settings.agent.id, settings.selection),
       token_(settings.first_token),
       token_step_(1),
+      unsettled_starts_(settings.max_request_delay),
       last_now_(now) {}
 
 void run_manager::LogEvent(std::string event, const std::string& job_id, std::string detail) {
@@ -105,7 +106,8 @@
 void run_manager::EndRun(run_map::iterator run, run_outcome outcome, std::string_view reason, instant now) {
   managed_run& ended = run->second;
   // A run that was sent to the target and has no result there: the entry may start its task again.
-  if (ended.state != run_state::kWaiting && (outcome == run_outcome::kLost || outcome == run_outcome::kStopped)) {
+  if (ended.state != run_state::kWaiting &&
+      (outcome == run_outcome::kLost || outcome == run_outcome::kStopped || outcome == run_outcome::kUnknown)) {
     LogEvent(
         "run_released", run->first.job_id,
         std::string(RunOutcomeName(outcome)) + ", " + std::string(reason) + ": " + DescribeRun(run->first, ended, now));
@@ -118,6 +120,11 @@
   if (ran && ended.accepted_at != instant{}) {
     end.run_time = now - ended.accepted_at;
   }
+  if (outcome == run_outcome::kUnknown) {
+    ReportUnknown(run->first);
+    runs_.erase(run);
+    return;
+  }
   AddResult(ended.owner, std::move(end));
   for (const std::string& entry : ended.later_owners) {
     // The attempt is used up at the target, so the entry continues with a higher one.
@@ -253,6 +260,7 @@
   const bool of_present_target = HandleResponse(response, pending.mapped(), now);
   if (response.status == request_status::kNoResponse) {
     late_start_until_ = std::max(late_start_until_, pending.mapped().sent_at + settings_.max_request_delay);
+    RecordUnansweredStart(pending.mapped(), now);
   }
   if (const run_map::iterator run = runs_.find(pending.mapped().key); run != runs_.end()) {
     run->second.start_responses += response.status == request_status::kNoResponse ? 0 : 1;
@@ -400,6 +408,7 @@
   MaintainSessions(now);
   AdoptCandidate(now);
   ExpireOwners(now);
+  EndUnsettledRunsOfLostTargets(now);
   ExpireUnleasedRuns(now);
   ExpireWaitingRuns(now);
   StartWaitingRuns(now);
--- a/src/besteffort/run_manager_entries.cc
+++ b/src/besteffort/run_manager_entries.cc
@@ -228,9 +228,7 @@
   if (sessions_.HeartbeatDue(session, {}) <= now) {
     return true;
   }
-  resource_amount committed = committed_at_target_;
-  AddTo(committed, waiting_amount_);
-  return !(committed == to.reported_amount) && now - to.reported_at >= ReportInterval();
+  return now - to.reported_at >= ReportInterval() && LoadReportPending(session.address, to, now);
 }
 
 void run_manager::SendReports(instant now) {
@@ -270,6 +268,7 @@
       }
     }
   }
+  report.unsettled_runs = UnsettledRunsOf(session.address, now);
   for (const run_result& end : to.unacknowledged_results) {
     if (end.sequence > to.last_result_sent) {
       report.results.push_back(end);
@@ -278,6 +277,7 @@
   to.initial_report_sent = true;
   to.target_update_pending = false;
   to.reported_amount = report.committed;
+  to.reported_unsettled = report.unsettled_runs.size();
   to.reported_at = now;
   to.last_result_sent = to.last_result_number;
   session.last_sent = now;
--- a/src/besteffort/run_manager_incarnations.cc
+++ b/src/besteffort/run_manager_incarnations.cc
@@ -116,6 +116,7 @@
     replaced_targets_[target_generation_] = target_incarnation_.address;
     SuspendAdmission(now);
     ExtendRunsOverLoss(now);
+    ReportReleasedStarts(now);
   }
   ++target_generation_;
   target_incarnation_ = announced;
@@ -168,6 +169,7 @@
   target_incarnation_ = {};
   target_clock_.reset();
   pending_starts_.clear();
+  unsettled_starts_.Clear();  // another id refuses the requests
   SuspendAdmission(now);
   AdoptCandidate(now);
 }
@@ -188,6 +190,7 @@
     }
   }
   ExtendRunsOverLoss(now);
+  ReportReleasedStarts(now);
   BeginReconciliation();
   phase_ = phase::kLost;
   AdoptCandidate(now);
@@ -206,6 +209,7 @@
     run.second.stop_accepted_at.reset();
   }
   ExtendRunsOverLoss(now);
+  ReportReleasedStarts(now);
   BeginReconciliation();
 }
 
--- a/src/besteffort/run_manager_target.cc
+++ b/src/besteffort/run_manager_target.cc
@@ -107,7 +107,8 @@
     const run_map::iterator ending = run++;
     if (ending->second.state != run_state::kWaiting && now >= LeaseExpiryBound(ending->second)) {
       const bool at_target = ending->second.target_generation == target_generation_;
-      EndRun(ending, run_outcome::kLost, "its lease expired without a response", now);
+      const run_outcome outcome = IsUnsettled(ending->second, now) ? run_outcome::kUnknown : run_outcome::kLost;
+      EndRun(ending, outcome, "its lease expired without a response", now);
       lapsed = true;
       lapsed_at_target = lapsed_at_target || at_target;
     }
@@ -299,7 +300,10 @@
   const instant polled_at = poll.sent_at;
   // The target has seen a higher fencing token than those of all start requests of the run, so it never executes one.
   if (poll.token > unlisted.start_token) {
-    EndRun(run, run_outcome::kLost, "fenced and not listed", now);
+    // The fence holds for the present incarnation only; a target that has restarted may restart again.
+    const bool restarted = unlisted.may_run_until.has_value();
+    const run_outcome outcome = restarted && IsUnsettled(unlisted, now) ? run_outcome::kUnknown : run_outcome::kLost;
+    EndRun(run, outcome, "fenced and not listed", now);
     return;
   }
   switch (unlisted.state) {
@@ -356,12 +360,10 @@
       next = std::min(next, run->second.state_since + run->second.start.start_within);
     }
   }
-  resource_amount committed = committed_at_target_;
-  AddTo(committed, waiting_amount_);
   for (const std::pair<const std::string, entry_session>& item : sessions_.sessions()) {
     const std::map<std::string, owner>::const_iterator to = owners_.find(item.first);
     const bool open = item.second.state == session_state::kOpen && to != owners_.end();
-    if (open && !(committed == to->second.reported_amount)) {
+    if (open && LoadReportPending(item.first, to->second, last_now_)) {
       next = std::min(next, to->second.reported_at + ReportInterval());
     }
   }
--- a/src/besteffort/target_fleet.cc
+++ b/src/besteffort/target_fleet.cc
@@ -33,6 +33,9 @@
   target.unreported_starts.clear();
   target.unreported_sum = {};
   target.starts_sent = 0;
+  for (std::pair<run_key, std::uint64_t>& start : target.unsettled_starts) {
+    start.second = 0;
+  }
   target.last_report_at = now;
   target.last_sent_at = instant{};
   target.pending_requests = {};
--- a/tests/besteffort/cluster_overlap_test.cc
+++ b/tests/besteffort/cluster_overlap_test.cc
@@ -285,6 +285,75 @@
   EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
 }
 
+// Guards against a start without a response that the second incarnation executes, after the run was stopped at the
+// target and the caller has submitted the job to another entry.
+TEST_F(cluster_overlap, TwiceRestartedTargetDoesNotExecuteStoppedStart) {
+  const std::size_t target = StartLongTaskByRepeatedRequest(std::chrono::seconds(4));
+  sim.DisconnectCaller(0);
+  sim.RunFor(kRetransmitDelay);
+  ASSERT_EQ(sim.target(target).running(), 0U);
+  const std::size_t second = sim.Submit(1, "job", 1, kLongWorkMs);
+  sim.RunFor(Ms(100));
+  sim.CrashTarget(target, duration(0));
+  sim.RunFor(std::chrono::seconds(4) - kRetransmitDelay - Ms(150 + 10));
+  sim.CrashTarget(target, duration(0));
+  sim.RunFor(std::chrono::seconds(6));
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+  EXPECT_TRUE(sim.jobs()[second].verdict == job_verdict::kNotRepeatable);
+}
+
+// Guards against a caller that submits a job again while an earlier start may still be executed: the answer must not
+// invite it, and a submission that arrives nevertheless starts nothing.
+TEST_F(cluster_overlap, JobWhoseStartMayBeExecutedLateIsNotRepeated) {
+  const std::size_t target = StartLongTaskByRepeatedRequest(std::chrono::seconds(4));
+  sim.CrashTarget(target, std::chrono::seconds(2));
+  sim.RunFor(Ms(300));
+  EXPECT_TRUE(sim.jobs()[0].verdict == job_verdict::kNotRepeatable);
+  const std::size_t again = sim.Submit(0, "job", 1, kLongWorkMs);
+  const std::size_t elsewhere = sim.Submit(1, "job", 1, kLongWorkMs);
+  sim.RunFor(std::chrono::seconds(6));
+  EXPECT_TRUE(sim.jobs()[again].verdict == job_verdict::kNotRepeatable);
+  EXPECT_TRUE(sim.jobs()[elsewhere].verdict == job_verdict::kNotRepeatable);
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
+// Guards against a second submission of a job at the same entry, whose first caller has disconnected while the agent
+// was frozen: the restarted target executes a start without a response.
+TEST_F(cluster_overlap, SecondSubmissionDoesNotStartTaskOfFrozenAgent) {
+  const std::size_t target = StartLongTaskByRepeatedRequest(std::chrono::seconds(5));
+  sim.FreezeAgent(target, std::chrono::seconds(8));
+  sim.CrashTarget(target, duration(0));
+  sim.RunFor(std::chrono::seconds(1));
+  sim.DisconnectCaller(0);
+  sim.RunFor(kRetransmitDelay);
+  sim.Submit(0, "job", 1, kLongWorkMs);
+  sim.RunFor(std::chrono::seconds(8));
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
+// Guards against a job that is given up although all its starts were answered, so that its runs end with their lease.
+TEST_F(cluster_overlap, AnsweredTaskOfFrozenAgentIsRestarted) {
+  const std::size_t target = StartLongTask();
+  sim.FreezeAgent(target, std::chrono::seconds(20));
+  sim.CrashTarget(target, duration(0));
+  sim.RunFor(std::chrono::seconds(9));
+  EXPECT_TRUE(sim.jobs()[0].verdict == job_verdict::kCompleted);
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
+// Guards against jobs that are given up because of lost responses alone: a run without a response is stopped at its
+// running target, and its task is started elsewhere.
+TEST_F(cluster_overlap, TaskWithoutResponseIsRestartedWhileItsTargetRuns) {
+  sim.faults.late_requests_outlive_target = true;
+  sim.faults.late_requests = 1;
+  sim.Submit(0, "job", 1, kLongWorkMs);
+  sim.RunFor(Ms(40));
+  sim.faults.late_requests = 0;
+  sim.RunFor(std::chrono::seconds(8));
+  EXPECT_TRUE(sim.jobs()[0].verdict == job_verdict::kCompleted);
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
 // Guards against a task that is not started again for as long as the target of a restarted agent stays away.
 TEST_F(cluster_overlap, TaskOfLostMachineIsRestartedAlthoughItsAgentReturns) {
   const std::size_t target = StartLongTask();
--- a/tests/besteffort/run_manager_test.cc
+++ b/tests/besteffort/run_manager_test.cc
@@ -145,6 +145,13 @@
     return ends;
   }
 
+  /// The runs that the newest report lists as unsettled.
+  std::vector<run_key> UnsettledRuns() const {
+    const std::vector<send_batch> reports = ActionsOf<send_batch>();
+    EXPECT_FALSE(reports.empty());
+    return reports.empty() ? std::vector<run_key>() : reports.back().batch.runs.unsettled_runs;
+  }
+
   instant now{std::chrono::seconds(1000)};
   run_manager manager;
   std::vector<run_action> actions;
@@ -493,7 +500,8 @@
 }
 
 // Guards against a start that the next incarnation executes after the run was reported as lost: the run is reported
-// only when that incarnation has seen a fencing token above that of the start.
+// only when that incarnation has seen a fencing token above that of the start, and as unknown, since the incarnation
+// after that one has no token again.
 TEST_F(run_manager_fixture, FencesPendingStartInNextIncarnationBeforeReportingIt) {
   run_requests requests;
   requests.starts.push_back(Start("a"));
@@ -505,7 +513,7 @@
   EXPECT_GT(NewestPollToken(), start.request.context.token);
   AnswerNewestPoll(6, {});
   ASSERT_EQ(Results().size(), 1U);
-  EXPECT_EQ(Results()[0].outcome, run_outcome::kLost);
+  EXPECT_EQ(Results()[0].outcome, run_outcome::kUnknown);
 }
 
 // Guards against two runs of one task: a repeated start request that is still in transit is executed by the restarted
@@ -538,10 +546,11 @@
   const std::uint64_t start_token = ActionsOf<send_start_request>().back().request.context.token;
   manager.OnTargetAnnounced({"minion", 6}, Description(), target_time(10), now);
   Step();
-  // A poll with a higher token makes the restarted target reject the start.
-  const bool fenced = ActionsOf<send_poll_request>().back().request.context.token > start_token;
+  EXPECT_TRUE(Results().empty()) << "the restarted target may have executed the first request";
+  EXPECT_GT(NewestPollToken(), start_token) << "the poll makes the restarted target reject the start";
   AnswerNewestPoll(6, {});
-  EXPECT_TRUE(fenced || Results().empty()) << "the restarted target may still execute the first request";
+  ASSERT_EQ(Results().size(), 1U);
+  EXPECT_EQ(Results()[0].outcome, run_outcome::kUnknown) << "the next incarnation may execute the first request";
 }
 
 // Guards against two runs of one task: as above, but the target is lost by a refused connection and returns.
@@ -551,7 +560,9 @@
   refused.status = request_status::kConnectionRefused;
   manager.OnPollResponse(ActionsOf<send_poll_request>().back().request_id, refused, now);
   Step();
-  EXPECT_TRUE(Results().empty()) << "the target may return under its id and execute the first request";
+  ASSERT_EQ(Results().size(), 1U);
+  EXPECT_EQ(Results()[0].outcome, run_outcome::kUnknown)
+      << "the target may return under its id and execute the first request";
 }
 
 // Guards against two runs of one task: a heartbeat of an earlier target at the same address arrives late, and the runs
@@ -650,7 +661,7 @@
   EXPECT_GT(NewestPollToken(), start_token);
   AnswerNewestPoll(6, {});
   ASSERT_EQ(Results().size(), 1U) << "the start is fenced";
-  EXPECT_EQ(Results()[0].outcome, run_outcome::kLost);
+  EXPECT_EQ(Results()[0].outcome, run_outcome::kUnknown) << "the next incarnation may execute it";
 }
 
 // Guards against a delay of 1 s, the lease, before the accepted runs of a crashed target are reported as lost.
@@ -671,7 +682,8 @@
 }
 
 // Guards against two runs of one task: a start request without a response may be executed seconds later, by the next
-// incarnation of a target that has crashed since. The run is reported when that incarnation has seen a higher token.
+// incarnation of a target that has crashed since. The run is reported as unknown at once, and that incarnation gets a
+// higher token.
 TEST_F(run_manager_fixture, RefusedConnectionDoesNotEndStartWithoutResponse) {
   run_requests requests;
   requests.starts.push_back(Start("a"));
@@ -683,16 +695,19 @@
   refused.status = request_status::kConnectionRefused;
   manager.OnPollResponse(ActionsOf<send_poll_request>().back().request_id, refused, now);
   Step();
-  EXPECT_TRUE(Results().empty());
+  ASSERT_EQ(Results().size(), 1U);
+  EXPECT_EQ(Results()[0].outcome, run_outcome::kUnknown);
   actions.clear();
   now += Settings().fence_poll_interval;
   Step();
   EXPECT_GT(NewestPollToken(), start.request.context.token) << "the lost target is polled in case it returns";
   AnswerNewestPoll(6, {});
-  EXPECT_TRUE(Results().empty()) << "the list of an incarnation that was not known decides only after another poll";
+  manager.OnTargetAnnounced({"minion", 6}, Description(), target_time(10), now);
+  Step();
+  EXPECT_FALSE(manager.accepting()) << "the list of an incarnation that was not known decides only after another poll";
   AnswerNewestPoll(6, {});
-  ASSERT_EQ(Results().size(), 1U);
-  EXPECT_EQ(Results()[0].outcome, run_outcome::kLost);
+  EXPECT_TRUE(manager.accepting());
+  EXPECT_TRUE(Results().empty()) << "the run was reported before";
 }
 
 // Guards against a run that is reported as lost after its lease and then runs twice (soak seed 27): a restarted target
@@ -711,7 +726,7 @@
   EXPECT_GT(NewestPollToken(), start_token);
   AnswerNewestPoll(6, {});
   ASSERT_EQ(Results().size(), 1U) << "the start is fenced";
-  EXPECT_EQ(Results()[0].outcome, run_outcome::kLost);
+  EXPECT_EQ(Results()[0].outcome, run_outcome::kUnknown) << "the next incarnation may execute it";
 }
 
 // Guards against runs that are never reported when the target crashes during their start and does not return.
@@ -769,7 +784,61 @@
   executed.running.push_back({"a", 0, 0, 1});
   AnswerNewestPoll(6, executed);
   AnswerNewestPoll(6, executed);
-  EXPECT_TRUE(Results().empty()) << "the run is active in the new incarnation";
+  ASSERT_EQ(Results().size(), 1U);
+  EXPECT_EQ(Results()[0].outcome, run_outcome::kUnknown) << "the run was reported when the target was lost";
+  ASSERT_TRUE(HasAction<send_stop_request>());
+  EXPECT_EQ(ActionsOf<send_stop_request>().back().request.key, requests.starts[0].key);
+}
+
+// Guards against two runs of one task: a run is stopped at its target and its task is started elsewhere; then the
+// target is lost, and its next incarnation executes a start request that got no response.
+TEST_F(run_manager_fixture, ReportsStoppedRunAsUnknownWhenItsTargetIsLost) {
+  StartAcceptedByRepeatedRequest("a");
+  run_requests stop;
+  stop.stops.push_back({"a", 0, 0, 1});
+  SendRequests(stop);
+  manager.OnStopResponse(ActionsOf<send_stop_request>().back().request_id,
+                         {request_status::kAccepted, target_time(1060)}, now);
+  poll_response stopped;
+  stopped.finished.push_back({1, {"a", 0, 0, 1}, target_outcome::kStopped});
+  actions.clear();
+  now += Settings().poll_overdue_after;
+  Step();
+  AnswerNewestPoll(5, stopped);
+  ASSERT_EQ(Results().size(), 1U);
+  EXPECT_EQ(Results()[0].outcome, run_outcome::kStopped);
+  actions.clear();
+  manager.OnTargetAnnounced({"minion", 6}, Description(), target_time(10), now);
+  Step();
+  ASSERT_EQ(Results().size(), 1U);
+  EXPECT_EQ(Results()[0].outcome, run_outcome::kUnknown);
+  EXPECT_TRUE(Results()[0].key == (run_key{"a", 0, 0, 1}));
+}
+
+// Guards against a job that is given up although its start was answered, and against one that is started twice although
+// its start was not: the entry decides by the runs that the last report of a silent agent lists as unsettled.
+TEST_F(run_manager_fixture, ReportsRunsWithUnansweredStartsAsUnsettled) {
+  StartAcceptedByRepeatedRequest("a");
+  now += Settings().report_interval;
+  Step();
+  EXPECT_EQ(UnsettledRuns(), std::vector<run_key>({{"a", 0, 0, 1}}));
+  poll_response active;
+  active.running.push_back({"a", 0, 0, 1});
+  const instant from = now;
+  while (now - from < Settings().max_request_delay) {
+    now += std::chrono::milliseconds(100);
+    SendRequests({});
+    AnswerNewestPoll(5, active);
+  }
+  EXPECT_EQ(UnsettledRuns(), std::vector<run_key>()) << "the request is not executed any more";
+}
+
+// As above, for a start that was answered: a report follows although the load has not changed.
+TEST_F(run_manager_fixture, ReportsAnsweredRunAsSettled) {
+  StartAccepted("a");
+  now += Settings().report_interval;
+  Step();
+  EXPECT_EQ(UnsettledRuns(), std::vector<run_key>());
 }
 
 // Guards against two runs of one task: a run that started longer ago than a request may be late is reported as lost
