Keep the starts without a response of ended runs at the entry

A task that was stopped or done at its target is started again by a further submission of its job or as a straggler, while a start request of the earlier run has had no response. The agent tells the entries when the target is lost, but an agent that is frozen, killed or gone can't.

Results now say whether a start request had no response. The entry keeps these keys for as long as the request may be executed, and when their agent is silent for longer than its runs can last or has restarted, it gives up the jobs concerned and answers further submissions of them as not repeatable.

A job of which a run may still be started at a silent agent is abandoned 100 ms before its deadline: an answer at the deadline reaches a caller that has given up and submits the job again.

--- a/include/bamboowing/besteffort/dispatch_core.h
+++ b/include/bamboowing/besteffort/dispatch_core.h
@@ -241,13 +241,19 @@
   static run_outcome LostRunOutcome(const dispatched_run& run);
   /// A run of the job may still be started by an earlier request. Abandons the job if a task could run twice.
   void HandleUnknownRun(const run_key& key, instant now);
+  /// Keeps a start request without a response of a run that the agent reports as ended.
+  void RecordReleasedStart(fleet_target& from, const run_result& end, instant now);
+  /// The agent can't report any more whether the target executes released starts: all, or only those of its earlier
+  /// incarnations.
+  void HandleLostReleasedStarts(fleet_target& target, bool all_incarnations, instant now);
   /// Submissions of the job are answered as not repeatable for as long as an earlier request may start a task.
   void ForbidRepetition(const std::string& job_id, instant now);
   /// Answers the job so that its caller does not submit it again, and stops its runs.
   void AbandonJob(open_job& job, instant now);
   static failure NotRepeatableError();
-  /// Whether a run of the job may still be started at a target whose agent is not in contact.
-  bool HasUnsettledRunOfSilentAgent(const open_job& job, instant now);
+  /// Whether the deadline of the job is near while a run of it may still be started at a target whose agent is not in
+  /// contact.
+  bool MustAbandonBeforeDeadline(const open_job& job, instant now);
   /// Whether a submission of the job must not start its tasks, since a run of an earlier one may still be started.
   bool IsNotRepeatable(const std::string& job_id, instant now);
   void ExpireAgents(instant now);
--- a/include/bamboowing/besteffort/target_fleet.h
+++ b/include/bamboowing/besteffort/target_fleet.h
@@ -16,6 +16,13 @@
 
 namespace bamboowing {
 
+/// A run that has ended although a start request of it had no response.
+struct released_start {
+  run_key key;
+  incarnation_id agent_incarnation = 0;  ///< of the agent that has reported the run
+  instant until;                         ///< the request is not executed later than this
+};
+
 /// An entry's view of one agent and its target.
 struct fleet_target {
   std::string agent;
@@ -42,6 +49,7 @@
   speed_estimate speed;
   std::uint32_t own_runs = 0;  ///< runs of this entry at the target
   run_requests pending_requests;
+  std::vector<released_start> released_starts;  ///< of runs of this entry
 
   /// Committed amount of the newest report plus the starts that it does not include.
   resource_amount Committed() const {
--- a/include/bamboowing/message/best_effort.h
+++ b/include/bamboowing/message/best_effort.h
@@ -93,6 +93,8 @@
   run_key key;
   run_outcome outcome = run_outcome::kLost;
   duration run_time{0};  ///< time from start to end at the target; 0 for a run that never started
+  /// Whether a start request of the run had no response: a later incarnation of the target may still execute it.
+  bool start_unanswered = false;
 };
 
 /// Properties of a target that an entry needs for placement.
--- a/schema/wire.capnp
+++ b/schema/wire.capnp
@@ -62,6 +62,7 @@
   outcome @2 :UInt8;
   runTimeUs @3 :Int64;
   unknown @4 :Bool;  # overrides the outcome; processes that do not know the field take the run as lost
+  startUnanswered @5 :Bool;
 }
 
 struct TargetDescription {
--- a/src/besteffort/dispatch_core.cc
+++ b/src/besteffort/dispatch_core.cc
@@ -284,20 +284,24 @@
 
 void dispatch_core::ExpireJobs(instant now) {
   std::vector<std::string> overdue;
+  std::vector<std::string> abandoned;
   for (const job_map::value_type& item : jobs_) {
     const open_job& job = *item.second;
+    if (MustAbandonBeforeDeadline(job, now)) {
+      abandoned.push_back(item.first);
+      continue;
+    }
     if (!job.answered && (job.ever_started ? job.caller_deadline : job.start_by) <= now) {
       overdue.push_back(item.first);
     }
   }
+  for (const std::string& id : abandoned) {
+    AbandonJob(*jobs_.at(id), now);
+    EraseIfFinished(id);
+  }
   for (const std::string& id : overdue) {
     open_job& job = *jobs_.at(id);
     const std::string waited = std::to_string((now - job.arrival).count() / 1000) + " ms";
-    if (HasUnsettledRunOfSilentAgent(job, now)) {
-      AbandonJob(job, now);
-      EraseIfFinished(id);
-      continue;
-    }
     if (job.ever_started) {
       Answer(job, job_verdict::kUnknown,
              failure(error_kind::kDeadlineExceeded, not_run_state::kUnknown, "job not completed within " + waited));
--- a/src/besteffort/dispatch_runs.cc
+++ b/src/besteffort/dispatch_runs.cc
@@ -56,6 +56,7 @@
   for (const run_result& end : batch.runs.results) {
     if (end.sequence > target->results_received) {
       target->results_received = end.sequence;
+      RecordReleasedStart(*target, end, now);
       OnRunEnded(*target, end, now);
     }
   }
@@ -270,6 +271,7 @@
       OnRunEnded(target, {0, key, LostRunOutcome(run->second), duration(0)}, now);
     }
   }
+  HandleLostReleasedStarts(target, all_incarnations, now);
 }
 
 void dispatch_core::ExpireAgents(instant now) {
@@ -283,7 +285,8 @@
       actions_.emplace_back(close_run_session{target.session});
       fleet_.CloseSession(target.session);
     }
-    if (target.own_runs > 0 && now - target.last_report_at >= loss_timeout) {
+    const bool concerned = target.own_runs > 0 || !target.released_starts.empty();
+    if (concerned && now - target.last_report_at >= loss_timeout) {
       LogEvent("agent_lost", "", "agent " + target.agent + ", runs " + std::to_string(target.own_runs));
       EndLostRuns(target, true, now);
     }
--- a/src/besteffort/dispatch_unsettled.cc
+++ b/src/besteffort/dispatch_unsettled.cc
@@ -8,6 +8,9 @@
 namespace bamboowing {
 namespace {
 
+// A job is abandoned this long before its deadline, so that its caller receives the answer in time and does not submit
+// it again.
+constexpr duration kAnswerMargin = std::chrono::milliseconds(100);
 // An agent without a report for this long may not learn of the loss of its target before a job's deadline.
 constexpr duration kSilentAfter = std::chrono::milliseconds(450);
 
@@ -41,6 +44,7 @@
 }
 
 void dispatch_core::ForbidRepetition(const std::string& job_id, instant now) {
+  LogEvent("repetition_forbidden", job_id, "a start of the job without a response may still be executed");
   not_repeatable_until_[job_id] = now + settings_.max_request_delay;
 }
 
@@ -60,13 +64,44 @@
   const bool done = std::any_of(job.tasks.begin(), job.tasks.end(), [&key](const job_task& task) {
     return task.step == key.step && task.index == key.index && task.state == task_state::kDone;
   });
-  if (!done) {
-    AbandonJob(job, now);
-    EraseIfFinished(key.job_id);
+  if (done) {
+    // The job can still complete, but another submission of it would start the task again.
+    ForbidRepetition(key.job_id, now);
+    return;
+  }
+  AbandonJob(job, now);
+  EraseIfFinished(key.job_id);
+}
+
+void dispatch_core::RecordReleasedStart(fleet_target& from, const run_result& end, instant now) {
+  std::vector<released_start>& released = from.released_starts;
+  released.erase(std::remove_if(released.begin(), released.end(),
+                                [now](const released_start& start) { return start.until <= now; }),
+                 released.end());
+  if (end.start_unanswered && end.outcome != run_outcome::kUnknown) {
+    released.push_back({end.key, from.agent_incarnation, now + settings_.max_request_delay});
   }
 }
 
-bool dispatch_core::HasUnsettledRunOfSilentAgent(const open_job& job, instant now) {
+void dispatch_core::HandleLostReleasedStarts(fleet_target& target, bool all_incarnations, instant now) {
+  std::vector<released_start> kept;
+  for (const released_start& start : std::exchange(target.released_starts, {})) {
+    if (start.until <= now) {
+      continue;
+    }
+    if (all_incarnations || start.agent_incarnation != target.agent_incarnation) {
+      HandleUnknownRun(start.key, now);
+    } else {
+      kept.push_back(start);
+    }
+  }
+  target.released_starts = std::move(kept);
+}
+
+bool dispatch_core::MustAbandonBeforeDeadline(const open_job& job, instant now) {
+  if (job.answered || job.caller_deadline - kAnswerMargin > now) {
+    return false;
+  }
   for (run_map::const_iterator run = runs_.lower_bound({job.spec.id, 0, 0, 0});
        run != runs_.end() && run->first.job_id == job.spec.id; ++run) {
     const fleet_target* target = fleet_.FindByIndex(run->second.target);
--- a/src/besteffort/run_manager.cc
+++ b/src/besteffort/run_manager.cc
@@ -116,6 +116,7 @@
   run_result end;
   end.key = run->first;
   end.outcome = outcome;
+  end.start_unanswered = IsUnsettled(ended, now);
   const bool ran = outcome == run_outcome::kDone || outcome == run_outcome::kFailed;
   if (ran && ended.accepted_at != instant{}) {
     end.run_time = now - ended.accepted_at;
--- a/src/wire/runs_codec.cc
+++ b/src/wire/runs_codec.cc
@@ -98,6 +98,7 @@
     const bool unknown = result.outcome == run_outcome::kUnknown;
     item.setOutcome(static_cast<std::uint8_t>(unknown ? run_outcome::kLost : result.outcome));
     item.setUnknown(unknown);
+    item.setStartUnanswered(result.start_unanswered);
     item.setRunTimeUs(result.run_time.count());
   }
   out.setHasInventory(report.has_inventory);
@@ -117,8 +118,9 @@
     if (!outcome) {
       return false;
     }
-    report.results.push_back({item.getNumber(), ReadRunKey(item.getKey()),
-                              item.getUnknown() ? run_outcome::kUnknown : *outcome, duration(item.getRunTimeUs())});
+    const run_outcome reported = item.getUnknown() ? run_outcome::kUnknown : *outcome;
+    report.results.push_back({item.getNumber(), ReadRunKey(item.getKey()), reported, duration(item.getRunTimeUs()),
+                              item.getStartUnanswered()});
   }
   report.has_inventory = in.getHasInventory();
   report.active_runs = ReadRunKeys(in.getHeld());
--- a/tests/wire/codec_test.cc
+++ b/tests/wire/codec_test.cc
@@ -89,14 +89,16 @@
 TEST(Codec, ReportKeepsRunsThatMayBeStarted) {
   agent_batch batch;
   batch.runs.results.push_back({7, {"job", 1, 2, 3}, run_outcome::kUnknown, duration(0)});
-  batch.runs.results.push_back({8, {"job", 1, 3, 3}, run_outcome::kStopped, duration(0)});
+  batch.runs.results.push_back({8, {"job", 1, 3, 3}, run_outcome::kStopped, duration(0), true});
   batch.runs.unsettled_runs.push_back({"other", 4, 5, 6});
   const std::optional<agent_batch> copy = RoundTrip<rpc::AgentBatch>(batch);
   ASSERT_TRUE(copy);
   ASSERT_EQ(copy->runs.results.size(), 2U);
   EXPECT_EQ(copy->runs.results[0].outcome, run_outcome::kUnknown);
   EXPECT_EQ(copy->runs.results[0].sequence, 7U);
+  EXPECT_FALSE(copy->runs.results[0].start_unanswered);
   EXPECT_EQ(copy->runs.results[1].outcome, run_outcome::kStopped);
+  EXPECT_TRUE(copy->runs.results[1].start_unanswered);
   ASSERT_EQ(copy->runs.unsettled_runs.size(), 1U);
   EXPECT_TRUE(copy->runs.unsettled_runs[0] == (run_key{"other", 4, 5, 6}));
 }
