Test restarts of targets that execute many starts late

The suites restarted each target once at a time and left 6 % of the requests without a response. The simulation traces start requests and late executions.

--- a/tests/besteffort/cluster_sim.cc
+++ b/tests/besteffort/cluster_sim.cc
@@ -316,6 +316,7 @@
     const agent_node& node = *agents_[agent];
     const bool reached = outlives_target ? node.target_down_until <= now_ : node.target->start_id() == start_id;
     if (reached) {
+      Trace("late request executed at target " + std::to_string(agent));
       execute();
     }
   });
@@ -349,6 +350,10 @@
     return;
   }
   const bool late = random_.Unit() < faults.late_requests;
+  if constexpr (std::is_same_v<Request, send_start_request>) {
+    Trace("agent " + std::to_string(agent) + " requests start " + Describe(request.request.key) +
+          (late ? ", executed late" : ""));
+  }
   if (late || node.target_silent_until > now_) {
     After(kRequestTimeout, [respond] { respond({request_status::kNoResponse, std::nullopt}); });
     if (late) {
--- a/tests/besteffort/cluster_test.cc
+++ b/tests/besteffort/cluster_test.cc
@@ -118,6 +118,7 @@
   kSuspensions,    ///< machines are suspended
   kAnnouncements,  ///< heartbeats and announced ends of targets arrive late or early
   kKilledEntries,  ///< entries are killed while an agent or target stops responding
+  kLateStarts,     ///< targets restart repeatedly, many requests are executed late, and agents stop beside them
   kAll,
 };
 
@@ -201,6 +202,27 @@
   });
 }
 
+/// Restarts a target one to three times within 2 s; its agent may be frozen, killed or separated from an entry.
+void InjectRepeatedRestart(cluster_sim& sim, std::size_t entries, std::size_t agent, duration time) {
+  switch (sim.random().Below(6)) {
+    case 0:
+      sim.FreezeAgent(agent, time);
+      break;
+    case 1:
+      sim.KillAgent(agent, time / 4);
+      break;
+    case 2:
+      sim.Partition(sim.random().Below(entries), agent, time);
+      break;
+    default:
+      break;
+  }
+  const std::uint64_t restarts = 1 + sim.random().Below(3);
+  for (std::uint64_t i = 0; i < restarts; ++i) {
+    sim.After(duration(sim.random().Below(2'000'000)), [&sim, agent] { InjectRestart(sim, agent); });
+  }
+}
+
 void InjectGroupFault(cluster_sim& sim, fault_group group, std::size_t entries, std::size_t targets) {
   const std::size_t agent = sim.random().Below(targets);
   const duration time = std::chrono::milliseconds(200) + duration(sim.random().Below(3'500'000));
@@ -217,6 +239,9 @@
     case fault_group::kKilledEntries:
       InjectKill(sim, entries, agent, time);
       break;
+    case fault_group::kLateStarts:
+      InjectRepeatedRestart(sim, entries, agent, time);
+      break;
     case fault_group::kAll:
       InjectGroupFault(sim, static_cast<fault_group>(sim.random().Below(4)), entries, targets);
   }
@@ -263,6 +288,12 @@
     sim.faults.lost_responses = 0.03;
     sim.faults.lost_polls = 0.06;
   }
+  if (group == fault_group::kLateStarts) {
+    // The highest share of late requests of the days that are known.
+    sim.faults.late_requests_outlive_target = true;
+    sim.faults.late_requests = 0.2;
+    sim.faults.lost_polls = 0.2;
+  }
   for (int i = 0; i < 200; ++i) {
     caller.Submit(sim.random().Below(kEntries), JobId(i), WorkOf(i));
     if (i % 12 == 5) {
@@ -316,6 +347,7 @@
 class suspended_cluster : public testing::TestWithParam<int> {};
 class announced_cluster : public testing::TestWithParam<int> {};
 class killed_cluster : public testing::TestWithParam<int> {};
+class late_cluster : public testing::TestWithParam<int> {};
 class troubled_cluster : public testing::TestWithParam<int> {};
 
 // Guards against starts that a restarted target executes late, after their runs were taken as ended.
@@ -330,6 +362,10 @@
 // Guards against runs of a killed entry that are active when its callers submit their jobs again.
 TEST_P(killed_cluster, KeepsGuarantees) { RunWithFaultGroup(fault_group::kKilledEntries, GetParam()); }
 
+// Guards against starts without a response that a target executes after its second restart, or while its agent can't
+// fence it.
+TEST_P(late_cluster, KeepsGuarantees) { RunWithFaultGroup(fault_group::kLateStarts, GetParam()); }
+
 // Combines all faults.
 TEST_P(troubled_cluster, KeepsGuarantees) { RunWithFaultGroup(fault_group::kAll, GetParam()); }
 
@@ -337,6 +373,7 @@
 INSTANTIATE_TEST_SUITE_P(Seeds, suspended_cluster, testing::Range(1, LastSeed()));
 INSTANTIATE_TEST_SUITE_P(Seeds, announced_cluster, testing::Range(1, LastSeed()));
 INSTANTIATE_TEST_SUITE_P(Seeds, killed_cluster, testing::Range(1, LastSeed()));
+INSTANTIATE_TEST_SUITE_P(Seeds, late_cluster, testing::Range(1, LastSeed()));
 INSTANTIATE_TEST_SUITE_P(Seeds, troubled_cluster, testing::Range(1, LastSeed()));
 
 TEST(cluster_without_faults, CompletesAllJobsWithinTheirObjective) {
