Model capacities that shrink and grow in the cluster simulation

The fake target counted one core for each task, whatever the task needed, and its capacity was fixed.

The target now reads the need of each step from the payload, so that tasks differ in CPU, memory and accelerators. Its capacity changes while it runs or with its next incarnation, it may execute every start whatever its capacity (guards_capacity), and a stopped run ends only after a stop time and keeps its room until then. It records each start that no capacity of the last 4.5 s allows: contact_ms of 3 s and one heartbeat interval of 1.5 s, the shorter of the two published bounds. Announcements carry sequence numbers as on the platform, and may be lost or arrive up to 4 s late.

--- a/tests/besteffort/cluster_sim.cc
+++ b/tests/besteffort/cluster_sim.cc
@@ -12,6 +12,8 @@
 constexpr duration kRequestTimeout = std::chrono::milliseconds(30);
 constexpr duration kPollTimeout = std::chrono::milliseconds(200);
 constexpr duration kHeartbeat = std::chrono::milliseconds(1500);
+// Bound of the delay of a late heartbeat.
+constexpr duration kLateHeartbeat = std::chrono::seconds(4);
 constexpr std::size_t kDomains = 4;
 
 std::string Describe(const run_key& key) {
@@ -35,8 +37,7 @@
   }
   for (std::size_t i = 0; i < targets; ++i) {
     agents_.push_back(std::make_unique<agent_node>());
-    agents_[i]->target = std::make_unique<fake_target>("minion-" + std::to_string(i),
-                                                       resource_amount{cores_ * 1000, 65536, 0}, history_);
+    agents_[i]->target = std::make_unique<fake_target>("minion-" + std::to_string(i), FullCapacity(), history_);
     agents_[i]->target->Restart(now_);
     StartAgent(i);
     Announce(i);
@@ -105,8 +106,10 @@
 
 void cluster_sim::Announce(std::size_t agent) {
   agent_node& node = *agents_[agent];
-  if (node.target_down_until <= now_) {
-    SendHeartbeat(agent, duration(0));
+  if (node.target_down_until <= now_ && !Occurs(faults.lost_heartbeats)) {
+    const bool late = Occurs(faults.late_heartbeats);
+    SendHeartbeat(agent,
+                  late ? duration(random_.Below(static_cast<std::uint64_t>(kLateHeartbeat.count()))) : duration(0));
   }
   After(kHeartbeat, [this, agent] { Announce(agent); });
 }
@@ -130,9 +133,9 @@
 void cluster_sim::SendHeartbeat(std::size_t agent, duration delay) {
   target_description target;
   target.service = kSimService;
-  target.capacity = {cores_ * 1000, 65536, 0};
-  const fake_target& fake = *agents_[agent]->target;
-  const target_incarnation incarnation{fake.id(), fake.start_id()};
+  fake_target& fake = *agents_[agent]->target;
+  target.capacity = fake.capacity();
+  const target_incarnation incarnation{fake.id(), fake.start_id(), "", fake.NextAnnouncement()};
   const target_time clock = fake.Clock(now_);
   const auto deliver = [this, agent, target, incarnation, clock] {
     DeliverToAgent(agent, [target, incarnation, clock](run_manager& core, instant now) {
--- a/tests/besteffort/cluster_sim.h
+++ b/tests/besteffort/cluster_sim.h
@@ -31,8 +31,10 @@
   /// Otherwise it is lost if the target has restarted.
   bool late_requests_outlive_target = false;
   std::optional<duration> late_delay;  ///< time until a late request is executed; random if absent
-  double slow_requests = 0;   ///< starts and stops whose execution is delayed by up to twice the request timeout
-  double lost_responses = 0;  ///< starts and stops that are executed immediately but have no response
+  double slow_requests = 0;  ///< starts and stops whose execution is delayed by up to twice the request timeout
+  double lost_heartbeats = 0;
+  double late_heartbeats = 0;  ///< heartbeats that arrive up to 4 s later, after newer ones
+  double lost_responses = 0;   ///< starts and stops that are executed immediately but have no response
   /// Whether the clocks of the processes count the time for which their machine is suspended.
   bool clocks_count_suspension = kDaemonClockCountsSuspension;
 };
@@ -86,6 +88,9 @@
 
   /// Submits a job with @p tasks tasks of @p work_ms each to an entry. Returns its index in jobs().
   std::size_t Submit(std::size_t entry, const std::string& id, std::uint32_t tasks, int work_ms);
+  /// Submits a job with these steps, the tasks of which run for @p work_ms.
+  std::size_t Submit(std::size_t entry, const std::string& id, std::vector<job_step> steps, int work_ms);
+  job_step Step(std::uint32_t tasks, int work_ms, const resource_amount& need) const;
   void DisconnectCaller(std::size_t job);
 
   void KillEntry(std::size_t entry, duration down);
@@ -106,6 +111,10 @@
   void LeaveTarget(std::size_t target, duration end_delay, duration down);
   /// The target sends a heartbeat that arrives after @p delay.
   void DelayHeartbeat(std::size_t target, duration delay) { SendHeartbeat(target, delay); }
+  /// Changes the capacity of a target, which announces it with its next heartbeat.
+  void SetCapacity(std::size_t target, const resource_amount& capacity);
+  /// Capacity of a target at its start.
+  resource_amount FullCapacity() const { return {cores_ * 1000, 65536, 0}; }
 
   fake_target& target(std::size_t index) { return *agents_[index]->target; }
   run_manager* manager(std::size_t index) { return agents_[index]->core.get(); }
@@ -113,6 +122,7 @@
   const std::vector<sim_job>& jobs() const { return jobs_; }
   const std::vector<run_record>& history() const { return history_; }
   std::uint32_t task_millicores = 1000;  ///< CPU need of each task
+  std::uint32_t task_memory_mb = 64;
   sim_faults faults;
   std::size_t reports = 0;                             ///< number of batches sent by agents
   std::function<void(const std::string& line)> trace;  ///< receives decisions, requests and faults; may be empty
@@ -122,6 +132,8 @@
 
   /// Tasks with overlapping runs, one line for each pair.
   std::vector<std::string> OverlappingRuns() const;
+  /// Starts at any target that brought it over its capacity. See fake_target::overcommitted_starts().
+  std::vector<std::string> OvercommittedStarts() const;
   /// Ids of jobs that were refused as not run although a task ran.
   std::vector<std::string> RefusedJobsThatRan() const;
 
--- a/tests/besteffort/cluster_sim_inputs.cc
+++ b/tests/besteffort/cluster_sim_inputs.cc
@@ -19,7 +19,19 @@
   Trace("fault: " + fault + " " + std::to_string(index) + " for " + std::to_string(time.count() / 1000) + " ms");
 }
 
+job_step cluster_sim::Step(std::uint32_t tasks, int work_ms, const resource_amount& need) const {
+  job_step step;
+  step.count = tasks;
+  step.need = need;
+  step.estimate = std::chrono::milliseconds(work_ms);
+  return step;
+}
+
 std::size_t cluster_sim::Submit(std::size_t entry, const std::string& id, std::uint32_t tasks, int work_ms) {
+  return Submit(entry, id, {Step(tasks, work_ms, {task_millicores, task_memory_mb, 0})}, work_ms);
+}
+
+std::size_t cluster_sim::Submit(std::size_t entry, const std::string& id, std::vector<job_step> steps, int work_ms) {
   sim_job submitted;
   submitted.id = id;
   submitted.call = jobs_.size() + 1;
@@ -30,12 +42,12 @@
   jobs_.push_back(submitted);
   best_effort_job job;
   job.id = id;
-  job.payload = std::to_string(work_ms);
-  job_step step;
-  step.count = tasks;
-  step.need = {task_millicores, 64, 0};
-  step.estimate = std::chrono::milliseconds(work_ms);
-  job.steps.push_back(step);
+  std::vector<resource_amount> needs;
+  for (const job_step& step : steps) {
+    needs.push_back(step.need);
+  }
+  job.payload = FakePayload(work_ms, needs);
+  job.steps = std::move(steps);
   queue_rule rule;
   rule.name = "queue-" + id.substr(0, id.find_first_of("0123456789"));
   rule.service = kSimService;
@@ -126,6 +138,21 @@
   agents_[target]->target_silent_until = now_ + time;
 }
 
+void cluster_sim::SetCapacity(std::size_t target, const resource_amount& capacity) {
+  Trace("fault: capacity of target " + std::to_string(target) + " is " + std::to_string(capacity.cpu_millicores) +
+        ", " + std::to_string(capacity.memory_mb) + ", " + std::to_string(capacity.accelerators));
+  agents_[target]->target->SetCapacity(capacity, now_);
+}
+
+std::vector<std::string> cluster_sim::OvercommittedStarts() const {
+  std::vector<std::string> found;
+  for (const std::unique_ptr<agent_node>& agent : agents_) {
+    const std::vector<std::string>& starts = agent->target->overcommitted_starts();
+    found.insert(found.end(), starts.begin(), starts.end());
+  }
+  return found;
+}
+
 std::vector<std::string> cluster_sim::OverlappingRuns() const {
   std::map<std::string, std::vector<const run_record*>> by_task;
   for (const run_record& run : history_) {
--- a/tests/besteffort/fake_target.h
+++ b/tests/besteffort/fake_target.h
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -20,6 +22,16 @@
   target_outcome outcome = target_outcome::kInterrupted;
 };
 
+/// Payload of the tasks of a job that run for @p work_ms and have these needs, by step.
+inline std::string FakePayload(int work_ms, const std::vector<resource_amount>& needs) {
+  std::string payload = std::to_string(work_ms);
+  for (const resource_amount& need : needs) {
+    payload += " " + std::to_string(need.cpu_millicores) + " " + std::to_string(need.memory_mb) + " " +
+               std::to_string(need.accelerators);
+  }
+  return payload;
+}
+
 class fake_target {
  public:
   fake_target(std::string id, resource_amount capacity, std::vector<run_record>& history)
@@ -29,11 +41,28 @@
   double speed = 1;
   bool fails_all = false;
   bool hangs = false;
+  bool guards_capacity = true;  ///< whether a start that exceeds the capacity is rejected
+  duration stop_time{0};  ///< time from an accepted stop to the end of the run, which is listed as running until then
 
   const std::string& id() const { return id_; }
   std::uint64_t start_id() const { return start_id_; }
   target_time Clock(instant now) const { return std::chrono::duration_cast<target_time>(now - started_); }
 
+  /// Capacity of the next incarnation, if it differs.
+  std::optional<resource_amount> next_capacity;
+
+  const resource_amount& capacity() const { return capacity_; }
+  /// Capacity of the runs that are active, also of those that are being stopped.
+  const resource_amount& used() const { return used_; }
+  void SetCapacity(const resource_amount& capacity, instant now) {
+    earlier_capacities_.push_back({capacity_, now});
+    capacity_ = capacity;
+  }
+  /// Starts that brought the target over each capacity that it has had in the last kCapacityGrace.
+  const std::vector<std::string>& overcommitted_starts() const { return overcommitted_starts_; }
+  /// Sequence number of the next announcement.
+  std::uint64_t NextAnnouncement() { return ++announcements_; }
+
   /// Replaces the process by a new one without runs or state.
   void Restart(instant now) {
     Advance(now);
@@ -44,7 +73,11 @@
     finished_.clear();
     highest_attempts_.clear();
     last_sequence_ = 0;
-    used_cores_ = 0;
+    used_ = {};
+    capacity_ = next_capacity.value_or(capacity_);
+    next_capacity.reset();
+    earlier_capacities_.clear();
+    announcements_ = 0;
     token_ = 0;
     lease_end_ = target_time(0);
     ++start_id_;
@@ -65,9 +98,11 @@
     }
     for (const std::string& task : ended) {
       const active_run& run = running_.at(task);
-      const bool lapsed = lease_at < run.ends_at;
-      EndRun(task, lapsed ? lease_at : run.ends_at,
-             lapsed ? target_outcome::kInterrupted : (fails_all ? target_outcome::kFailed : target_outcome::kDone));
+      if (lease_at < run.ends_at) {
+        EndRun(task, lease_at, target_outcome::kInterrupted);
+      } else {
+        EndRun(task, run.ends_at, run.outcome);
+      }
     }
   }
 
@@ -99,18 +134,25 @@
       answer.status = request_status::kStaleAttempt;
       return answer;
     }
-    if (used_cores_ + 1 > capacity_.cpu_millicores / 1000) {
+    active_run run;
+    double work_ms = 0;
+    std::istringstream payload(request.payload);
+    payload >> work_ms;
+    for (std::uint32_t step = 0; step <= request.key.step; ++step) {
+      payload >> run.need.cpu_millicores >> run.need.memory_mb >> run.need.accelerators;
+    }
+    if (guards_capacity && !FitsWithin(run.need, used_, capacity_)) {
       answer.status = request_status::kNoRoom;
       return answer;
     }
-    active_run run;
+    CheckCapacity(task, run.need, now);
     run.key = request.key;
-    run.ends_at =
-        hangs ? instant::max() : now + duration(static_cast<std::int64_t>(std::stod(request.payload) * 1000 / speed));
+    run.ends_at = hangs ? instant::max() : now + duration(static_cast<std::int64_t>(work_ms * 1000 / speed));
+    run.outcome = fails_all ? target_outcome::kFailed : target_outcome::kDone;
     run.record = history_.size();
     history_.push_back({task, id_, request.key, now});
     running_.emplace(task, run);
-    ++used_cores_;
+    AddTo(used_, run.need);
     answer.status = request_status::kAccepted;
     return answer;
   }
@@ -130,9 +172,11 @@
     token_ = request.context.token;
     const std::string task = TaskOf(request.key);
     highest_attempts_[task] = std::max(highest_attempts_[task], request.key.attempt);
-    const std::map<std::string, active_run>::const_iterator present = running_.find(task);
-    if (present != running_.end() && present->second.key == request.key) {
-      EndRun(task, now, target_outcome::kStopped);
+    const std::map<std::string, active_run>::iterator present = running_.find(task);
+    if (present != running_.end() && present->second.key == request.key && now + stop_time < present->second.ends_at) {
+      present->second.ends_at = now + stop_time;
+      present->second.outcome = target_outcome::kStopped;
+      Advance(now);
     }
     answer.status = request_status::kAccepted;
     return answer;
@@ -173,10 +217,15 @@
 
  private:
   static constexpr target_time kMaxLease{1000};
+  /// A smaller capacity binds this long after the change: the agent learns it from the next announcement, which is sent
+  /// 1.5 s later at most, and has 3 s more.
+  static constexpr duration kCapacityGrace = std::chrono::milliseconds(4500);
 
   struct active_run {
     run_key key;
+    resource_amount need;
     instant ends_at;
+    target_outcome outcome = target_outcome::kDone;  ///< if the lease does not expire before
     std::size_t record = 0;
   };
 
@@ -189,14 +238,28 @@
     lease_end_ = std::max(lease_end_, std::min(lease_end, Clock(now) + kMaxLease));
   }
 
+  /// Records a start that no capacity of the last kCapacityGrace allows.
+  void CheckCapacity(const std::string& task, const resource_amount& need, instant now) {
+    bool fits = FitsWithin(need, used_, capacity_);
+    for (const std::pair<resource_amount, instant>& earlier : earlier_capacities_) {
+      fits = fits || (now - earlier.second <= kCapacityGrace && FitsWithin(need, used_, earlier.first));
+    }
+    if (!fits) {
+      overcommitted_starts_.push_back(
+          id_ + ": " + task + " at " + std::to_string(now.time_since_epoch().count() / 1000) + ", cpu " +
+          std::to_string(used_.cpu_millicores) + " + " + std::to_string(need.cpu_millicores) + " of " +
+          std::to_string(capacity_.cpu_millicores));
+    }
+  }
+
   void EndRun(const std::string& task, instant at, target_outcome outcome) {
     const active_run run = running_.at(task);
     history_[run.record].ended_at = at;
     history_[run.record].outcome = outcome;
     highest_attempts_[task] = std::max(highest_attempts_[task], run.key.attempt);
     finished_.push_back({++last_sequence_, run.key, outcome});
+    SubtractFrom(used_, run.need);
     running_.erase(task);
-    --used_cores_;
   }
 
   std::string id_;
@@ -210,7 +273,10 @@
   std::map<std::string, std::uint32_t> highest_attempts_;
   std::vector<finished_run> finished_;
   std::uint64_t last_sequence_ = 0;
-  std::uint32_t used_cores_ = 0;
+  resource_amount used_;
+  std::vector<std::pair<resource_amount, instant>> earlier_capacities_;  ///< of this incarnation, with their ends
+  std::vector<std::string> overcommitted_starts_;
+  std::uint64_t announcements_ = 0;
 };
 
 }  // namespace bamboowing
