Admit no runs by an outdated announcement of a capacity

A target that does not check its capacity starts whatever it is told to. The agent admitted by the newest announcement that it had, however long ago that was sent.

The agent now determines when the announcement was sent: at the latest when it arrived, and earlier if the target's clock in a poll response or in the agent's own estimate is ahead of the clock in the announcement. It admits nothing when that is 2.9 s and one announcement interval ago (4.4 s on the published settings; the interval comes from the settings file), and tells its entries. A smaller capacity binds contact_ms (3 s) and one heartbeat after the change, so every run that is admitted respects what binds. Two lost announcements in a row do not interrupt admission, three do until the next one arrives.

Ruled out: announcements that arrive after a newer one of the same incarnation are ignored by their sequence number, as LateHeartbeatDoesNotRestoreShrunkCapacity showed before the change.

--- a/include/bamboowing/besteffort/run_manager.h
+++ b/include/bamboowing/besteffort/run_manager.h
@@ -64,6 +64,10 @@
   duration release_delay{1'000'000};
   /// A target that does not answer for this long is replaced by another one that has announced itself.
   duration replace_target_after{400'000};
+  /// No run is admitted if the target's newest announcement was sent this long ago: its capacity may have shrunk since,
+  /// and a target need not reject what exceeds it. It must exceed two announcement intervals, so that the loss of one
+  /// announcement does not interrupt admission.
+  duration max_capacity_age{4'400'000};
   /// Maximum fraction by which the target's clock may run slower than the agent's.
   double clock_drift = 0.02;
 };
@@ -153,7 +157,7 @@
   void ClearActions() { actions_.clear(); }
 
   std::size_t runs() const { return runs_.size(); }
-  bool accepting() const { return phase_ == phase::kServing && !target_.draining && !draining_; }
+  bool accepting() const { return phase_ == phase::kServing && capacity_known_ && !target_.draining && !draining_; }
 
  private:
   /// State of the agent's view of its target.
@@ -237,6 +241,12 @@
   /// End of the lease that may be granted now; nullopt if there is none or the target's clock is unknown.
   std::optional<target_time> LeaseEnd(instant now) const;
   void SampleClock(const std::optional<target_time>& clock, instant now);
+  /// The target showed @p clock: its newest announcement was sent when its clock showed `described_clock_`.
+  void LimitCapacityTime(target_time clock, instant now);
+  /// The description of the target was announced when its clock showed @p clock.
+  void RecordDescription(const std::optional<target_time>& clock, instant now);
+  /// Updates whether the target's announcement is recent enough to admit runs by it, and notifies the entries.
+  void UpdateCapacityKnown(instant now);
   void HandleStartResponse(run_map::iterator run, request_status status, instant now);
   /// Whether a start request for the run is unanswered and has not timed out.
   bool HasPendingStart(const run_key& key) const;
@@ -355,8 +365,12 @@
   std::map<std::uint64_t, std::string> replaced_targets_;  ///< earlier targets that may have runs: their addresses
   std::optional<target_candidate> candidate_;
   target_description target_;
-  bool target_described_ = false;  ///< whether target_ comes from the current incarnation
-  instant described_at_;           ///< when the newest announcement of the target was accepted
+  bool target_described_ = false;               ///< whether target_ comes from the current incarnation
+  instant described_at_;                        ///< when the newest announcement of the target was accepted
+  std::optional<target_time> described_clock_;  ///< the target's clock in that announcement
+  /// Latest time at which that announcement may have been sent.
+  instant capacity_known_at_;
+  bool capacity_known_ = false;  ///< whether that time is less than `max_capacity_age` ago
   std::uint64_t token_ = 0;
   std::uint64_t token_step_ = 1;
   std::uint64_t newest_start_token_ = 0;      ///< fencing token of the newest start request
--- a/src/besteffort/run_manager.cc
+++ b/src/besteffort/run_manager.cc
@@ -183,8 +183,9 @@
     if (found == runs_.end() || found->second.state != run_state::kWaiting) {
       continue;
     }
-    if (!TargetResponsive(now)) {
-      EndRun(found, run_outcome::kUnavailable, "the target does not respond", now);
+    if (!TargetResponsive(now) || !capacity_known_) {
+      EndRun(found, run_outcome::kUnavailable,
+             capacity_known_ ? "the target does not respond" : "the target has not announced its capacity", now);
     } else if (now - found->second.state_since >= found->second.start.start_within) {
       EndRun(found, run_outcome::kNoRoom, "no free capacity in time", now);
     } else {
@@ -196,7 +197,7 @@
 
 void run_manager::StartWaitingRuns(instant now) {
   const std::optional<target_time> lease_end = LeaseEnd(now);
-  if (phase_ != phase::kServing || !lease_end || !TargetResponsive(now)) {
+  if (phase_ != phase::kServing || !capacity_known_ || !lease_end || !TargetResponsive(now)) {
     return;
   }
   for (const run_key& key : waiting_) {
@@ -398,6 +399,7 @@
   last_now_ = now;
   MaintainSessions(now);
   AdoptCandidate(now);
+  UpdateCapacityKnown(now);
   ExpireOwners(now);
   ExpireUnleasedRuns(now);
   ExpireWaitingRuns(now);
--- a/src/besteffort/run_manager_incarnations.cc
+++ b/src/besteffort/run_manager_incarnations.cc
@@ -63,8 +63,7 @@
     actions_.emplace_back(use_target{announced.address});
   }
   target_incarnation_ = announced;
-  target_described_ = true;
-  described_at_ = now;
+  RecordDescription(clock, now);
   const bool changed = restarted || was_lost || target.draining != target_.draining ||
                        !(target.capacity == target_.capacity) || target.labels != target_.labels ||
                        target.service != target_.service;
@@ -81,6 +80,16 @@
   }
 }
 
+void run_manager::RecordDescription(const std::optional<target_time>& clock, instant now) {
+  target_described_ = true;
+  described_at_ = now;
+  described_clock_ = clock;
+  capacity_known_at_ = now;
+  if (target_clock_) {
+    LimitCapacityTime(*target_clock_ + std::chrono::duration_cast<target_time>(now - clock_sampled_at_), now);
+  }
+}
+
 void run_manager::ConsiderTarget(const target_incarnation& announced, const target_description& target,
                                  std::optional<target_time> clock, instant now) {
   const bool first =
@@ -120,9 +129,8 @@
   ++target_generation_;
   target_incarnation_ = announced;
   target_ = target;
-  target_described_ = true;
-  described_at_ = now;
   target_clock_.reset();
+  RecordDescription(clock, now);
   SampleClock(clock, now);
   actions_.emplace_back(use_target{announced.address});
   BeginReconciliation();
--- a/src/besteffort/run_manager_target.cc
+++ b/src/besteffort/run_manager_target.cc
@@ -24,6 +24,27 @@
   if (clock) {
     target_clock_ = clock;
     clock_sampled_at_ = now;
+    LimitCapacityTime(*clock, now);
+  }
+}
+
+void run_manager::LimitCapacityTime(target_time clock, instant now) {
+  if (described_clock_) {
+    capacity_known_at_ = std::min(capacity_known_at_, now - (clock - *described_clock_));
+  }
+}
+
+void run_manager::UpdateCapacityKnown(instant now) {
+  const bool known = now - capacity_known_at_ < settings_.max_capacity_age;
+  if (known == capacity_known_) {
+    return;
+  }
+  capacity_known_ = known;
+  LogEvent(known ? "capacity_known" : "capacity_outdated", "",
+           "target " + target_incarnation_.id + ", announced " +
+               std::to_string((now - capacity_known_at_).count() / 1000) + " ms ago");
+  for (std::pair<const std::string, owner>& to : owners_) {
+    to.second.target_update_pending = true;
   }
 }
 
@@ -332,6 +353,9 @@
   if (phase_ == phase::kReconciling && pending_polls_.empty()) {
     next = std::min(next, next_reconcile_poll_);
   }
+  if (capacity_known_) {
+    next = std::min(next, capacity_known_at_ + settings_.max_capacity_age);
+  }
   if (MayExecuteLateStart(last_now_) && pending_polls_.empty()) {
     next = std::min(next, last_poll_at_ + settings_.fence_poll_interval);
   }
--- a/src/service/best_effort_agent.cc
+++ b/src/service/best_effort_agent.cc
@@ -30,6 +30,9 @@
 // A short lease lets runs of a lost agent or an unresponsive target be retried on other targets soon. It is renewed
 // several times before it expires.
 constexpr duration kMaxLease = std::chrono::milliseconds(700);
+// A smaller capacity of a target binds 3 s after its next announcement is due; 100 ms of them are left for the
+// execution of a start request.
+constexpr duration kCapacityTolerance = std::chrono::milliseconds(2900);
 constexpr duration kDirectoryWait = std::chrono::seconds(10);
 constexpr duration kDirectoryRetry = std::chrono::milliseconds(500);
 // The target is on the same machine: the timeouts allow for a slow CPU, not for network latency. A short request
@@ -100,6 +103,7 @@
   manager.first_token = InitialToken();
   manager.lease = std::min(settings.best_effort.lease, kMaxLease);
   manager.max_lease = settings.best_effort.lease;
+  manager.max_capacity_age = settings.best_effort.announcement_interval + kCapacityTolerance;
   return manager;
 }
 
--- a/src/service/settings.cc
+++ b/src/service/settings.cc
@@ -203,6 +203,7 @@
     map.Address("peers_address", settings.peers_address, true);
   } else {
     map.Address("announce_address", best_effort.announce_address, true);
+    ReadMilliseconds(map, "announcement_interval_ms", best_effort.announcement_interval, 100, 600'000);
     ReadSeeds(map, settings);
   }
   map.ReportUnknownKeys();
--- a/tests/besteffort/cluster_capacity_test.cc
+++ b/tests/besteffort/cluster_capacity_test.cc
@@ -146,5 +146,41 @@
   EXPECT_EQ(sim.OvercommittedStarts(), kNone);
 }
 
+// Guards against admission by the last known capacity of a target whose later announcements are lost.
+TEST_F(cluster_capacity, LostHeartbeatsEndAdmission) {
+  sim.faults.lost_heartbeats = 1;
+  SetCapacities({2000, 65536, 0});
+  Load(std::chrono::seconds(8));
+  EXPECT_EQ(sim.OvercommittedStarts(), kNone);
+  sim.faults.lost_heartbeats = 0;
+  sim.RunFor(kAnnounced);
+  const std::size_t last = sim.Submit(0, "last", 1, 60);
+  sim.RunFor(Ms(200));
+  EXPECT_EQ(sim.jobs()[last].verdict, job_verdict::kCompleted);
+}
+
+// Guards against starts by the last known capacity when an agent continues after a pause.
+TEST_F(cluster_capacity, ResumedAgentWaitsForAnnouncement) {
+  sim.faults.lost_heartbeats = 1;
+  sim.FreezeAgent(0, std::chrono::seconds(7));
+  sim.FreezeAgent(1, std::chrono::seconds(7));
+  SetCapacities({2000, 65536, 0});
+  Load(std::chrono::seconds(8));
+  EXPECT_EQ(sim.OvercommittedStarts(), kNone);
+}
+
+// Guards against a delayed announcement from which a restarted agent learns a capacity that has shrunk since.
+TEST_F(cluster_capacity, RestartedAgentIgnoresDelayedAnnouncement) {
+  sim.DelayHeartbeat(0, std::chrono::seconds(8));
+  sim.DelayHeartbeat(1, std::chrono::seconds(8));
+  SetCapacities({2000, 65536, 0});
+  sim.RunFor(Ms(7500));
+  sim.faults.lost_heartbeats = 1;
+  sim.KillAgent(0, Ms(200));
+  sim.KillAgent(1, Ms(200));
+  Load(std::chrono::seconds(3));
+  EXPECT_EQ(sim.OvercommittedStarts(), kNone);
+}
+
 }  // namespace
 }  // namespace bamboowing
