Confirm the incarnation of an idle target before a start

A target that crashes may return under its id with another capacity. Responses to starts do not tell the incarnations apart, and an idle target is not polled, so an agent that had noticed nothing of the restart started runs by the capacity of the previous incarnation until the first announcement of the new one, up to 1.5 s later.

If the target has not accepted a poll as the known incarnation within the last second, the agent polls it first. The poll shows a restart; admission then waits for the announcement of the new incarnation, as after any other restart. The start of a run at a target that was idle for a second or more takes one more request on the same machine; a target with runs is polled more often anyhow. A target that restarts within a second of its last poll and receives a start before its first announcement is not covered.

RestartedTargetGetsNoStartsBeforeItsAnnouncement failed before the change and passes after it. Two tests of run_manager start a run after 1.2 s and 2 s without an accepted poll: they now answer that poll, and still expect the start in the same step.

--- a/include/bamboowing/besteffort/run_manager.h
+++ b/include/bamboowing/besteffort/run_manager.h
@@ -68,6 +68,9 @@
   /// and a target need not reject what exceeds it. It must exceed two announcement intervals, so that the loss of one
   /// announcement does not interrupt admission.
   duration max_capacity_age{4'400'000};
+  /// The target is polled before a start if it has last confirmed its incarnation this long ago: another incarnation,
+  /// with another capacity, may have replaced it. Shorter than the restart of a target.
+  duration confirm_incarnation_after{1'000'000};
   /// Maximum fraction by which the target's clock may run slower than the agent's.
   double clock_drift = 0.02;
 };
@@ -245,6 +248,8 @@
   void LimitCapacityTime(target_time clock, instant now);
   /// The description of the target was announced when its clock showed @p clock.
   void RecordDescription(const std::optional<target_time>& clock, instant now);
+  /// Whether the target has confirmed within `confirm_incarnation_after` that it is still the same incarnation.
+  bool IncarnationConfirmed(instant now) const;
   /// Updates whether the target's announcement is recent enough to admit runs by it, and notifies the entries.
   void UpdateCapacityKnown(instant now);
   void HandleStartResponse(run_map::iterator run, request_status status, instant now);
@@ -379,6 +384,7 @@
   std::uint64_t last_finished_sequence_ = 0;  ///< newest finished run that the target has reported
   std::uint64_t acknowledged_sequence_ = 0;   ///< newest finished run acknowledged by an accepted poll
   instant last_poll_at_;                      ///< when the newest poll was sent
+  instant incarnation_confirmed_at_;          ///< when the newest poll was sent that the present incarnation accepted
   instant last_lease_sent_at_;                ///< when the newest request with a lease was sent
   instant last_response_at_;                  ///< when the target last responded
   /// When the oldest request was sent since the last response.
--- a/src/besteffort/run_manager.cc
+++ b/src/besteffort/run_manager.cc
@@ -197,7 +197,8 @@
 
 void run_manager::StartWaitingRuns(instant now) {
   const std::optional<target_time> lease_end = LeaseEnd(now);
-  if (phase_ != phase::kServing || !capacity_known_ || !lease_end || !TargetResponsive(now)) {
+  if (phase_ != phase::kServing || !capacity_known_ || !lease_end || !TargetResponsive(now) ||
+      !IncarnationConfirmed(now)) {
     return;
   }
   for (const run_key& key : waiting_) {
--- a/src/besteffort/run_manager_target.cc
+++ b/src/besteffort/run_manager_target.cc
@@ -34,6 +34,10 @@
   }
 }
 
+bool run_manager::IncarnationConfirmed(instant now) const {
+  return now - incarnation_confirmed_at_ < settings_.confirm_incarnation_after;
+}
+
 void run_manager::UpdateCapacityKnown(instant now) {
   const bool known = now - capacity_known_at_ < settings_.max_capacity_age;
   if (known == capacity_known_) {
@@ -162,18 +166,22 @@
     }
     return;
   }
+  const std::size_t long_polls = static_cast<std::size_t>(std::count_if(
+      pending_polls_.begin(), pending_polls_.end(),
+      [](const std::pair<const std::uint64_t, pending_poll>& item) { return item.second.waits_for_results; }));
+  if (!waiting_.empty() && !IncarnationConfirmed(now) && pending_polls_.size() == long_polls) {
+    SendPoll(duration(0), now);
+    return;
+  }
   const bool needed = TargetHasRuns() || last_finished_sequence_ > acknowledged_sequence_ || !TargetResponsive(now);
   if (!needed) {
     poll_now_ = false;
     return;
   }
-  const bool waiting = std::any_of(
-      pending_polls_.begin(), pending_polls_.end(),
-      [](const std::pair<const std::uint64_t, pending_poll>& item) { return item.second.waits_for_results; });
   if (poll_now_) {
     poll_now_ = false;
     SendPoll(duration(0), now);
-  } else if (!waiting && TargetResponsive(now)) {
+  } else if (long_polls == 0 && TargetResponsive(now)) {
     SendPoll(TargetHasRuns() ? settings_.poll_wait : duration(0), now);
   } else if (now >= NextPollAt()) {
     SendPoll(duration(0), now);
@@ -238,6 +246,7 @@
     SampleClock(response.clock, now);
     return;
   }
+  incarnation_confirmed_at_ = pending.mapped().sent_at;
   if (phase_ == phase::kLost) {
     phase_ = phase::kReconciling;
   }
--- a/tests/besteffort/cluster_capacity_test.cc
+++ b/tests/besteffort/cluster_capacity_test.cc
@@ -182,5 +182,20 @@
   EXPECT_EQ(sim.OvercommittedStarts(), kNone);
 }
 
+// Guards against starts at a restarted target by the capacity of its previous incarnation.
+TEST_F(cluster_capacity, RestartedTargetGetsNoStartsBeforeItsAnnouncement) {
+  for (std::size_t i = 0; i < kTargets; ++i) {
+    sim.target(i).next_capacity = resource_amount{2000, 65536, 0};
+    sim.CrashTarget(i, std::chrono::seconds(3));
+  }
+  // The agents have no runs, so nothing has told them of the restart.
+  sim.faults.lost_heartbeats = 1;
+  sim.RunFor(Ms(3010));
+  Load(Ms(1400));
+  sim.faults.lost_heartbeats = 0;
+  Load(std::chrono::seconds(8));
+  EXPECT_EQ(sim.OvercommittedStarts(), kNone);
+}
+
 }  // namespace
 }  // namespace bamboowing
--- a/tests/besteffort/run_manager_test.cc
+++ b/tests/besteffort/run_manager_test.cc
@@ -356,7 +356,9 @@
   EXPECT_FALSE(HasAction<close_session>());
   run_requests requests;
   requests.starts.push_back(Start("a"));
+  actions.clear();
   SendRequests(requests);
+  AnswerNewestPoll(5, {});  // the target was idle and confirms its incarnation first
   EXPECT_EQ(ActionsOf<send_start_request>().size(), 1U);
   // A short disconnect does not evict the entry either.
   manager.OnSessionClosed(kEntry, "closed", now);
@@ -915,6 +917,7 @@
   batch.runs.starts.back().need = {1000, 64, 0};
   manager.OnBatch(other_entry, batch, now);
   Step();
+  AnswerNewestPoll(7, {});  // the target was idle and confirms its incarnation first
   EXPECT_TRUE(HasAction<send_start_request>());
 }
 
