Refuse a job at once whose task is larger than each target

When the capacities of all targets of a service had shrunk below the need of a task, its callers waited: a job without a started task until its objective (160 ms in the new test, several seconds for long jobs), with the answer "no free capacity"; a job with a large task in a later step was even started and then waited for its deadline, 30 s without one.

The entry knows the capacity of each target from its report, so it now checks at submission whether each step fits some target of the service, and again for the jobs without a started task when a report changes a capacity. The answer is 503 no_target, "not run", with the step and its need, and a retry after 1.5 s, since targets announce a larger capacity within one heartbeat interval. Every known target counts, also one that accepts no runs at the moment or has no session (until it is evicted after 30 s), so that a reconnecting target causes no refusal; and nothing is refused for this reason in the first 2 s of the process, while agents still connect. A started job keeps the work that it has completed: it waits for its deadline, as before.

On the code before the series JobLargerThanEachTargetIsRefusedAtOnce, JobWithLargeLaterStepIsRefusedAtOnce and WaitingJobIsRefusedWhenNoTargetFitsIt failed; RestartedEntryWaitsForLargerTargets passed from the start.

--- a/include/bamboowing/besteffort/dispatch_core.h
+++ b/include/bamboowing/besteffort/dispatch_core.h
@@ -190,6 +190,12 @@
 
   void LogEvent(std::string event, const std::string& job_id, std::string detail);
   std::optional<failure> ValidateJob(const best_effort_job& job) const;
+  /// Whether a target of the job's service, without other runs, may be large enough for a task of the step.
+  bool MayFitSomeTarget(const open_job& job, const job_step& step) const;
+  /// Set if a task of the job that is not done fits no known target of its service.
+  std::optional<failure> CheckSize(const open_job& job, instant now) const;
+  /// Refuses the jobs without a started task that no longer fit any target of their service.
+  void RefuseOversizedJobs(instant now);
   std::optional<failure> CheckAdmission(const open_job& job, instant now);
   /// Longest expected queue wait at which a job is still admitted.
   duration MaxQueueWait(instant now);
@@ -250,6 +256,8 @@
   std::int64_t waiting_tasks_ = 0;
   double started_work_us_ = 0;  ///< exponentially decaying sum over kRateWindowUs
   instant decayed_at_;
+  instant started_at_;
+  bool capacities_changed_ = false;  ///< since the last call of RefuseOversizedJobs()
   instant checked_at_;
   instant last_now_;
   std::vector<dispatch_action> actions_;
--- a/src/besteffort/dispatch_core.cc
+++ b/src/besteffort/dispatch_core.cc
@@ -11,6 +11,10 @@
 // Interval between checks for overdue agents, jobs and stragglers.
 constexpr duration kCheckInterval = std::chrono::milliseconds(15);
 constexpr duration kMinRetryAfter = std::chrono::milliseconds(300);
+// Time until a retry of a job that fits no target: a target announces a larger capacity within this time.
+constexpr duration kCapacityRetryAfter = std::chrono::milliseconds(1500);
+// Time after the start of the process within which agents may still be connecting, so that larger targets may follow.
+constexpr duration kFleetSettleTime = std::chrono::seconds(2);
 // Deadline of a job without one.
 constexpr duration kDefaultDeadline = std::chrono::seconds(30);
 // Targets without a session are evicted this long after their last report.
@@ -18,6 +22,11 @@
 
 std::string Milliseconds(duration time) { return std::to_string(time.count() / 1000) + " ms"; }
 
+std::string Describe(const resource_amount& need) {
+  return "cpu " + std::to_string(need.cpu_millicores) + ", memory " + std::to_string(need.memory_mb) +
+         " MB, accelerators " + std::to_string(need.accelerators);
+}
+
 }  // namespace
 
 std::string_view JobVerdictName(job_verdict verdict) {
@@ -43,6 +52,7 @@
       estimator_(kMaxTeams, kInitialEstimate),
       shortest_slack_(settings.slack_window),
       decayed_at_(now),
+      started_at_(now),
       checked_at_(now),
       last_now_(now) {}
 
@@ -157,6 +167,9 @@
     full.retry_after = kMinRetryAfter;
     return full;
   }
+  if (std::optional<failure> oversized = CheckSize(job, now); oversized) {
+    return oversized;
+  }
   const duration wait(static_cast<std::int64_t>(QueueWaitUs()));
   const duration longest = std::min(job.latest_start - now, MaxQueueWait(now));
   if (wait.count() > 0 && wait > longest) {
@@ -169,6 +182,43 @@
   return std::nullopt;
 }
 
+std::optional<failure> dispatch_core::CheckSize(const open_job& job, instant now) const {
+  if (now - started_at_ < kFleetSettleTime) {
+    return std::nullopt;
+  }
+  for (std::size_t step = 0; step < job.spec.steps.size(); ++step) {
+    if (job.remaining_tasks[step] == 0 || MayFitSomeTarget(job, job.spec.steps[step])) {
+      continue;
+    }
+    failure oversized(error_kind::kNoTarget, not_run_state::kYes,
+                      "no target of service " + job.queue.service + " has the capacity for a task of step " +
+                          std::to_string(step) + ", " + Describe(job.spec.steps[step].need));
+    oversized.retry_after = kCapacityRetryAfter;
+    return oversized;
+  }
+  return std::nullopt;
+}
+
+void dispatch_core::RefuseOversizedJobs(instant now) {
+  if (!std::exchange(capacities_changed_, false)) {
+    return;
+  }
+  std::vector<std::pair<std::string, failure>> refused;
+  for (const job_map::value_type& item : jobs_) {
+    const open_job& job = *item.second;
+    if (job.answered || job.ever_started) {
+      continue;  // a started job keeps its completed work until its deadline; the capacity may grow again
+    }
+    if (std::optional<failure> oversized = CheckSize(job, now); oversized) {
+      refused.emplace_back(item.first, std::move(*oversized));
+    }
+  }
+  for (std::pair<std::string, failure>& item : refused) {
+    Answer(*jobs_.at(item.first), job_verdict::kRefused, std::move(item.second));
+    EraseIfFinished(item.first);
+  }
+}
+
 void dispatch_core::OnCallerDisconnected(call_id call, instant now) {
   const std::map<call_id, std::string>::const_iterator found = calls_.find(call);
   if (found == calls_.end()) {
@@ -309,6 +359,7 @@
     fleet_.health().Restore(now, restored);
     fleet_.EvictSilent(now - kEvictTargetAfter);
   }
+  RefuseOversizedJobs(now);
   Dispatch(now);
   SendBatches(now);
 }
--- a/src/besteffort/dispatch_place.cc
+++ b/src/besteffort/dispatch_place.cc
@@ -134,6 +134,25 @@
   return step.per_target == 0 || RunsOfStepOnTarget(job, task.step, target.index) < step.per_target;
 }
 
+bool dispatch_core::MayFitSomeTarget(const open_job& job, const job_step& step) const {
+  bool serves = false;
+  for (const std::pair<const std::string, fleet_target>& item : fleet_.all()) {
+    const target_description& target = item.second.description;
+    if (target.service.empty()) {
+      return true;  // not described yet
+    }
+    if (target.service != job.queue.service ||
+        (!step.requirement.empty() && !HasLabel(item.second, step.requirement))) {
+      continue;
+    }
+    serves = true;
+    if (FitsWithin(step.need, {}, target.capacity)) {
+      return true;
+    }
+  }
+  return !serves;  // without any known target, the job waits for one
+}
+
 std::uint32_t dispatch_core::RunsOfStepOnTarget(const open_job& job, std::uint32_t step, target_index target) const {
   std::uint32_t count = 0;
   for (run_map::const_iterator run = runs_.lower_bound({job.spec.id, step, 0, 0});
--- a/src/besteffort/dispatch_runs.cc
+++ b/src/besteffort/dispatch_runs.cc
@@ -45,6 +45,12 @@
     return;
   }
   const bool first = !target->described;
+  if (batch.runs.has_target) {
+    const target_description& before = target->description;
+    const target_description& reported = batch.runs.target;
+    capacities_changed_ = capacities_changed_ || !(reported.capacity == before.capacity) ||
+                          reported.service != before.service || reported.labels != before.labels;
+  }
   fleet_.OnReport(*target, batch, now);
   if (batch.runs.has_inventory) {
     ReconcileInventory(*target, batch.runs, now);
