Follow memory and accelerators in the expected queue wait

The expected queue wait counted the free CPU of the usable targets only. When memory or accelerators ran short, as after a shrink of the memory, the wait stayed 0: jobs were accepted without limit and most were refused when they were already late.

The wait now counts the whole tasks of the mean need of the waiting ones that fit each target by CPU, memory and accelerators. For tasks that CPU limits, the estimate is what it was.

--- a/include/bamboowing/besteffort/dispatch_core.h
+++ b/include/bamboowing/besteffort/dispatch_core.h
@@ -182,10 +182,17 @@
     double expected_run_us = 0;
   };
 
-  /// Sums over all usable targets, in millicores.
+  /// Sum of the needs of many tasks.
+  struct resource_sum {
+    double cpu_millicores = 0;
+    double memory_mb = 0;
+    double accelerators = 0;
+  };
+
+  /// Capacity of all usable targets in tasks of the mean need of the waiting ones.
   struct fleet_capacity {
-    double capacity_cpu = 0;
-    double free_cpu = 0;
+    double tasks = 0;
+    double free_tasks = 0;  ///< whole tasks that fit beside the committed amounts
   };
 
   void LogEvent(std::string event, const std::string& job_id, std::string detail);
@@ -206,6 +213,8 @@
   /// Expected wait for capacity of a task that arrives now, in microseconds.
   double QueueWaitUs() const;
   fleet_capacity UsableCapacity() const;
+  /// Number of tasks of the mean need of the waiting ones that @p amount suffices for.
+  double WaitingTasksWithin(const resource_amount& amount) const;
   void SetWaiting(open_job& job, job_task& task, bool waiting);
   void Enqueue(open_job& job);
   void Dequeue(open_job& job);
@@ -252,7 +261,7 @@
   run_map runs_;
   std::map<run_outcome, std::uint64_t> outcome_counts_;
   double waiting_work_us_ = 0;
-  double waiting_cpu_ = 0;
+  resource_sum waiting_need_;
   std::int64_t waiting_tasks_ = 0;
   double started_work_us_ = 0;  ///< exponentially decaying sum over kRateWindowUs
   instant decayed_at_;
--- a/src/besteffort/dispatch_place.cc
+++ b/src/besteffort/dispatch_place.cc
@@ -40,6 +40,16 @@
   return capacity > 0 ? target.Committed().cpu_millicores / capacity : 1;
 }
 
+std::uint32_t Remaining(std::uint32_t capacity, std::uint32_t committed) {
+  return capacity > committed ? capacity - committed : 0;
+}
+
+/// What @p committed leaves of @p capacity. It may exceed a capacity that has shrunk.
+resource_amount Remaining(const resource_amount& capacity, const resource_amount& committed) {
+  return {Remaining(capacity.cpu_millicores, committed.cpu_millicores),
+          Remaining(capacity.memory_mb, committed.memory_mb), Remaining(capacity.accelerators, committed.accelerators)};
+}
+
 }  // namespace
 
 work_estimate dispatch_core::EstimateOf(const open_job& job, std::uint32_t step) const {
@@ -67,40 +77,50 @@
 
 double dispatch_core::QueueWaitUs() const {
   const fleet_capacity usable = UsableCapacity();
+  const double waiting = static_cast<double>(waiting_tasks_);
   // The wait is unknown without any target; the job then expires at its deadline.
-  if (waiting_cpu_ <= usable.free_cpu || usable.capacity_cpu <= 0) {
+  if (waiting <= usable.free_tasks || usable.tasks <= 0) {
     return 0;
   }
-  const double queued_work_us = waiting_work_us_ * (1 - usable.free_cpu / waiting_cpu_);
+  const double queued_work_us = waiting_work_us_ * (1 - usable.free_tasks / waiting);
   const double age = Micros(last_now_ - decayed_at_);
   const double started = started_work_us_ * std::exp(-age / kRateWindowUs) / kRateWindowUs;
-  const double mean_cpu = waiting_cpu_ / std::max(1.0, static_cast<double>(waiting_tasks_));
   // Lower bound of the service rate: the runs in flight, or a share of a fleet that other entries use too.
-  const double min_rate = std::max(static_cast<double>(runs_.size()), kMinFleetShare * usable.capacity_cpu / mean_cpu);
+  const double min_rate = std::max(static_cast<double>(runs_.size()), kMinFleetShare * usable.tasks);
   return queued_work_us / std::max(started, min_rate);
 }
 
 dispatch_core::fleet_capacity dispatch_core::UsableCapacity() const {
   fleet_capacity usable;
-  const double need = std::max(1.0, waiting_cpu_ / std::max(1.0, static_cast<double>(waiting_tasks_)));
   for (const std::pair<const std::string, fleet_target>& item : fleet_.all()) {
     if (!fleet_.IsUsable(item.second, last_now_)) {
       continue;
     }
-    const double capacity = item.second.description.capacity.cpu_millicores;
-    usable.capacity_cpu += capacity;
+    const resource_amount& capacity = item.second.description.capacity;
+    usable.tasks += WaitingTasksWithin(capacity);
     // Free capacity smaller than a whole task is unusable.
-    const double free_cpu = std::max(0.0, capacity - item.second.Committed().cpu_millicores);
-    usable.free_cpu += std::floor(free_cpu / need) * need;
+    usable.free_tasks += std::floor(WaitingTasksWithin(Remaining(capacity, item.second.Committed())));
   }
   return usable;
 }
 
+double dispatch_core::WaitingTasksWithin(const resource_amount& amount) const {
+  const double waiting = std::max(1.0, static_cast<double>(waiting_tasks_));
+  const double by_cpu = amount.cpu_millicores * waiting / std::max(1.0, waiting_need_.cpu_millicores);
+  const double by_memory = waiting_need_.memory_mb > 0 ? amount.memory_mb * waiting / waiting_need_.memory_mb : by_cpu;
+  const double by_accelerators =
+      waiting_need_.accelerators > 0 ? amount.accelerators * waiting / waiting_need_.accelerators : by_cpu;
+  return std::min({by_cpu, by_memory, by_accelerators});
+}
+
 void dispatch_core::SetWaiting(open_job& job, job_task& task, bool waiting) {
   const double work_us = EstimateOf(job, task.step).mean_us;
   task.state = waiting ? task_state::kWaiting : task_state::kBlocked;
-  const double cpu = job.spec.steps[task.step].need.cpu_millicores;
-  waiting_cpu_ = std::max(0.0, waiting_cpu_ + (waiting ? cpu : -cpu));
+  const resource_amount& need = job.spec.steps[task.step].need;
+  const double sign = waiting ? 1 : -1;
+  waiting_need_.cpu_millicores += sign * need.cpu_millicores;
+  waiting_need_.memory_mb += sign * need.memory_mb;
+  waiting_need_.accelerators += sign * need.accelerators;
   waiting_tasks_ += waiting ? 1 : -1;
   if (waiting) {
     ++job.waiting;
--- a/tests/besteffort/capacity_admission_test.cc
+++ b/tests/besteffort/capacity_admission_test.cc
@@ -97,5 +97,28 @@
   EXPECT_EQ(sim.jobs()[job].verdict, job_verdict::kCompleted);
 }
 
+// Guards against an expected queue wait that follows the CPU only: jobs that wait for memory are accepted and refused
+// when they are already late.
+TEST_F(capacity_admission, QueueWaitFollowsShrunkMemory) {
+  SetCapacities({8000, 8192, 0});
+  const std::uint32_t memory = 4096;  // four tasks fit
+  for (int i = 0; i < 40; ++i) {
+    Submit("warm" + std::to_string(i), {500, memory, 0}, 60);
+    sim.RunFor(Ms(20));
+  }
+  std::vector<std::size_t> jobs;
+  for (int i = 0; i < 200; ++i) {
+    jobs.push_back(Submit("burst" + std::to_string(i), {500, memory, 0}, 60));
+    sim.RunFor(Ms(5));
+  }
+  sim.RunFor(Ms(1000));
+  std::size_t late = 0;
+  for (const std::size_t job : jobs) {
+    const sim_job& answered = sim.jobs()[job];
+    late += answered.verdict == job_verdict::kRefused && answered.answered - answered.sent > kImmediately ? 1 : 0;
+  }
+  EXPECT_LT(late, jobs.size() / 10) << "late refusals";
+}
+
 }  // namespace
 }  // namespace bamboowing
