--- a/include/bamboowing/besteffort/dispatch_core.h
+++ b/include/bamboowing/besteffort/dispatch_core.h
@@ -193,14 +193,27 @@
     double expected_run_us = 0;
   };
 
-  /// Sums over all usable targets, in millicores.
+  /// Sum of the needs of many tasks.
+  struct resource_sum {
+    double cpu_millicores = 0;
+    double memory_mb = 0;
+    double accelerators = 0;
+  };
+
+  /// Capacity of all usable targets in tasks of the mean need of the waiting ones.
   struct fleet_capacity {
-    double capacity_cpu = 0;
-    double free_cpu = 0;
+    double tasks = 0;
+    double free_tasks = 0;  ///< whole tasks that fit beside the committed amounts
   };
 
   void LogEvent(std::string event, const std::string& job_id, std::string detail);
   std::optional<failure> ValidateJob(const best_effort_job& job) const;
+  /// Whether a target of the job's service, without other runs, may be large enough for a task of the step.
+  bool MayFitSomeTarget(const open_job& job, const job_step& step) const;
+  /// Set if a task of the job that is not done fits no known target of its service.
+  std::optional<failure> CheckSize(const open_job& job, instant now) const;
+  /// Refuses the jobs without a started task that no longer fit any target of their service.
+  void RefuseOversizedJobs(instant now);
   std::optional<failure> CheckAdmission(const open_job& job, instant now);
   /// Longest expected queue wait at which a job is still admitted.
   duration MaxQueueWait(instant now);
@@ -211,6 +224,8 @@
   /// Expected wait for capacity of a task that arrives now, in microseconds.
   double QueueWaitUs() const;
   fleet_capacity UsableCapacity() const;
+  /// Number of tasks of the mean need of the waiting ones that @p amount suffices for.
+  double WaitingTasksWithin(const resource_amount& amount) const;
   void SetWaiting(open_job& job, job_task& task, bool waiting);
   void Enqueue(open_job& job);
   void Dequeue(open_job& job);
@@ -281,10 +296,12 @@
   std::map<std::string, instant> not_repeatable_until_;  ///< by job id
   std::map<run_outcome, std::uint64_t> outcome_counts_;
   double waiting_work_us_ = 0;
-  double waiting_cpu_ = 0;
+  resource_sum waiting_need_;
   std::int64_t waiting_tasks_ = 0;
   double started_work_us_ = 0;  ///< exponentially decaying sum over kRateWindowUs
   instant decayed_at_;
+  instant started_at_;
+  bool capacities_changed_ = false;  ///< since the last call of RefuseOversizedJobs()
   instant checked_at_;
   instant last_now_;
   std::optional<instant> drain_deadline_;  ///< set while draining: all jobs are answered by then
