--- a/include/bamboowing/besteffort/run_manager.h
+++ b/include/bamboowing/besteffort/run_manager.h
@@ -16,6 +16,7 @@
 #include "bamboowing/agent/session_table.h"
 #include "bamboowing/besteffort/entry_selection.h"
 #include "bamboowing/besteffort/leased_target.h"
+#include "bamboowing/besteffort/unsettled_starts.h"
 #include "bamboowing/message/batch.h"
 
 namespace bamboowing {
@@ -64,6 +65,13 @@
   duration release_delay{1'000'000};
   /// A target that does not answer for this long is replaced by another one that has announced itself.
   duration replace_target_after{400'000};
+  /// No run is admitted if the target's newest announcement was sent this long ago: its capacity may have shrunk since,
+  /// and a target need not reject what exceeds it. It must exceed two announcement intervals, so that the loss of one
+  /// announcement does not interrupt admission.
+  duration max_capacity_age{4'400'000};
+  /// The target is polled before a start if it has last confirmed its incarnation this long ago: another incarnation,
+  /// with another capacity, may have replaced it. Shorter than the restart of a target.
+  duration confirm_incarnation_after{1'000'000};
   /// Maximum fraction by which the target's clock may run slower than the agent's.
   double clock_drift = 0.02;
 };
@@ -116,7 +124,8 @@
 
 /// Manages the runs that entries request at the agent's target: admits what fits, renews the lease while the entries
 /// are in contact, and reports each result once it is certain. A run is never reported as lost or stopped while it may
-/// still run. Does no I/O and reads no clock; each input carries the time and may append actions.
+/// still run. If a start request without a response may be executed by a later incarnation of the target, the run is
+/// reported as kUnknown. Does no I/O and reads no clock; each input carries the time and may append actions.
 class run_manager {
  public:
   run_manager(const run_manager_settings& settings, std::uint64_t seed, instant now);
@@ -153,7 +162,7 @@
   void ClearActions() { actions_.clear(); }
 
   std::size_t runs() const { return runs_.size(); }
-  bool accepting() const { return phase_ == phase::kServing && !target_.draining && !draining_; }
+  bool accepting() const { return phase_ == phase::kServing && capacity_known_ && !target_.draining && !draining_; }
 
  private:
   /// State of the agent's view of its target.
@@ -206,6 +215,7 @@
     bool target_update_pending = false;
     std::optional<instant> released_at;  ///< when the session became unneeded
     resource_amount reported_amount;     ///< committed amount in the newest report to the entry
+    std::size_t reported_unsettled = 0;  ///< number of unsettled runs in the newest report to the entry
     instant reported_at;
   };
 
@@ -237,6 +247,14 @@
   /// End of the lease that may be granted now; nullopt if there is none or the target's clock is unknown.
   std::optional<target_time> LeaseEnd(instant now) const;
   void SampleClock(const std::optional<target_time>& clock, instant now);
+  /// The target showed @p clock: its newest announcement was sent when its clock showed `described_clock_`.
+  void LimitCapacityTime(target_time clock, instant now);
+  /// The description of the target was announced when its clock showed @p clock.
+  void RecordDescription(const std::optional<target_time>& clock, instant now);
+  /// Whether the target has confirmed within `confirm_incarnation_after` that it is still the same incarnation.
+  bool IncarnationConfirmed(instant now) const;
+  /// Updates whether the target's announcement is recent enough to admit runs by it, and notifies the entries.
+  void UpdateCapacityKnown(instant now);
   void HandleStartResponse(run_map::iterator run, request_status status, instant now);
   /// Whether a start request for the run is unanswered and has not timed out.
   bool HasPendingStart(const run_key& key) const;
@@ -247,6 +265,20 @@
   bool FencePollDue(instant now) const;
   static void MarkAccepted(managed_run& run, instant now);
   void HandleUnansweredStart(run_map::iterator run, instant now);
+  /// Whether a start request of the run has had no response and may still be executed.
+  bool IsUnsettled(const managed_run& run, instant now) const;
+  /// Runs of the entry with a start request that will be sent, or has had no response and may still be executed.
+  std::vector<run_key> UnsettledRunsOf(const std::string& entry, instant now) const;
+  /// Whether the load or the number of unsettled runs differs from the newest report to the entry.
+  bool LoadReportPending(const std::string& entry, const owner& to, instant now) const;
+  /// Records a start request without a response for as long as it may be executed, whether or not its run has ended.
+  void RecordUnansweredStart(const pending_request& start, instant now);
+  /// Ends the runs of lost, replaced and silent restarted targets that may still be started there.
+  void EndUnsettledRunsOfLostTargets(instant now);
+  /// The target was lost, restarted or replaced: a later incarnation may execute start requests of ended runs.
+  void ReportReleasedStarts(instant now);
+  /// Reports to all entries that the run may still be started: its job may have been submitted to another one.
+  void ReportUnknown(const run_key& key);
   /// Returns whether the response is that of the present target.
   bool HandleResponse(const request_response& response, const pending_request& request, instant now);
   /// The target refused a request with the fencing token @p token because it has seen a higher one.
@@ -355,8 +387,12 @@
   std::map<std::uint64_t, std::string> replaced_targets_;  ///< earlier targets that may have runs: their addresses
   std::optional<target_candidate> candidate_;
   target_description target_;
-  bool target_described_ = false;  ///< whether target_ comes from the current incarnation
-  instant described_at_;           ///< when the newest announcement of the target was accepted
+  bool target_described_ = false;               ///< whether target_ comes from the current incarnation
+  instant described_at_;                        ///< when the newest announcement of the target was accepted
+  std::optional<target_time> described_clock_;  ///< the target's clock in that announcement
+  /// Latest time at which that announcement may have been sent.
+  instant capacity_known_at_;
+  bool capacity_known_ = false;  ///< whether that time is less than `max_capacity_age` ago
   std::uint64_t token_ = 0;
   std::uint64_t token_step_ = 1;
   std::uint64_t newest_start_token_ = 0;      ///< fencing token of the newest start request
@@ -365,12 +401,15 @@
   std::uint64_t last_finished_sequence_ = 0;  ///< newest finished run that the target has reported
   std::uint64_t acknowledged_sequence_ = 0;   ///< newest finished run acknowledged by an accepted poll
   instant last_poll_at_;                      ///< when the newest poll was sent
+  instant incarnation_confirmed_at_;          ///< when the newest poll was sent that the present incarnation accepted
   instant last_lease_sent_at_;                ///< when the newest request with a lease was sent
   instant last_response_at_;                  ///< when the target last responded
   /// When the oldest request was sent since the last response.
   std::optional<instant> unanswered_since_;
   instant next_reconcile_poll_;
   instant late_start_until_;  ///< until then, a start request without a response may be executed
+  unsettled_starts unsettled_starts_;
+  instant target_ended_at_;  ///< when the target was last lost, restarted or replaced
   bool draining_ = false;
 
   std::uint64_t last_request_id_ = 0;
--- a/include/bamboowing/besteffort/target_fleet.h
+++ b/include/bamboowing/besteffort/target_fleet.h
@@ -16,6 +16,13 @@
 
 namespace bamboowing {
 
+/// A run that has ended although a start request of it had no response.
+struct released_start {
+  run_key key;
+  incarnation_id agent_incarnation = 0;  ///< of the agent that has reported the run
+  instant until;                         ///< the request is not executed later than this
+};
+
 /// An entry's view of one agent and its target.
 struct fleet_target {
   std::string agent;
@@ -28,7 +35,10 @@
   /// Starts sent in this session that the newest report does not include yet, by sequence number.
   std::deque<std::pair<std::uint64_t, resource_amount>> unreported_starts;
   resource_amount unreported_sum;
-  std::uint64_t starts_sent = 0;             ///< in this session
+  std::uint64_t starts_sent = 0;  ///< in this session
+  /// Runs of this entry that no report has shown to be settled, with the number of the start in its session; 0 if it
+  /// was sent in an earlier session.
+  std::vector<std::pair<run_key, std::uint64_t>> unsettled_starts;
   std::uint64_t results_received = 0;        ///< number of the newest result from this incarnation of the agent
   std::optional<instant> earlier_report_at;  ///< when the newest report of an earlier incarnation of the agent arrived
   instant last_report_at;   ///< when the newest report arrived; set to the opening time by a new session
@@ -39,6 +49,7 @@
   speed_estimate speed;
   std::uint32_t own_runs = 0;  ///< runs of this entry at the target
   run_requests pending_requests;
+  std::vector<released_start> released_starts;  ///< of runs of this entry
 
   /// Committed amount of the newest report plus the starts that it does not include.
   resource_amount Committed() const {
--- a/src/besteffort/dispatch_runs.cc
+++ b/src/besteffort/dispatch_runs.cc
@@ -45,7 +45,14 @@
     return;
   }
   const bool first = !target->described;
+  if (batch.runs.has_target) {
+    const target_description& before = target->description;
+    const target_description& reported = batch.runs.target;
+    capacities_changed_ = capacities_changed_ || !(reported.capacity == before.capacity) ||
+                          reported.service != before.service || reported.labels != before.labels;
+  }
   fleet_.OnReport(*target, batch, now);
+  MarkSettledRuns(*target, batch.runs);
   if (batch.runs.has_inventory) {
     ReconcileInventory(*target, batch.runs, now);
   }
@@ -55,6 +62,7 @@
   for (const run_result& end : batch.runs.results) {
     if (end.sequence > target->results_received) {
       target->results_received = end.sequence;
+      RecordReleasedStart(*target, end, now);
       OnRunEnded(*target, end, now);
     }
   }
@@ -114,6 +122,9 @@
   // Each submission of a job numbers its attempts from 1: an agent may still report a run of an earlier submission that
   // has the key of a run at another agent.
   if (run == runs_.end() || run->second.target != from.index) {
+    if (end.outcome == run_outcome::kUnknown) {
+      HandleUnknownRun(end.key, now);
+    }
     return;
   }
   ++outcome_counts_[end.outcome];
@@ -132,6 +143,9 @@
     LogEvent("run_ended", end.key.job_id, job.last_run_result);
   }
   RecordRunResult(job, task, ended, end, from);
+  if (end.outcome == run_outcome::kUnknown) {
+    ForbidRepetition(job.spec.id, now);
+  }
   if (!job.answered) {
     switch (end.outcome) {
       case run_outcome::kDone:
@@ -154,6 +168,9 @@
         task.avoided_target = ended.target;
         ++task.restarts;
         RequeueTask(job, task);
+        break;
+      case run_outcome::kUnknown:
+        AbandonJob(job, now);
     }
   }
   EraseIfFinished(end.key.job_id);
@@ -256,8 +273,11 @@
     }
   }
   for (const run_key& key : lost) {
-    OnRunEnded(target, {0, key, run_outcome::kLost, duration(0)}, now);
+    if (const run_map::const_iterator run = runs_.find(key); run != runs_.end()) {
+      OnRunEnded(target, {0, key, LostRunOutcome(run->second), duration(0)}, now);
+    }
   }
+  HandleLostReleasedStarts(target, all_incarnations, now);
 }
 
 void dispatch_core::ExpireAgents(instant now) {
@@ -271,7 +291,8 @@
       actions_.emplace_back(close_run_session{target.session});
       fleet_.CloseSession(target.session);
     }
-    if (target.own_runs > 0 && now - target.last_report_at >= loss_timeout) {
+    const bool concerned = target.own_runs > 0 || !target.released_starts.empty();
+    if (concerned && now - target.last_report_at >= loss_timeout) {
       LogEvent("agent_lost", "", "agent " + target.agent + ", runs " + std::to_string(target.own_runs));
       EndLostRuns(target, true, now);
     }
--- a/src/besteffort/run_manager_target.cc
+++ b/src/besteffort/run_manager_target.cc
@@ -24,6 +24,31 @@
   if (clock) {
     target_clock_ = clock;
     clock_sampled_at_ = now;
+    LimitCapacityTime(*clock, now);
+  }
+}
+
+void run_manager::LimitCapacityTime(target_time clock, instant now) {
+  if (described_clock_) {
+    capacity_known_at_ = std::min(capacity_known_at_, now - (clock - *described_clock_));
+  }
+}
+
+bool run_manager::IncarnationConfirmed(instant now) const {
+  return now - incarnation_confirmed_at_ < settings_.confirm_incarnation_after;
+}
+
+void run_manager::UpdateCapacityKnown(instant now) {
+  const bool known = now - capacity_known_at_ < settings_.max_capacity_age;
+  if (known == capacity_known_) {
+    return;
+  }
+  capacity_known_ = known;
+  LogEvent(known ? "capacity_known" : "capacity_outdated", "",
+           "target " + target_incarnation_.id + ", announced " +
+               std::to_string((now - capacity_known_at_).count() / 1000) + " ms ago");
+  for (std::pair<const std::string, owner>& to : owners_) {
+    to.second.target_update_pending = true;
   }
 }
 
@@ -107,7 +132,8 @@
     const run_map::iterator ending = run++;
     if (ending->second.state != run_state::kWaiting && now >= LeaseExpiryBound(ending->second)) {
       const bool at_target = ending->second.target_generation == target_generation_;
-      EndRun(ending, run_outcome::kLost, "its lease expired without a response", now);
+      const run_outcome outcome = IsUnsettled(ending->second, now) ? run_outcome::kUnknown : run_outcome::kLost;
+      EndRun(ending, outcome, "its lease expired without a response", now);
       lapsed = true;
       lapsed_at_target = lapsed_at_target || at_target;
     }
@@ -141,18 +167,22 @@
     }
     return;
   }
+  const std::size_t long_polls = static_cast<std::size_t>(std::count_if(
+      pending_polls_.begin(), pending_polls_.end(),
+      [](const std::pair<const std::uint64_t, pending_poll>& item) { return item.second.waits_for_results; }));
+  if (!waiting_.empty() && !IncarnationConfirmed(now) && pending_polls_.size() == long_polls) {
+    SendPoll(duration(0), now);
+    return;
+  }
   const bool needed = TargetHasRuns() || last_finished_sequence_ > acknowledged_sequence_ || !TargetResponsive(now);
   if (!needed) {
     poll_now_ = false;
     return;
   }
-  const bool waiting = std::any_of(
-      pending_polls_.begin(), pending_polls_.end(),
-      [](const std::pair<const std::uint64_t, pending_poll>& item) { return item.second.waits_for_results; });
   if (poll_now_) {
     poll_now_ = false;
     SendPoll(duration(0), now);
-  } else if (!waiting && TargetResponsive(now)) {
+  } else if (long_polls == 0 && TargetResponsive(now)) {
     SendPoll(TargetHasRuns() ? settings_.poll_wait : duration(0), now);
   } else if (now >= NextPollAt()) {
     SendPoll(duration(0), now);
@@ -217,6 +247,7 @@
     SampleClock(response.clock, now);
     return;
   }
+  incarnation_confirmed_at_ = pending.mapped().sent_at;
   if (phase_ == phase::kLost) {
     phase_ = phase::kReconciling;
   }
@@ -299,7 +330,10 @@
   const instant polled_at = poll.sent_at;
   // The target has seen a higher fencing token than those of all start requests of the run, so it never executes one.
   if (poll.token > unlisted.start_token) {
-    EndRun(run, run_outcome::kLost, "fenced and not listed", now);
+    // The fence holds for the present incarnation only; a target that has restarted may restart again.
+    const bool restarted = unlisted.may_run_until.has_value();
+    const run_outcome outcome = restarted && IsUnsettled(unlisted, now) ? run_outcome::kUnknown : run_outcome::kLost;
+    EndRun(run, outcome, "fenced and not listed", now);
     return;
   }
   switch (unlisted.state) {
@@ -332,6 +366,9 @@
   if (phase_ == phase::kReconciling && pending_polls_.empty()) {
     next = std::min(next, next_reconcile_poll_);
   }
+  if (capacity_known_) {
+    next = std::min(next, capacity_known_at_ + settings_.max_capacity_age);
+  }
   if (MayExecuteLateStart(last_now_) && pending_polls_.empty()) {
     next = std::min(next, last_poll_at_ + settings_.fence_poll_interval);
   }
@@ -356,12 +393,10 @@
       next = std::min(next, run->second.state_since + run->second.start.start_within);
     }
   }
-  resource_amount committed = committed_at_target_;
-  AddTo(committed, waiting_amount_);
   for (const std::pair<const std::string, entry_session>& item : sessions_.sessions()) {
     const std::map<std::string, owner>::const_iterator to = owners_.find(item.first);
     const bool open = item.second.state == session_state::kOpen && to != owners_.end();
-    if (open && !(committed == to->second.reported_amount)) {
+    if (open && LoadReportPending(item.first, to->second, last_now_)) {
       next = std::min(next, to->second.reported_at + ReportInterval());
     }
   }
