Give up a task under which two targets have crashed

Cause: dispatch_core restarts a task after each lost run, up to eight times, whatever ended the run. The count belongs to one entry's job, so a submission after the loss of the entry starts at 0. All tasks of a crashed target restart beside other work, so each crash makes further tasks suspects.

Change: crash_ledger keeps, for 60 s, which tasks ran or may have run at each crashed incarnation of a target. Agents create the records, entries create those of restarted agents, and sessions pass them on. A task with one crash runs alone at its target, one with two is given up at every entry.

Ruled out: counting restarts by cause in the entry's job only, which CountSurvivesKillOfEntry and IsNotStartedForLaterSubmissionAtAnotherEntry refute.

Not in this commit: the fields on the wire (schema/wire.capnp), so that processes do not exchange the records yet.

--- a/include/bamboowing/besteffort/dispatch_core.h
+++ b/include/bamboowing/besteffort/dispatch_core.h
@@ -14,6 +14,7 @@
 
 #include "bamboowing/base/error.h"
 #include "bamboowing/base/random.h"
+#include "bamboowing/besteffort/crash_ledger.h"
 #include "bamboowing/besteffort/job.h"
 #include "bamboowing/besteffort/recent_minimum.h"
 #include "bamboowing/besteffort/target_fleet.h"
@@ -31,6 +32,8 @@
   duration lease{1'000'000};           ///< longest lease of the runs at a target
   duration loss_margin{150'000};   ///< added to owner_timeout and lease before the runs of a lost agent count as ended
   duration capacity_wait{12'000};  ///< how long a start may wait at the agent for capacity that was expected to be free
+  /// How long a start of an exclusive run may wait until the other runs at its target have ended.
+  duration exclusive_wait{1'500'000};
   /// A job without a started task after this multiple of its objective is refused, so that its caller can retry
   /// elsewhere.
   double start_deadline_factor = 1;
@@ -78,6 +81,9 @@
   std::string detail;  ///< the inputs of the decision
 };
 
+/// Reason of the answer to a job that is given up because targets have crashed under one of its tasks.
+failure CrashFailure();
+
 /// Name of a verdict in logs and metrics.
 std::string_view JobVerdictName(job_verdict verdict);
 
@@ -171,6 +177,8 @@
     double expected_us = 0;  ///< run time on a target of mean speed
     bool stopping = false;
     bool straggler = false;
+    bool exclusive = false;
+    std::uint64_t target_generation = 0;  ///< of the target when the start was sent
   };
 
   using job_map = std::map<std::string, std::unique_ptr<open_job>>;
@@ -209,6 +217,12 @@
   bool DispatchRange(waiting_queue::iterator next, waiting_queue::iterator end, instant now);
   bool DispatchJob(open_job& job, instant now);
   target_choice ChooseTarget(const open_job& job, const job_task& task, instant now);
+  /// Chooses the target of a task under which a target has crashed. Nothing else runs there at the same time, so that a
+  /// second crash convicts no other task.
+  target_choice ChooseExclusiveTarget(const open_job& job, const job_task& task, instant now);
+  /// Whether another target may be reserved for exclusive runs.
+  bool MayReserveTarget(instant now) const;
+  bool IsSuspect(const open_job& job, const job_task& task) const;
   bool IsEligible(const open_job& job, const job_task& task, const fleet_target& target) const;
   std::uint32_t RunsOfStepOnTarget(const open_job& job, std::uint32_t step, target_index target) const;
   void StartTask(open_job& job, std::uint32_t position, const target_choice& chosen, instant now);
@@ -232,6 +246,13 @@
   void ExpireAgents(instant now);
   void ExpireJobs(instant now);
   void StopStragglers(instant now);
+  /// Adds a crash to the ledger and gives up the jobs whose task has reached the limit.
+  void RecordCrash(const crash_record& crash, instant now);
+  /// Records the crash of the target that the agent described before @p reported, if that is another incarnation. An
+  /// agent that was restarted cannot know which runs its predecessor had.
+  void RecordReplacedTarget(fleet_target& at, const target_description& reported, instant now);
+  /// Keeps the tasks of runs that are about to be taken as lost, until it is known whether their target has crashed.
+  void KeepUnconfirmedTasks(fleet_target& target) const;
   void SendBatches(instant now);
 
   dispatch_core_settings settings_;
@@ -242,6 +263,7 @@
   recent_minimum shortest_slack_;
   job_map jobs_;
   std::map<call_id, std::string> calls_;
+  crash_ledger crashes_;
   waiting_queue queue_;  ///< jobs with waiting tasks by latest start
   run_map runs_;
   std::map<run_outcome, std::uint64_t> outcome_counts_;
--- a/include/bamboowing/besteffort/run_manager.h
+++ b/include/bamboowing/besteffort/run_manager.h
@@ -14,6 +14,7 @@
 
 #include "bamboowing/agent/agent_settings.h"
 #include "bamboowing/agent/session_table.h"
+#include "bamboowing/besteffort/crash_ledger.h"
 #include "bamboowing/besteffort/entry_selection.h"
 #include "bamboowing/besteffort/leased_target.h"
 #include "bamboowing/message/batch.h"
@@ -207,6 +208,7 @@
     std::optional<instant> released_at;  ///< when the session became unneeded
     resource_amount reported_amount;     ///< committed amount in the newest report to the entry
     instant reported_at;
+    std::uint64_t crash_revision_sent = 0;  ///< revision of the crash ledger that was sent in this session
   };
 
   /// Another target that announced itself.
@@ -306,6 +308,15 @@
   void ExpireOwners(instant now);
   void ExpireWaitingRuns(instant now);
   void StartWaitingRuns(instant now);
+  /// Whether the run may start beside those that are at the target.
+  bool FitsBesideOthers(const managed_run& run) const;
+  /// Whether a run that shares the target with no other one is active or waits.
+  bool HasExclusiveRun() const;
+  bool HasRunsAtTarget() const;
+  /// Committed amount as reported to the entries: the whole capacity while there is an exclusive run.
+  resource_amount ReportedAmount() const;
+  /// Records that the present target has crashed with its runs, unless it had announced its end.
+  void RecordCrash(instant now);
   void SendStart(const run_key& key, managed_run& run, target_time lease_end, instant now);
   void RetryStarts(instant now);
   bool MayRetryStart(const managed_run& run) const;
@@ -348,6 +359,7 @@
   std::deque<run_key> waiting_;          ///< in the order of arrival; may contain keys of ended runs
   resource_amount committed_at_target_;  ///< sum over runs in all states except kWaiting
   resource_amount waiting_amount_;
+  crash_ledger crashes_;
 
   phase phase_ = phase::kUnknown;
   target_incarnation target_incarnation_;
--- a/include/bamboowing/besteffort/target_fleet.h
+++ b/include/bamboowing/besteffort/target_fleet.h
@@ -37,7 +37,14 @@
   instant last_success_at;  ///< when a run of this entry last succeeded at the target
   instant backoff_until;    ///< no starts before this time, after the target rejected one
   speed_estimate speed;
-  std::uint32_t own_runs = 0;  ///< runs of this entry at the target
+  std::uint32_t own_runs = 0;             ///< runs of this entry at the target
+  std::uint32_t own_exclusive_runs = 0;   ///< those of them that share the target with no other run
+  bool exclusive = false;                 ///< the newest report shows an exclusive run of any entry
+  std::uint64_t crash_revision_sent = 0;  ///< revision of the crash ledger that was sent in this session
+  target_description known_target;        ///< newest described target with an id
+  std::uint64_t target_generation = 0;    ///< increases with each other incarnation of `known_target`
+  /// Tasks whose runs at `known_target` were taken as lost because the agent was silent or has restarted.
+  std::vector<crashed_task> unconfirmed_tasks;
   run_requests pending_requests;
 
   /// Committed amount of the newest report plus the starts that it does not include.
@@ -46,6 +53,12 @@
     AddTo(sum, unreported_sum);
     return sum;
   }
+
+  /// Share of the CPU capacity that is committed; 1 if the capacity is unknown.
+  double Utilization() const {
+    const double capacity = description.capacity.cpu_millicores;
+    return capacity > 0 ? Committed().cpu_millicores / capacity : 1;
+  }
 };
 
 /// Targets of all services, indexed by agent.
--- a/include/bamboowing/message/best_effort.h
+++ b/include/bamboowing/message/best_effort.h
@@ -57,12 +57,44 @@
   }
 };
 
+/// Identifies a task of a job, whatever its attempts.
+struct task_name {
+  std::string job_id;
+  std::uint32_t step = 0;
+  std::uint32_t index = 0;  ///< index of the task in its step
+
+  friend bool operator==(const task_name& a, const task_name& b) {
+    return a.step == b.step && a.index == b.index && a.job_id == b.job_id;
+  }
+  friend bool operator<(const task_name& a, const task_name& b) {
+    return std::tie(a.job_id, a.step, a.index) < std::tie(b.job_id, b.step, b.index);
+  }
+};
+
+/// A task that ran, or may have run, at a target when it crashed.
+struct crashed_task {
+  task_name task;
+  std::string queue;  ///< name of the queue of its job
+};
+
+/// The crash of one incarnation of a target. Identified by `agent`, `target` and `start_id`; several processes may
+/// report the same crash with different tasks.
+struct crash_record {
+  std::string agent;           ///< id of the target's agent
+  std::string target;          ///< id of the target
+  std::uint64_t start_id = 0;  ///< when the incarnation started, on the target's clock; 0 if unknown
+  duration age{0};             ///< time since the crash was noticed
+  std::vector<crashed_task> tasks;
+};
+
 /// Request to an agent to start one run.
 struct run_start {
   run_key key;
   std::string payload;
   resource_amount need;
   duration start_within{0};  ///< how long the run may wait for free capacity; then it ends with kNoRoom
+  std::string queue;         ///< name of the queue of the job
+  bool exclusive = false;    ///< nothing else may run at the target during this run
 };
 
 /// Requests from an entry to an agent.
@@ -71,6 +103,7 @@
   std::vector<run_key> stops;
   std::uint64_t starts_sent = 0;       ///< number of starts that the entry has sent in this session, including these
   std::uint64_t results_received = 0;  ///< sequence number of the newest result that the entry has received
+  std::vector<crash_record> crashes;   ///< crashes that the entry has not sent in this session
 };
 
 /// How a run ended.
@@ -98,7 +131,10 @@
   std::string failure_domain;
   std::vector<std::string> labels;
   resource_amount capacity;
-  bool draining = false;  ///< accepts no new runs
+  bool draining = false;       ///< accepts no new runs
+  std::string id;              ///< id of the target; empty if it is unknown
+  std::uint64_t start_id = 0;  ///< when its incarnation started, on the target's clock; 0 if unknown
+  bool leaving = false;        ///< the target has announced its end
 };
 
 /// Report from an agent to an entry.
@@ -109,8 +145,11 @@
   /// Number of starts received in this session; `committed` includes those that have not ended.
   std::uint64_t starts_received = 0;
   std::vector<run_result> results;
-  bool has_inventory = false;        ///< whether `held` is set: in the first report of a session
-  std::vector<run_key> active_runs;  ///< runs of this entry that have not ended
+  bool has_inventory = false;         ///< whether `held` is set: in the first report of a session
+  std::vector<run_key> active_runs;   ///< runs of this entry that have not ended
+  std::vector<crash_record> crashes;  ///< crashes that the agent has not sent in this session
+  /// Whether an exclusive run is active or waits; `committed` is then the whole capacity.
+  bool exclusive = false;
 };
 
 }  // namespace bamboowing
--- a/src/besteffort/dispatch_core.cc
+++ b/src/besteffort/dispatch_core.cc
@@ -94,6 +94,11 @@
 
 void dispatch_core::OnSubmit(call_id call, best_effort_job job, const queue_rule& queue, instant now) {
   const std::string id = job.id;
+  if (crashes_.HasCrashingTask(id)) {
+    LogEvent("job_given_up", id, "submitted again after the crashes of its targets");
+    actions_.emplace_back(answer_job{call, id, job_verdict::kFailed, CrashFailure()});
+    return;
+  }
   std::optional<failure> refused = ValidateJob(job);
   const job_map::iterator known = jobs_.find(id);
   if (!refused && known != jobs_.end()) {
@@ -308,6 +313,7 @@
     std::vector<target_index> restored;
     fleet_.health().Restore(now, restored);
     fleet_.EvictSilent(now - kEvictTargetAfter);
+    crashes_.Expire(now);
   }
   Dispatch(now);
   SendBatches(now);
--- /dev/null
+++ b/src/besteffort/dispatch_crashes.cc
@@ -0,0 +1,129 @@
+// Tasks of dispatch_core under which targets have crashed.
+
+#include <algorithm>
+#include <limits>
+#include <set>
+#include <utility>
+
+#include "bamboowing/besteffort/dispatch_core.h"
+
+namespace bamboowing {
+namespace {
+
+// Share of the usable targets that are reserved for exclusive runs at a time, so that other jobs keep the rest.
+constexpr std::size_t kReservedShare = 4;
+// Exclusive runs that wait for the same target, so that it is drained once for several of them.
+constexpr std::uint32_t kMaxExclusiveRuns = 4;
+
+}  // namespace
+
+failure CrashFailure() {
+  return failure(error_kind::kTargetLost, not_run_state::kNo,
+                 std::to_string(crash_ledger::kMaxCrashes) + " targets have crashed during the same task of the job");
+}
+
+void dispatch_core::RecordCrash(const crash_record& crash, instant now) {
+  const std::vector<crashed_task> added = crashes_.Add(crash, now);
+  if (added.empty()) {
+    return;
+  }
+  LogEvent("target_crashed", "",
+           "target " + crash.target + " started at " + std::to_string(crash.start_id) + ", agent " + crash.agent +
+               ", new tasks " + std::to_string(added.size()));
+  std::set<std::string> given_up;
+  for (const crashed_task& crashed : added) {
+    if (crashes_.CrashesOf(crashed.task) >= crash_ledger::kMaxCrashes) {
+      given_up.insert(crashed.task.job_id);
+    }
+  }
+  for (const std::string& id : given_up) {
+    const job_map::iterator found = jobs_.find(id);
+    if (found == jobs_.end() || found->second->answered) {
+      continue;
+    }
+    LogEvent("job_given_up", id, "target " + crash.target + " crashed");
+    Answer(*found->second, job_verdict::kFailed, CrashFailure());
+    StopRuns(*found->second, now);
+    EraseIfFinished(id);
+  }
+}
+
+void dispatch_core::RecordReplacedTarget(fleet_target& at, const target_description& reported, instant now) {
+  if (reported.id.empty()) {
+    return;
+  }
+  const target_description before = std::exchange(at.known_target, reported);
+  std::vector<crashed_task> tasks = std::exchange(at.unconfirmed_tasks, {});
+  if (before.id == reported.id && before.start_id == reported.start_id) {
+    return;
+  }
+  if (!before.id.empty() && !before.leaving) {
+    for (const run_map::value_type& item : runs_) {
+      const job_map::const_iterator job = jobs_.find(item.first.job_id);
+      if (item.second.target == at.index && item.second.target_generation == at.target_generation &&
+          job != jobs_.end()) {
+        tasks.push_back({{item.first.job_id, item.first.step, item.first.index}, job->second->queue.name});
+      }
+    }
+    RecordCrash({at.agent, before.id, before.start_id, duration(0), std::move(tasks)}, now);
+  }
+  ++at.target_generation;
+}
+
+void dispatch_core::KeepUnconfirmedTasks(fleet_target& target) const {
+  for (const run_map::value_type& item : runs_) {
+    const job_map::const_iterator job = jobs_.find(item.first.job_id);
+    const bool at_target =
+        item.second.target == target.index && item.second.target_generation == target.target_generation;
+    if (at_target && job != jobs_.end() && target.unconfirmed_tasks.size() < crash_ledger::kMaxTasks) {
+      target.unconfirmed_tasks.push_back(
+          {{item.first.job_id, item.first.step, item.first.index}, job->second->queue.name});
+    }
+  }
+}
+
+bool dispatch_core::IsSuspect(const open_job& job, const job_task& task) const {
+  return crashes_.size() > 0 && crashes_.CrashesOf({job.spec.id, task.step, task.index}) > 0;
+}
+
+bool dispatch_core::MayReserveTarget(instant now) const {
+  std::size_t usable = 0;
+  std::size_t reserved = 0;
+  for (const std::pair<const std::string, fleet_target>& item : fleet_.all()) {
+    usable += fleet_.IsUsable(item.second, now) ? 1 : 0;
+    const bool exclusive = item.second.exclusive || item.second.own_exclusive_runs > 0;
+    reserved += exclusive && item.second.session != 0 ? 1 : 0;
+  }
+  return reserved < std::max<std::size_t>(1, usable / kReservedShare);
+}
+
+dispatch_core::target_choice dispatch_core::ChooseExclusiveTarget(const open_job& job, const job_task& task,
+                                                                  instant now) {
+  const job_step& step = job.spec.steps[task.step];
+  const bool may_reserve = MayReserveTarget(now);
+  fleet_target* best = nullptr;
+  double least = std::numeric_limits<double>::max();
+  for (std::pair<const std::string, fleet_target>& item : fleet_.all()) {
+    fleet_target& target = item.second;
+    const bool avoided = task.avoided_target == target.index && fleet_.all().size() > 1;
+    const bool reserved_here = target.own_exclusive_runs > 0;
+    const bool reserved_elsewhere = target.exclusive && !reserved_here;
+    if (avoided || reserved_elsewhere || (!reserved_here && !may_reserve) ||
+        target.own_exclusive_runs >= kMaxExclusiveRuns || !IsEligible(job, task, target) ||
+        !fleet_.IsUsable(target, now) || !FitsWithin(step.need, {}, target.description.capacity)) {
+      continue;
+    }
+    // A reserved target counts as busier than any other, so that suspects are spread over the allowed targets first.
+    const double load = reserved_here ? 1 + target.own_exclusive_runs : target.Utilization();
+    if (load < least) {
+      least = load;
+      best = &target;
+    }
+  }
+  if (best == nullptr) {
+    return {};
+  }
+  return {best, EstimateOf(job, task.step).mean_us / fleet_.RelativeSpeed(*best)};
+}
+
+}  // namespace bamboowing
--- a/src/besteffort/dispatch_place.cc
+++ b/src/besteffort/dispatch_place.cc
@@ -35,11 +35,6 @@
   return std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
-double Utilization(const fleet_target& target) {
-  const double capacity = target.description.capacity.cpu_millicores;
-  return capacity > 0 ? target.Committed().cpu_millicores / capacity : 1;
-}
-
 }  // namespace
 
 work_estimate dispatch_core::EstimateOf(const open_job& job, std::uint32_t step) const {
@@ -173,7 +168,7 @@
   target_choice best;
   double best_load = std::numeric_limits<double>::max();
   for (const target_choice& candidate : free) {
-    const double load = Utilization(*candidate.target) + kRandomWeight * random_.Unit();
+    const double load = candidate.target->Utilization() + kRandomWeight * random_.Unit();
     if (candidate.expected_run_us <= best_us * (1 + kSpeedTolerance) && load < best_load) {
       best = candidate;
       best_load = load;
@@ -184,19 +179,25 @@
 
 bool dispatch_core::DispatchJob(open_job& job, instant now) {
   bool started = false;
+  bool blocked = false;
   for (std::uint32_t position = 0; position < job.tasks.size(); ++position) {
     job_task& task = job.tasks[position];
     if (task.state != task_state::kWaiting) {
       continue;
     }
-    const target_choice chosen = ChooseTarget(job, task, now);
+    const bool suspect = IsSuspect(job, task);
+    const target_choice chosen = suspect ? ChooseExclusiveTarget(job, task, now) : ChooseTarget(job, task, now);
+    if (chosen.target == nullptr && suspect) {
+      continue;  // suspects wait for other targets than the rest of the queue
+    }
     if (chosen.target == nullptr) {
+      blocked = true;
       break;
     }
     StartTask(job, position, chosen, now);
     started = true;
   }
-  return started;
+  return started || !blocked;
 }
 
 void dispatch_core::Dispatch(instant now) {
@@ -239,6 +240,11 @@
   start.payload = job.spec.payload;
   start.need = step.need;
   start.start_within = settings_.capacity_wait;
+  start.queue = job.queue.name;
+  start.exclusive = IsSuspect(job, task);
+  if (start.exclusive) {
+    start.start_within = settings_.exclusive_wait;
+  }
 
   dispatched_run run;
   run.target = chosen.target->index;
@@ -247,11 +253,14 @@
   run.task = position;
   run.sent_at = now;
   run.expected_us = estimate.mean_us;
+  run.exclusive = start.exclusive;
+  run.target_generation = chosen.target->target_generation;
   const double longest_us =
       chosen.expected_run_us *
       (1 + kLongestRunDeviations * std::min(1.0, estimate.deviation_us / std::max(estimate.mean_us, kMillisecondUs)));
-  const auto after = [this, now, longest_us](double factor) {
-    return now + std::max(settings_.straggler_floor, duration(static_cast<std::int64_t>(longest_us * factor)));
+  const auto after = [this, now, longest_us, exclusive = start.exclusive](double factor) {
+    return now + std::max(settings_.straggler_floor, duration(static_cast<std::int64_t>(longest_us * factor))) +
+           (exclusive ? settings_.exclusive_wait : duration(0));
   };
   run.straggler_deadline = after(settings_.straggler_factor);
   run.lone_straggler_deadline = after(settings_.lone_straggler_factor);
@@ -262,7 +271,8 @@
   }
   runs_.emplace(start.key, run);
   ++chosen.target->own_runs;
-  fleet_.CountStart(*chosen.target, step.need);
+  chosen.target->own_exclusive_runs += run.exclusive ? 1 : 0;
+  fleet_.CountStart(*chosen.target, run.exclusive ? chosen.target->description.capacity : step.need);
   chosen.target->pending_requests.starts.push_back(std::move(start));
 }
 
--- a/src/besteffort/dispatch_runs.cc
+++ b/src/besteffort/dispatch_runs.cc
@@ -45,7 +45,13 @@
     return;
   }
   const bool first = !target->described;
+  if (batch.runs.has_target) {
+    RecordReplacedTarget(*target, batch.runs.target, now);
+  }
   fleet_.OnReport(*target, batch, now);
+  for (const crash_record& crash : batch.runs.crashes) {
+    RecordCrash(crash, now);
+  }
   if (batch.runs.has_inventory) {
     ReconcileInventory(*target, batch.runs, now);
   }
@@ -105,6 +111,7 @@
 void dispatch_core::RemoveRun(run_map::iterator run) {
   if (fleet_target* target = fleet_.FindByIndex(run->second.target); target != nullptr && target->own_runs > 0) {
     --target->own_runs;
+    target->own_exclusive_runs -= run->second.exclusive ? 1 : 0;
   }
   runs_.erase(run);
 }
@@ -273,10 +280,12 @@
     }
     if (target.own_runs > 0 && now - target.last_report_at >= loss_timeout) {
       LogEvent("agent_lost", "", "agent " + target.agent + ", runs " + std::to_string(target.own_runs));
+      KeepUnconfirmedTasks(target);
       EndLostRuns(target, true, now);
     }
     if (target.earlier_report_at && now - *target.earlier_report_at >= loss_timeout) {
       target.earlier_report_at.reset();
+      KeepUnconfirmedTasks(target);
       EndLostRuns(target, false, now);
     }
   }
@@ -293,8 +302,9 @@
   for (std::pair<const std::string, fleet_target>& item : fleet_.all()) {
     fleet_target& target = item.second;
     const bool work = !target.pending_requests.starts.empty() || !target.pending_requests.stops.empty();
+    const bool crashes = target.crash_revision_sent < crashes_.revision();
     const bool due = now - target.last_sent_at >= settings_.heartbeat;
-    if (target.session == 0 || (!work && !due)) {
+    if (target.session == 0 || (!work && !crashes && !due)) {
       continue;
     }
     send_run_batch send;
@@ -307,6 +317,10 @@
     send.batch.runs = std::move(target.pending_requests);
     send.batch.runs.starts_sent = target.starts_sent;
     send.batch.runs.results_received = target.results_received;
+    if (crashes) {
+      send.batch.runs.crashes = crashes_.Since(target.crash_revision_sent, now);
+      target.crash_revision_sent = crashes_.revision();
+    }
     target.pending_requests = {};
     target.last_sent_at = now;
     actions_.emplace_back(std::move(send));
--- a/src/besteffort/run_manager.cc
+++ b/src/besteffort/run_manager.cc
@@ -201,8 +201,7 @@
   }
   for (const run_key& key : waiting_) {
     const run_map::iterator found = runs_.find(key);
-    if (found == runs_.end() || found->second.state != run_state::kWaiting ||
-        !FitsWithin(found->second.start.need, committed_at_target_, target_.capacity)) {
+    if (found == runs_.end() || found->second.state != run_state::kWaiting || !FitsBesideOthers(found->second)) {
       continue;
     }
     managed_run& run = found->second;
--- a/src/besteffort/run_manager_entries.cc
+++ b/src/besteffort/run_manager_entries.cc
@@ -114,6 +114,7 @@
   opened.starts_received = 0;
   opened.last_result_sent = 0;
   opened.initial_report_sent = false;
+  opened.crash_revision_sent = 0;
 }
 
 void run_manager::OnSessionClosed(const std::string& entry, const std::string& reason, instant now) {
@@ -145,6 +146,9 @@
     from.unacknowledged_results.pop_front();
   }
   from.starts_received = std::max(from.starts_received, batch.runs.starts_sent);
+  for (const crash_record& crash : batch.runs.crashes) {
+    crashes_.Add(crash, now);
+  }
   for (const run_key& key : batch.runs.stops) {
     const run_map::iterator found = runs_.find(key);
     if (found == runs_.end()) {
@@ -209,6 +213,7 @@
   }
   if (now - selected_at_ >= kSelectInterval) {
     SelectEntries(now);
+    crashes_.Expire(now);
   }
   CloseReleasedSessions(now);
 }
@@ -219,7 +224,7 @@
 }
 
 bool run_manager::ReportDue(const entry_session& session, const owner& to, instant now) const {
-  if (!to.initial_report_sent || to.target_update_pending) {
+  if (!to.initial_report_sent || to.target_update_pending || to.crash_revision_sent < crashes_.revision()) {
     return true;
   }
   if (!to.unacknowledged_results.empty() && to.unacknowledged_results.back().sequence > to.last_result_sent) {
@@ -228,9 +233,7 @@
   if (sessions_.HeartbeatDue(session, {}) <= now) {
     return true;
   }
-  resource_amount committed = committed_at_target_;
-  AddTo(committed, waiting_amount_);
-  return !(committed == to.reported_amount) && now - to.reported_at >= ReportInterval();
+  return !(ReportedAmount() == to.reported_amount) && now - to.reported_at >= ReportInterval();
 }
 
 void run_manager::SendReports(instant now) {
@@ -254,13 +257,16 @@
   batch.header.echo = session.entry_clock;
   batch.header.echo_incarnation = session.entry_incarnation;
   run_report& report = batch.runs;
-  report.committed = committed_at_target_;
-  AddTo(report.committed, waiting_amount_);
+  report.committed = ReportedAmount();
+  report.exclusive = HasExclusiveRun();
   report.starts_received = to.starts_received;
   if (!to.initial_report_sent || to.target_update_pending) {
     report.has_target = true;
     report.target = target_;
     report.target.draining = !accepting() || to.released_at;
+    report.target.id = target_incarnation_.id;
+    report.target.start_id = target_incarnation_.start_id;
+    report.target.leaving = target_.draining;
   }
   if (!to.initial_report_sent) {
     report.has_inventory = true;
@@ -275,6 +281,8 @@
       report.results.push_back(end);
     }
   }
+  report.crashes = crashes_.Since(to.crash_revision_sent, now);
+  to.crash_revision_sent = crashes_.revision();
   to.initial_report_sent = true;
   to.target_update_pending = false;
   to.reported_amount = report.committed;
--- a/src/besteffort/run_manager_incarnations.cc
+++ b/src/besteffort/run_manager_incarnations.cc
@@ -163,6 +163,7 @@
     return;
   }
   LogEvent("target_lost", "", Describe(target_incarnation_) + ", " + reason + ", runs " + std::to_string(runs_.size()));
+  RecordCrash(now);
   phase_ = phase::kUnknown;
   EndRunsOfTarget(run_outcome::kLost, reason, now);
   target_incarnation_ = {};
@@ -177,6 +178,7 @@
     return;
   }
   LogEvent("target_lost", "", Describe(target_incarnation_) + ", " + reason + ", runs " + std::to_string(runs_.size()));
+  RecordCrash(now);
   SuspendAdmission(now);
   for (run_map::iterator run = runs_.begin(); run != runs_.end();) {
     const run_map::iterator ending = run++;
@@ -197,6 +199,7 @@
   LogEvent(
       "target_restarted", "",
       Describe(restarted) + ", before " + Describe(target_incarnation_) + ", runs " + std::to_string(runs_.size()));
+  RecordCrash(now);
   target_incarnation_ = restarted;
   target_clock_.reset();
   target_described_ = false;
--- a/src/besteffort/run_manager_target.cc
+++ b/src/besteffort/run_manager_target.cc
@@ -356,8 +356,7 @@
       next = std::min(next, run->second.state_since + run->second.start.start_within);
     }
   }
-  resource_amount committed = committed_at_target_;
-  AddTo(committed, waiting_amount_);
+  const resource_amount committed = ReportedAmount();
   for (const std::pair<const std::string, entry_session>& item : sessions_.sessions()) {
     const std::map<std::string, owner>::const_iterator to = owners_.find(item.first);
     const bool open = item.second.state == session_state::kOpen && to != owners_.end();
--- a/src/besteffort/target_fleet.cc
+++ b/src/besteffort/target_fleet.cc
@@ -33,6 +33,8 @@
   target.unreported_starts.clear();
   target.unreported_sum = {};
   target.starts_sent = 0;
+  target.crash_revision_sent = 0;
+  target.exclusive = false;
   target.last_report_at = now;
   target.last_sent_at = instant{};
   target.pending_requests = {};
@@ -80,6 +82,7 @@
     target.described = true;
   }
   target.reported_amount = report.committed;
+  target.exclusive = report.exclusive;
   while (!target.unreported_starts.empty() && target.unreported_starts.front().first <= report.starts_received) {
     SubtractFrom(target.unreported_sum, target.unreported_starts.front().second);
     target.unreported_starts.pop_front();
--- a/src/wire/runs_codec.cc
+++ b/src/wire/runs_codec.cc
@@ -49,8 +49,14 @@
 }
 
 target_description ReadTarget(rpc::TargetDescription::Reader in) {
-  return {ToString(in.getService()), ToString(in.getFailureDomain()), ReadTexts(in.getLabels()),
-          ReadAmount(in.getCapacity()), in.getDraining()};
+  return {ToString(in.getService()),
+          ToString(in.getFailureDomain()),
+          ReadTexts(in.getLabels()),
+          ReadAmount(in.getCapacity()),
+          in.getDraining(),
+          {},
+          0,
+          false};
 }
 
 }  // namespace
@@ -73,8 +79,12 @@
 run_requests ReadRunRequests(rpc::RunOrders::Reader in) {
   run_requests requests;
   for (rpc::RunStart::Reader item : in.getStarts()) {
-    requests.starts.push_back({ReadRunKey(item.getKey()), ToString(item.getPayload()), ReadAmount(item.getNeed()),
-                               duration(item.getStartWithinUs())});
+    requests.starts.push_back({ReadRunKey(item.getKey()),
+                               ToString(item.getPayload()),
+                               ReadAmount(item.getNeed()),
+                               duration(item.getStartWithinUs()),
+                               {},
+                               false});
   }
   requests.stops = ReadRunKeys(in.getStops());
   requests.starts_sent = in.getStartsSent();
--- a/tests/besteffort/cluster_sim.cc
+++ b/tests/besteffort/cluster_sim.cc
@@ -38,6 +38,7 @@
     agents_[i]->target = std::make_unique<fake_target>("minion-" + std::to_string(i),
                                                        resource_amount{cores_ * 1000, 65536, 0}, history_);
     agents_[i]->target->Restart(now_);
+    agents_[i]->target->on_deadly_start = [this, i](const run_key& key) { StartDeadly(i, key); };
     StartAgent(i);
     Announce(i);
   }
@@ -383,7 +384,10 @@
   }
   After(kRequestDelay, [this, agent, execute, respond] {
     const bool down = agents_[agent]->target_down_until > now_;
-    respond(down ? request_response{request_status::kNoResponse, std::nullopt} : execute());
+    const request_response response = down ? request_response() : execute();
+    // The request itself may have crashed the target.
+    const bool crashed = agents_[agent]->target_down_until > now_;
+    respond(crashed ? request_response{request_status::kNoResponse, std::nullopt} : response);
   });
 }
 
--- a/tests/besteffort/cluster_sim.h
+++ b/tests/besteffort/cluster_sim.h
@@ -86,6 +86,8 @@
 
   /// Submits a job with @p tasks tasks of @p work_ms each to an entry. Returns its index in jobs().
   std::size_t Submit(std::size_t entry, const std::string& id, std::uint32_t tasks, int work_ms);
+  /// The same for a job whose first task crashes each target that starts it.
+  std::size_t SubmitDeadly(std::size_t entry, const std::string& id, std::uint32_t tasks, int work_ms);
   void DisconnectCaller(std::size_t job);
 
   void KillEntry(std::size_t entry, duration down);
@@ -114,6 +116,9 @@
   const std::vector<run_record>& history() const { return history_; }
   std::uint32_t task_millicores = 1000;  ///< CPU need of each task
   sim_faults faults;
+  duration deadly_delay = std::chrono::milliseconds(20);  ///< time from the start of a deadly task to the crash
+  duration deadly_down = std::chrono::seconds(3);         ///< how long its target is away
+  std::function<void(std::size_t target)> on_crash;    ///< called when a deadly task crashes its target; may be empty
   std::size_t reports = 0;                             ///< number of batches sent by agents
   std::function<void(const std::string& line)> trace;  ///< receives decisions, requests and faults; may be empty
 
@@ -122,6 +127,10 @@
 
   /// Tasks with overlapping runs, one line for each pair.
   std::vector<std::string> OverlappingRuns() const;
+  /// When a deadly task crashed a target, by job.
+  const std::map<std::string, std::vector<instant>>& crashes() const { return crashes_; }
+  /// Number of starts of a deadly job's first task after @p crashes targets have crashed under it.
+  std::size_t StartsAfterCrashes(const std::string& job_id, std::size_t crashes) const;
   /// Ids of jobs that were refused as not run although a task ran.
   std::vector<std::string> RefusedJobsThatRan() const;
 
@@ -147,6 +156,9 @@
     std::map<std::size_t, session_id> sessions;  ///< by entry
   };
 
+  std::size_t SubmitPayload(std::size_t entry, const std::string& id, std::uint32_t tasks, int work_ms,
+                            const std::string& payload);
+  void StartDeadly(std::size_t target, const run_key& key);
   static std::string Address(std::size_t entry) { return "10.0.0." + std::to_string(entry) + ":7000"; }
   /// What the entries register with this number of agents.
   bool WantsAgents() const { return targets_ < agent_demand::kMinAgents; }
@@ -197,6 +209,7 @@
   std::map<std::pair<std::size_t, std::size_t>, instant> last_arrival_;
   std::vector<run_record> history_;
   std::vector<sim_job> jobs_;
+  std::map<std::string, std::vector<instant>> crashes_;
   session_id last_session_ = 0;
   incarnation_id last_incarnation_ = 0;
   std::uint64_t replacements_ = 0;  ///< number of targets with a new id
--- a/tests/besteffort/cluster_sim_inputs.cc
+++ b/tests/besteffort/cluster_sim_inputs.cc
@@ -20,6 +20,46 @@
 }
 
 std::size_t cluster_sim::Submit(std::size_t entry, const std::string& id, std::uint32_t tasks, int work_ms) {
+  return SubmitPayload(entry, id, tasks, work_ms, std::to_string(work_ms));
+}
+
+std::size_t cluster_sim::SubmitDeadly(std::size_t entry, const std::string& id, std::uint32_t tasks, int work_ms) {
+  crashes_.emplace(id, std::vector<instant>());
+  return SubmitPayload(entry, id, tasks, work_ms, std::to_string(work_ms) + " crash");
+}
+
+void cluster_sim::StartDeadly(std::size_t target, const run_key& key) {
+  const auto crash = [this, target, key, start_id = agents_[target]->target->start_id()] {
+    if (agents_[target]->target->start_id() != start_id) {
+      return;  // another fault has ended this incarnation
+    }
+    crashes_[key.job_id].push_back(now_);
+    ReplaceTarget(target, deadly_down);
+    if (on_crash) {
+      on_crash(target);
+    }
+  };
+  if (deadly_delay == duration(0)) {
+    crash();
+  } else {
+    After(deadly_delay, crash);
+  }
+}
+
+std::size_t cluster_sim::StartsAfterCrashes(const std::string& job_id, std::size_t crashes) const {
+  const std::vector<instant>& crashed_at = crashes_.at(job_id);
+  if (crashed_at.size() < crashes) {
+    return 0;
+  }
+  const instant last = crashed_at[crashes - 1];
+  return static_cast<std::size_t>(
+      std::count_if(history_.begin(), history_.end(), [&job_id, last](const run_record& run) {
+        return run.key.job_id == job_id && run.key.step == 0 && run.key.index == 0 && run.started_at > last;
+      }));
+}
+
+std::size_t cluster_sim::SubmitPayload(std::size_t entry, const std::string& id, std::uint32_t tasks, int work_ms,
+                                       const std::string& payload) {
   sim_job submitted;
   submitted.id = id;
   submitted.call = jobs_.size() + 1;
@@ -30,7 +70,7 @@
   jobs_.push_back(submitted);
   best_effort_job job;
   job.id = id;
-  job.payload = std::to_string(work_ms);
+  job.payload = payload;
   job_step step;
   step.count = tasks;
   step.need = {task_millicores, 64, 0};
--- a/tests/besteffort/fake_target.h
+++ b/tests/besteffort/fake_target.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -29,6 +30,8 @@
   double speed = 1;
   bool fails_all = false;
   bool hangs = false;
+  /// Called when the first task of a job whose payload contains "crash" has started.
+  std::function<void(const run_key&)> on_deadly_start;
 
   const std::string& id() const { return id_; }
   std::uint64_t start_id() const { return start_id_; }
@@ -112,6 +115,11 @@
     running_.emplace(task, run);
     ++used_cores_;
     answer.status = request_status::kAccepted;
+    const bool deadly =
+        request.key.step == 0 && request.key.index == 0 && request.payload.find("crash") != std::string::npos;
+    if (deadly && on_deadly_start) {
+      on_deadly_start(request.key);
+    }
     return answer;
   }
 
