Pass crash records between agents and entries on the wire

Cause: schema/wire.capnp and the codec lacked the fields for records, exclusive starts and the incarnation of the target.

The fields are only added, so that a process reads messages of older ones without them.

--- a/schema/wire.capnp
+++ b/schema/wire.capnp
@@ -47,6 +47,23 @@
   payload @1 :Data;
   need @2 :ResourceAmount;
   startWithinUs @3 :Int64;
+  queue @4 :Text;
+  exclusive @5 :Bool;
+}
+
+struct CrashedTask {
+  jobId @0 :Text;
+  step @1 :UInt32;
+  index @2 :UInt32;
+  queue @3 :Text;
+}
+
+struct CrashRecord {
+  agent @0 :Text;
+  target @1 :Text;
+  startId @2 :UInt64;
+  ageUs @3 :Int64;
+  tasks @4 :List(CrashedTask);
 }
 
 struct RunOrders {
@@ -54,6 +71,7 @@
   stops @1 :List(RunKey);
   startsSent @2 :UInt64;
   endsReceived @3 :UInt64;
+  crashes @4 :List(CrashRecord);
 }
 
 struct RunEnd {
@@ -69,6 +87,9 @@
   labels @2 :List(Text);
   capacity @3 :ResourceAmount;
   draining @4 :Bool;
+  id @5 :Text;
+  startId @6 :UInt64;
+  leaving @7 :Bool;
 }
 
 struct RunReport {
@@ -79,6 +100,8 @@
   ends @4 :List(RunEnd);
   hasInventory @5 :Bool;
   held @6 :List(RunKey);
+  crashes @7 :List(CrashRecord);
+  exclusive @8 :Bool;
 }
 
 struct EntryBatch {
--- a/src/wire/runs_codec.cc
+++ b/src/wire/runs_codec.cc
@@ -46,17 +46,49 @@
   WriteTexts(target.labels, out.initLabels(target.labels.size()));
   WriteAmount(target.capacity, out.initCapacity());
   out.setDraining(target.draining);
+  out.setId(target.id);
+  out.setStartId(target.start_id);
+  out.setLeaving(target.leaving);
 }
 
 target_description ReadTarget(rpc::TargetDescription::Reader in) {
-  return {ToString(in.getService()),
-          ToString(in.getFailureDomain()),
-          ReadTexts(in.getLabels()),
-          ReadAmount(in.getCapacity()),
-          in.getDraining(),
-          {},
-          0,
-          false};
+  return {ToString(in.getService()), ToString(in.getFailureDomain()),
+          ReadTexts(in.getLabels()), ReadAmount(in.getCapacity()),
+          in.getDraining(),          ToString(in.getId()),
+          in.getStartId(),           in.getLeaving()};
+}
+
+void WriteCrashes(const std::vector<crash_record>& crashes, capnp::List<rpc::CrashRecord>::Builder out) {
+  unsigned i = 0;
+  for (const crash_record& crash : crashes) {
+    rpc::CrashRecord::Builder item = out[i++];
+    item.setAgent(crash.agent);
+    item.setTarget(crash.target);
+    item.setStartId(crash.start_id);
+    item.setAgeUs(crash.age.count());
+    capnp::List<rpc::CrashedTask>::Builder tasks = item.initTasks(crash.tasks.size());
+    unsigned j = 0;
+    for (const crashed_task& crashed : crash.tasks) {
+      rpc::CrashedTask::Builder task = tasks[j++];
+      task.setJobId(crashed.task.job_id);
+      task.setStep(crashed.task.step);
+      task.setIndex(crashed.task.index);
+      task.setQueue(crashed.queue);
+    }
+  }
+}
+
+std::vector<crash_record> ReadCrashes(capnp::List<rpc::CrashRecord>::Reader in) {
+  std::vector<crash_record> crashes;
+  for (rpc::CrashRecord::Reader item : in) {
+    crash_record crash{
+        ToString(item.getAgent()), ToString(item.getTarget()), item.getStartId(), duration(item.getAgeUs()), {}};
+    for (rpc::CrashedTask::Reader task : item.getTasks()) {
+      crash.tasks.push_back({{ToString(task.getJobId()), task.getStep(), task.getIndex()}, ToString(task.getQueue())});
+    }
+    crashes.push_back(std::move(crash));
+  }
+  return crashes;
 }
 
 }  // namespace
@@ -70,25 +102,25 @@
     item.setPayload(ToData(start.payload));
     WriteAmount(start.need, item.initNeed());
     item.setStartWithinUs(start.start_within.count());
+    item.setQueue(start.queue);
+    item.setExclusive(start.exclusive);
   }
   WriteRunKeys(requests.stops, out.initStops(requests.stops.size()));
   out.setStartsSent(requests.starts_sent);
   out.setEndsReceived(requests.results_received);
+  WriteCrashes(requests.crashes, out.initCrashes(requests.crashes.size()));
 }
 
 run_requests ReadRunRequests(rpc::RunOrders::Reader in) {
   run_requests requests;
   for (rpc::RunStart::Reader item : in.getStarts()) {
-    requests.starts.push_back({ReadRunKey(item.getKey()),
-                               ToString(item.getPayload()),
-                               ReadAmount(item.getNeed()),
-                               duration(item.getStartWithinUs()),
-                               {},
-                               false});
+    requests.starts.push_back({ReadRunKey(item.getKey()), ToString(item.getPayload()), ReadAmount(item.getNeed()),
+                               duration(item.getStartWithinUs()), ToString(item.getQueue()), item.getExclusive()});
   }
   requests.stops = ReadRunKeys(in.getStops());
   requests.starts_sent = in.getStartsSent();
   requests.results_received = in.getEndsReceived();
+  requests.crashes = ReadCrashes(in.getCrashes());
   return requests;
 }
 
@@ -110,6 +142,8 @@
   }
   out.setHasInventory(report.has_inventory);
   WriteRunKeys(report.active_runs, out.initHeld(report.active_runs.size()));
+  WriteCrashes(report.crashes, out.initCrashes(report.crashes.size()));
+  out.setExclusive(report.exclusive);
 }
 
 bool ReadReport(rpc::RunReport::Reader in, run_report& report) {
@@ -128,6 +162,8 @@
   }
   report.has_inventory = in.getHasInventory();
   report.active_runs = ReadRunKeys(in.getHeld());
+  report.crashes = ReadCrashes(in.getCrashes());
+  report.exclusive = in.getExclusive();
   return true;
 }
 
--- a/tests/wire/codec_test.cc
+++ b/tests/wire/codec_test.cc
@@ -85,6 +85,46 @@
   EXPECT_TRUE(copy->status_reply);
 }
 
+// Guards against crash counts and exclusive runs that are lost between processes: a deadly task would be started again.
+TEST(Codec, RunsKeepEveryFieldOnCrashes) {
+  const crash_record crash{
+      "agent-1", "target-1", 7, duration(900), {{{"job", 1, 2}, "checks"}, {{"job", 0, 3}, "tests"}}};
+  const auto expect_same = [&crash](const std::vector<crash_record>& copy) {
+    ASSERT_EQ(copy.size(), 1U);
+    EXPECT_EQ(copy[0].agent, crash.agent);
+    EXPECT_EQ(copy[0].target, crash.target);
+    EXPECT_EQ(copy[0].start_id, crash.start_id);
+    EXPECT_EQ(copy[0].age, crash.age);
+    ASSERT_EQ(copy[0].tasks.size(), 2U);
+    for (std::size_t i = 0; i < crash.tasks.size(); ++i) {
+      EXPECT_EQ(copy[0].tasks[i].task, crash.tasks[i].task);
+      EXPECT_EQ(copy[0].tasks[i].queue, crash.tasks[i].queue);
+    }
+  };
+  entry_batch sent;
+  sent.runs.starts.push_back({{"job", 1, 2, 3}, "work", {1000, 64, 0}, duration(50), "checks", true});
+  sent.runs.crashes = {crash};
+  const std::optional<entry_batch> received = RoundTrip<rpc::EntryBatch>(sent);
+  ASSERT_TRUE(received && received->runs.starts.size() == 1);
+  EXPECT_EQ(received->runs.starts[0].queue, "checks");
+  EXPECT_TRUE(received->runs.starts[0].exclusive);
+  expect_same(received->runs.crashes);
+
+  agent_batch reply;
+  reply.runs.has_target = true;
+  reply.runs.target.id = "target-2";
+  reply.runs.target.start_id = 8;
+  reply.runs.target.leaving = true;
+  reply.runs.exclusive = true;
+  reply.runs.crashes = {crash};
+  const std::optional<agent_batch> report = RoundTrip<rpc::AgentBatch>(reply);
+  ASSERT_TRUE(report);
+  EXPECT_EQ(report->runs.target.id, "target-2");
+  EXPECT_EQ(report->runs.target.start_id, 8U);
+  EXPECT_TRUE(report->runs.target.leaving && report->runs.exclusive);
+  expect_same(report->runs.crashes);
+}
+
 // Guards against a relayed job that differs from the one that the caller sent.
 TEST(Codec, RelayKeepsEveryField) {
   relay_request request;
