--- a/src/besteffort/run_manager_unsettled.cc
+++ b/src/besteffort/run_manager_unsettled.cc
@@ -20,11 +20,9 @@
 }
 
 bool run_manager::LoadReportPending(const std::string& entry, const owner& to, instant now) const {
-  resource_amount committed = committed_at_target_;
-  AddTo(committed, waiting_amount_);
   // Runs that become unsettled change the load, too.
   const bool settled = to.reported_unsettled > 0 && UnsettledRunsOf(entry, now).size() < to.reported_unsettled;
-  return settled || !(committed == to.reported_amount);
+  return settled || !(ReportedAmount() == to.reported_amount);
 }
 
 void run_manager::RecordUnansweredStart(const pending_request& start, instant now) {
--- a/tests/besteffort/fake_target.h
+++ b/tests/besteffort/fake_target.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <optional>
 #include <sstream>
@@ -43,6 +44,8 @@
   bool hangs = false;
   bool guards_capacity = true;  ///< whether a start that exceeds the capacity is rejected
   duration stop_time{0};  ///< time from an accepted stop to the end of the run, which is listed as running until then
+  /// Called when the first task of a job whose payload contains "crash" has started.
+  std::function<void(const run_key&)> on_deadly_start;
 
   const std::string& id() const { return id_; }
   std::uint64_t start_id() const { return start_id_; }
@@ -154,6 +157,11 @@
     running_.emplace(task, run);
     AddTo(used_, run.need);
     answer.status = request_status::kAccepted;
+    const bool deadly =
+        request.key.step == 0 && request.key.index == 0 && request.payload.find("crash") != std::string::npos;
+    if (deadly && on_deadly_start) {
+      on_deadly_start(request.key);
+    }
     return answer;
   }
 
