--- a/tests/besteffort/load_test.cc
+++ b/tests/besteffort/load_test.cc
@@ -172,6 +172,10 @@
       count.refused += job.verdict == job_verdict::kRefused ? 1 : 0;
     }
   }
+  // Guards against jobs that are given up because responses to their starts are lost: no target restarts.
+  EXPECT_EQ(std::count_if(sim.jobs().begin(), sim.jobs().end(),
+                          [](const sim_job& job) { return job.verdict == job_verdict::kNotRepeatable; }),
+            0);
   EXPECT_EQ(sim.RefusedJobsThatRan(), std::vector<std::string>());
   return counts;
 }
