Test capacities that shrink and grow on processes

The minions of the stand-in counted one core for each run and rejected what did not fit. They now count the CPU and memory that the spec of a job names, their capacity can be set at run time, and with guards_capacity off they execute starts that exceed it and record those that no capacity of the last 4.5 s allows.

Two tests on processes: jobs under overload while the CPU of all minions shrinks and grows, and a job that is refused at once and served again after the memory has grown.

--- a/standins/platform_standin.py
+++ b/standins/platform_standin.py
@@ -17,7 +17,10 @@
 MAX_LEASE_MS = 1000
 LATE_EXECUTION_S = (2.0, 12.0)  # range of the time from a request without a response to its execution
 LATE_MESSAGE_S = (0.02, 3.0)  # range of the time from a restart to a delayed message of the previous incarnation
+CAPACITY_GRACE_S = 4.5  # from a shrink of a capacity until no start may exceed it: contact_ms and one heartbeat
 HELD_CONNECTION_S = 1.0  # some requests without a response keep their connection open for this time
+DEFAULT_CPU = 1000  # need of a task whose spec names none, in millicores
+DEFAULT_MEMORY_MB = 64
 
 
 class Server:
@@ -194,13 +197,22 @@
 
 
 class Minion:
-    """Runs tasks under a lease. A job's spec is "work_ms=N", or "work_ms=N fail" for a run that fails at its end."""
+    """Runs tasks under a lease.
+
+    A job's spec is "work_ms=N", with "fail" for a run that fails at its end, and "cpu=N" and "mem_mb=N" for needs of the
+    tasks other than the default. The capacity may change at run time. If `guards_capacity` is off, the minion executes
+    starts that exceed it, and records those that no capacity of the last CAPACITY_GRACE_S allows.
+    """
 
     def __init__(self, name, service, announce_address, cores=4, heartbeat_interval_s=0.3, host="127.0.0.1"):
         self.name = name
         self.service = service
         self.announce_address = announce_address
         self.cores = cores
+        self.capacity = {"cpu": cores * 1000, "mem_mb": 8192, "gpu": 0}
+        self.earlier_capacities = []  # [end, capacity]
+        self.guards_capacity = True
+        self.overcommitted_starts = []  # descriptions
         self.heartbeat_interval_s = heartbeat_interval_s
         self.lock = threading.Condition()
         self.random = random.Random(name)
@@ -277,7 +289,7 @@
     def heartbeat(self):
         return {"backend": self.service, "address": self.address, "zone": "hobart", "version": "v1", "slots": 8,
                 "state": self.state, "cold_ms": 0, "labels": ["a", "r1-1"], "clock_ms": self.clock(),
-                "capacity": {"cpu": self.cores * 1000, "mem_mb": 8192, "gpu": 0}, "seq": self.seq, "born": self.born}
+                "capacity": dict(self.capacity), "seq": self.seq, "born": self.born}
 
     def announce(self, method, own_id, body):
         request = urllib.request.Request(f"http://{self.announce_address}/instances/{own_id}",
@@ -362,20 +374,41 @@
             return 200, {"clock_ms": self.clock()}
         if current is not None or self.highest.get(task, 0) >= attempt:
             return 409, {"clock_ms": self.clock(), "reason": "old"}
-        if len(self.running) >= self.cores:
-            return 409, {"clock_ms": self.clock(), "reason": "room"}
         words = fields["spec"].split()
-        work_s = int(words[0].split("=")[1]) / 1000
+        options = {"cpu": DEFAULT_CPU, "mem_mb": DEFAULT_MEMORY_MB, **dict(w.split("=") for w in words if "=" in w)}
+        need = {"cpu": int(options["cpu"]), "mem_mb": int(options["mem_mb"])}
+        if not self.fits(need, self.capacity):
+            if self.guards_capacity:
+                return 409, {"clock_ms": self.clock(), "reason": "room"}
+            self.record_overcommitted_start(task, need)
+        work_s = int(options["work_ms"]) / 1000
         now = time.monotonic()
         record = [task, attempt, now, None, "running", request.received_at]
         self.runs.append(record)
-        self.running[task] = {"attempt": attempt, "end": now + work_s, "fails": "fail" in words, "record": record}
+        self.running[task] = {"attempt": attempt, "need": need, "end": now + work_s, "fails": "fail" in words, "record": record}
         self.lock.notify_all()
         if self.lose_answers > 0:
             self.lose_answers -= 1
             return None
         return 200, {"clock_ms": self.clock()}
 
+    def set_capacity(self, **changes):
+        """Changes `cpu` or `mem_mb` of the capacity, which the next heartbeat announces."""
+        with self.lock:
+            self.earlier_capacities.append((time.monotonic(), dict(self.capacity)))
+            self.capacity.update(changes)
+
+    def fits(self, need, capacity):
+        return all(need[kind] + sum(run["need"][kind] for run in self.running.values()) <= capacity[kind]
+                   for kind in need)
+
+    def record_overcommitted_start(self, task, need):
+        since = time.monotonic() - CAPACITY_GRACE_S
+        if not any(self.fits(need, capacity) for ended, capacity in self.earlier_capacities if ended >= since):
+            self.overcommitted_starts.append(f"{self.name}: {task} with {need} beside {len(self.running)} runs, "
+                                             f"capacity {self.capacity}, earlier {self.earlier_capacities[-3:]}, "
+                                             f"at {time.monotonic():.3f}")
+
     def stop(self, fields):
         task, attempt = fields["task"], fields["attempt"]
         self.highest[task] = max(self.highest.get(task, 0), attempt)
--- a/tests/end_to_end/platform_test.py
+++ b/tests/end_to_end/platform_test.py
@@ -241,6 +241,36 @@
         self.addCleanup(self.fleet.stop)
         self.addCleanup(save_logs_on_failure, self, self.fleet)
 
+    def test_starts_fit_capacities_that_shrink_and_grow(self):
+        """Guards against starts beyond the capacity of a minion that has shrunk and does not check its capacity."""
+        for minion in self.fleet.platform_minions:
+            minion.guards_capacity = False
+        with concurrent.futures.ThreadPoolExecutor() as pool:
+            load = pool.submit(self.load, 12, lambda i: f"entry-{1 + i % 2}", 300)
+            for cpu in (1000, 4000, 2000):
+                for minion in self.fleet.platform_minions:
+                    minion.set_capacity(cpu=cpu)
+                time.sleep(6 if cpu < 4000 else 1)  # a shrunk capacity binds after CAPACITY_GRACE_S
+            load.result()
+        self.assertEqual([start for m in self.fleet.platform_minions for start in m.overcommitted_starts], [])
+        self.assertTrue(any(m.runs for m in self.fleet.platform_minions))
+
+    def test_a_job_larger_than_each_minion_is_refused_at_once(self):
+        """Guards against a caller that waits for capacity that no minion has."""
+        for minion in self.fleet.platform_minions:
+            minion.set_capacity(mem_mb=1024)
+        time.sleep(2.5)  # entries that have just started wait for larger targets
+        body = job(words="mem_mb=2048", work_ms=2000)
+        body["steps"][0]["mem_mb"] = 2048
+        started_at = time.monotonic()
+        status, answer = self.fleet.ask("entry-1", "POST", QUEUE + "00000000000000c1", body)
+        self.assertEqual((status, answer["kind"], answer["not_run"]), (503, "no_target", "yes"))
+        self.assertLess(time.monotonic() - started_at, 1)
+        for minion in self.fleet.platform_minions:
+            minion.set_capacity(mem_mb=8192)
+        time.sleep(1)
+        self.assertEqual(self.fleet.ask("entry-1", "POST", QUEUE + "00000000000000c2", body)[0], 200)
+
     def load(self, seconds, entry_of, work_ms=100):
         """Submits jobs for the given time; returns (status, response time in seconds) of each."""
         results = []
