--- a/src/besteffort/run_manager_incarnations.cc
+++ b/src/besteffort/run_manager_incarnations.cc
@@ -125,6 +125,7 @@
     replaced_targets_[target_generation_] = target_incarnation_.address;
     SuspendAdmission(now);
     ExtendRunsOverLoss(now);
+    ReportReleasedStarts(now);
   }
   ++target_generation_;
   target_incarnation_ = announced;
@@ -176,6 +177,7 @@
   target_incarnation_ = {};
   target_clock_.reset();
   pending_starts_.clear();
+  unsettled_starts_.Clear();  // another id refuses the requests
   SuspendAdmission(now);
   AdoptCandidate(now);
 }
@@ -196,6 +198,7 @@
     }
   }
   ExtendRunsOverLoss(now);
+  ReportReleasedStarts(now);
   BeginReconciliation();
   phase_ = phase::kLost;
   AdoptCandidate(now);
@@ -214,6 +217,7 @@
     run.second.stop_accepted_at.reset();
   }
   ExtendRunsOverLoss(now);
+  ReportReleasedStarts(now);
   BeginReconciliation();
 }
 
