Let capacities shrink and grow in the fault soak

During the faults of a seed, the CPU of a random minion changes every 0.5 to 4 s, to 0 to 4 cores. Every other minion executes starts whatever its capacity, and the soak fails on each start that no capacity of the last 4.5 s allows. The changes have a random sequence of their own, so the other faults of a seed remain as they were.

That the check finds such a start was tried by hand on a single minion.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -7,6 +7,7 @@
 - a job that is refused as "not run" has no run since its submission;
 - a job that is answered with 200 has a completed run for each task;
 - every request gets an answer or loses its connection before the client's timeout (logged only);
+- no start brings a minion over its capacity, which shrinks and grows; half of the minions do not check it;
 - after the faults all jobs are served, no run is left without a caller, and every process exits with 0 on SIGTERM.
 """
 
@@ -44,6 +45,8 @@
 NOT_RUN = (429, 503)
 RESUBMIT = (0, 502, 504)
 START_ATTEMPTS = 3
+CAPACITY_CHANGE_S = (0.5, 4.0)  # range of the interval between changes of a minion's capacity
+CAPACITIES = (0, 1000, 2000, 3000, 4000, 4000)  # in millicores
 PORT_TAKEN = "ended with 4"  # exit code of a daemon that cannot listen at one of its addresses
 PROCESS_STARTED = '"event":"started"'
 OUTCOME_UNKNOWN = "unknown"  # in the body of a refusal after which the job may have run
@@ -130,6 +133,8 @@
         clients = [threading.Thread(target=self.client, args=(i,)) for i in range(CLIENTS)]
         for thread in clients:
             thread.start()
+        capacities = threading.Thread(target=self.change_capacities, args=(random.Random(f"{self.seed} capacities"),))
+        capacities.start()
         end = time.monotonic() + seconds
         faults = []
         while time.monotonic() < end:
@@ -142,6 +147,7 @@
         self.stopping.set()
         for thread in clients:
             thread.join()
+        capacities.join()
         time.sleep(RECOVERY_LIMIT_S)
         self.check_service()
         self.check_exits()
@@ -155,6 +161,18 @@
         duration_s = rng.uniform(0.2, 2.5)
         self.log_event(f"fault {kind} for {duration_s:.2f} s: " + getattr(self, kind)(rng, duration_s))
 
+    def change_capacities(self, rng):
+        """Lets capacities shrink and grow until the end of the traffic; they are full afterwards."""
+        minions = self.fleet.platform_minions
+        for minion in minions[::2]:
+            minion.guards_capacity = False
+        while not self.stopping.wait(rng.uniform(*CAPACITY_CHANGE_S)):
+            minion = rng.choice(minions)
+            minion.set_capacity(cpu=rng.choice(CAPACITIES))
+            self.log_event(f"capacity of {minion.name}: {minion.capacity}")
+        for minion in minions:
+            minion.set_capacity(cpu=minion.cores * 1000)
+
     def signal(self, rng, duration_s):
         """Signals up to three processes at a time, each up to three times in a row."""
         names = rng.sample(sorted(self.fleet.processes), rng.choice([1, 1, 2, 3]))
@@ -351,6 +369,9 @@
             self.fail(f"{error}: {[(m.name, m.running) for m in self.fleet.platform_minions if m.running]}")
         # Late requests may still start runs.
         wait_until(lambda: not any(m.late_requests for m in self.fleet.platform_minions), "the end of all late requests")
+        for minion in self.fleet.platform_minions:
+            for start in minion.overcommitted_starts:
+                self.fail(f"start beyond the capacity: {start}")
         now, time_ms = time.monotonic(), time.time() * 1000
         for task, earlier, later in overlapping_runs(self.fleet.platform_minions):
             logged_ms = round(time_ms - (now - later[0]) * 1000)  # for the search in the logs
