Test a task that crashes minions on processes

The stand-in for minions knows runs that crash it: it refuses connections and returns after 3 s with another id and address. The test submits such a job, kills its entry after two crashes and submits it again at another one.

--- a/standins/platform_standin.py
+++ b/standins/platform_standin.py
@@ -17,6 +17,7 @@
 MAX_LEASE_MS = 1000
 LATE_EXECUTION_S = (2.0, 12.0)  # range of the time from a request without a response to its execution
 LATE_MESSAGE_S = (0.02, 3.0)  # range of the time from a restart to a delayed message of the previous incarnation
+CRASH_OUTAGE_S = 3.0  # time from the crash of a minion to its next incarnation
 HELD_CONNECTION_S = 1.0  # some requests without a response keep their connection open for this time
 
 
@@ -61,7 +62,8 @@
         self.server = QuietServer(address, Handler)
         self.server.daemon_threads = True
         self.port = self.server.server_address[1]
-        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        # The interval limits how long the port still accepts connections after a call of close().
+        threading.Thread(target=self.server.serve_forever, kwargs={"poll_interval": 0.01}, daemon=True).start()
 
     def close(self):
         self.server.shutdown()
@@ -194,7 +196,11 @@
 
 
 class Minion:
-    """Runs tasks under a lease. A job's spec is "work_ms=N", or "work_ms=N fail" for a run that fails at its end."""
+    """Runs tasks under a lease.
+
+    A job's spec is "work_ms=N", "work_ms=N fail" for a run that fails at its end, or "work_ms=N crash" for a run that
+    crashes the minion at its end.
+    """
 
     def __init__(self, name, service, announce_address, cores=4, heartbeat_interval_s=0.3, host="127.0.0.1"):
         self.name = name
@@ -214,11 +220,16 @@
         self.late_share = 0.0  # probability that a request gets no response and is executed late
         self.late_requests = 0  # requests that are still to be executed
         self.stopping = False
-        self.server = Server((host, 0), self.handle)
-        self.address = f"{host}:{self.server.port}"
+        self.crashes = 0
+        self.host = host
+        self.listen()
         threading.Thread(target=self.send_heartbeats, daemon=True).start()
         threading.Thread(target=self.end_due_runs, daemon=True).start()
 
+    def listen(self):
+        self.server = Server((self.host, 0), self.handle)
+        self.address = f"{self.host}:{self.server.port}"
+
     def begin_incarnation(self):
         """Forgets everything that the previous incarnation knew. Runs must have ended."""
         self.born = max(self.born + 1, int(time.time() * 1000))  # identifies the incarnation
@@ -253,6 +264,22 @@
             timer.daemon = True
             timer.start()
 
+    def crash_under(self, record):
+        """Aborts all runs and refuses connections until the next incarnation, which has another id and address.
+
+        Does nothing if the run of the record has ended.
+        """
+        with self.lock:
+            if record[4] != "running" or self.stopping:
+                return
+            self.crashes += 1
+            self.fail()
+        self.server.close()
+        time.sleep(CRASH_OUTAGE_S)
+        if not self.stopping:
+            self.listen()
+            self.restart(f"{self.name}-{self.crashes}")
+
     def leave(self, drain_s, next_id):
         """Ends as planned: drains, deregisters, aborts the remaining runs and restarts under another id."""
         self.state = "draining"
@@ -371,6 +398,11 @@
         self.runs.append(record)
         self.running[task] = {"attempt": attempt, "end": now + work_s, "fails": "fail" in words, "record": record}
         self.lock.notify_all()
+        if "crash" in words:
+            self.running[task]["end"] = float("inf")
+            timer = threading.Timer(work_s, self.crash_under, (record,))
+            timer.daemon = True
+            timer.start()
         if self.lose_answers > 0:
             self.lose_answers -= 1
             return None
--- a/tests/end_to_end/platform_test.py
+++ b/tests/end_to_end/platform_test.py
@@ -115,9 +115,9 @@
         ip, _, readiness = self.addresses[name]
         return call("GET", f"http://{ip}:{readiness}/readyz", timeout=2)[0] == 200
 
-    def ask(self, name, method, path, body=None, deadline_ms=3000):
+    def ask(self, name, method, path, body=None, deadline_ms=3000, timeout=10):
         ip, callers, _ = self.addresses[name]
-        return call(method, f"http://{ip}:{callers}{path}", body, timeout=10,
+        return call(method, f"http://{ip}:{callers}{path}", body, timeout=timeout,
                     headers={"Host": HOST, "Deadline-Ms": str(deadline_ms)})
 
     def stop(self):
@@ -288,6 +288,25 @@
         self.assertEqual([status for status, _ in results if status not in (200, 503)], [])
         self.assertEqual(process.wait(timeout=6), 0)
 
+    def test_a_task_that_crashes_minions_is_given_up_after_two_crashes_at_every_entry(self):
+        """Guards against a task that crashes minion after minion, also through a later submission at another entry."""
+        job_id = "00000000000000c1"
+        # The agent restarts a task whose start had no response only after 15 s, because it may be executed late.
+        deadline_ms, timeout = 25000, 30
+        with concurrent.futures.ThreadPoolExecutor() as pool:
+            innocent = pool.submit(self.fleet.ask, "entry-2", "POST", QUEUE + "00000000000000c2",
+                                   job(count=6, work_ms=1000), deadline_ms, timeout)
+            time.sleep(0.2)
+            # The minions are busy with tasks of the other job, which are lost beside the crashing task.
+            crashing = job(count=1, work_ms=200, words="crash")
+            self.assertEqual(self.fleet.ask("entry-1", "POST", QUEUE + job_id, crashing, deadline_ms, timeout),
+                             (200, {"state": "failed"}))
+            self.fleet.kill("entry-1")
+            self.assertEqual(self.fleet.ask("entry-2", "POST", QUEUE + job_id, crashing), (200, {"state": "failed"}))
+            self.assertEqual(innocent.result(), (200, {"state": "completed"}))
+        self.assertEqual(sum(m.crashes for m in self.fleet.platform_minions), 2)
+        self.assertEqual(overlapping_runs(self.fleet.platform_minions), [])
+
     def test_a_restarted_agent_serves_again(self):
         """Guards against a minion that permanently refuses the token of a restarted agent."""
         for name in ("agent-1", "agent-2", "agent-3"):
