--- a/src/besteffort/dispatch_unsettled.cc
+++ b/src/besteffort/dispatch_unsettled.cc
@@ -99,7 +99,7 @@
 }
 
 bool dispatch_core::MustAbandonBeforeDeadline(const open_job& job, instant now) {
-  if (job.answered || job.caller_deadline - kAnswerMargin > now) {
+  if (job.answered || AnswerDeadline(job) - kAnswerMargin > now) {
     return false;
   }
   for (run_map::const_iterator run = runs_.lower_bound({job.spec.id, 0, 0, 0});
