Check the size of jobs that were accepted while agents connected

A new entry refuses no job for its size in its first 2 s. It forgot the reports of that time: a job that was accepted then, and that fits no target, waited for its deadline. The entry now keeps the change until the 2 s have passed, and checks the waiting jobs then.

RestartedEntryRefusesOversizedJobOnceAgentsHaveConnected failed before the change and passes after it, with the other five tests of capacity_admission.

--- a/src/besteffort/dispatch_core.cc
+++ b/src/besteffort/dispatch_core.cc
@@ -214,7 +214,7 @@
 }
 
 void dispatch_core::RefuseOversizedJobs(instant now) {
-  if (!std::exchange(capacities_changed_, false)) {
+  if (now - started_at_ < kFleetSettleTime || !std::exchange(capacities_changed_, false)) {
     return;
   }
   std::vector<std::pair<std::string, failure>> refused;
--- a/tests/besteffort/capacity_admission_test.cc
+++ b/tests/besteffort/capacity_admission_test.cc
@@ -97,6 +97,17 @@
   EXPECT_EQ(sim.jobs()[job].verdict, job_verdict::kCompleted);
 }
 
+// Guards against a job that was accepted while agents were still connecting to a new entry and then waits until its
+// deadline, although no target fits it.
+TEST_F(capacity_admission, RestartedEntryRefusesOversizedJobOnceAgentsHaveConnected) {
+  SetCapacities({2000, 65536, 0});
+  sim.KillEntry(0, Ms(100));
+  sim.RunFor(Ms(900));
+  const std::size_t job = Submit("large", {4000, 64, 0}, 9000);
+  sim.RunFor(Ms(1500));
+  EXPECT_EQ(sim.jobs()[job].verdict, job_verdict::kRefused);
+}
+
 // Guards against an expected queue wait that follows the CPU only: jobs that wait for memory are accepted and refused
 // when they are already late.
 TEST_F(capacity_admission, QueueWaitFollowsShrunkMemory) {
