Give up a task only after crashes that it certainly saw

Cause: the crash records counted a start without a response like a run. When several targets crash together, a lost task is started at another one that is down too, which made the second crash. And each task lost once ran alone at its next target, so ten innocent tasks of each crash waited for targets that were drained for them.

A record now states for each task whether it may have run, ran, or ran alone. A task is given up after two crashes if it ran alone during one of them, after three crashes during its runs, or after four in all. A task with one crash runs alone only while, in the last 10 s, some task has been at two crashing targets; a task with two crashes always does.

--- a/include/bamboowing/besteffort/dispatch_core.h
+++ b/include/bamboowing/besteffort/dispatch_core.h
@@ -300,6 +300,8 @@
   /// Records the crash of the target that the agent described before @p reported, if that is another incarnation. An
   /// agent that was restarted cannot know which runs its predecessor had.
   void RecordReplacedTarget(fleet_target& at, const target_description& reported, instant now);
+  /// What is known of a run at a target that has crashed.
+  static crashed_task CrashedTask(const run_map::value_type& run, const open_job& job);
   /// Keeps the tasks of runs that are about to be taken as lost, until it is known whether their target has crashed.
   void KeepUnconfirmedTasks(fleet_target& target) const;
   void SendBatches(instant now);
--- a/include/bamboowing/besteffort/run_manager.h
+++ b/include/bamboowing/besteffort/run_manager.h
@@ -163,6 +163,8 @@
   void ClearActions() { actions_.clear(); }
 
   std::size_t runs() const { return runs_.size(); }
+  /// Whether a run that shares the target with no other one is active or waits.
+  bool HasExclusiveRun() const;
   bool accepting() const { return phase_ == phase::kServing && capacity_known_ && !target_.draining && !draining_; }
 
  private:
@@ -342,8 +344,6 @@
   void StartWaitingRuns(instant now);
   /// Whether the run may start beside those that are at the target.
   bool FitsBesideOthers(const managed_run& run) const;
-  /// Whether a run that shares the target with no other one is active or waits.
-  bool HasExclusiveRun() const;
   bool HasRunsAtTarget() const;
   /// Committed amount as reported to the entries: the whole capacity while there is an exclusive run.
   resource_amount ReportedAmount() const;
--- a/include/bamboowing/message/best_effort.h
+++ b/include/bamboowing/message/best_effort.h
@@ -71,10 +71,18 @@
   }
 };
 
+/// What is known of a task's run at a target that crashed, in increasing order of certainty.
+enum class crash_evidence : std::uint8_t {
+  kMayHaveRun,  ///< the start had no response
+  kRan,         ///< the target had accepted the run
+  kRanAlone,    ///< the same, and nothing else ran at the target
+};
+
 /// A task that ran, or may have run, at a target when it crashed.
 struct crashed_task {
   task_name task;
   std::string queue;  ///< name of the queue of its job
+  crash_evidence evidence = crash_evidence::kMayHaveRun;
 };
 
 /// The crash of one incarnation of a target. Identified by `agent`, `target` and `start_id`; several processes may
--- a/schema/wire.capnp
+++ b/schema/wire.capnp
@@ -56,6 +56,7 @@
   step @1 :UInt32;
   index @2 :UInt32;
   queue @3 :Text;
+  evidence @4 :UInt8;
 }
 
 struct CrashRecord {
--- a/src/besteffort/crash_ledger.cc
+++ b/src/besteffort/crash_ledger.cc
@@ -4,6 +4,12 @@
 #include <utility>
 
 namespace bamboowing {
+namespace {
+
+// Unsigned addition of this value subtracts one.
+constexpr std::uint32_t kDecrement = static_cast<std::uint32_t>(-1);
+
+}  // namespace
 
 std::vector<crashed_task> crash_ledger::Add(const crash_record& crash, instant now) {
   std::vector<crashed_task> added;
@@ -15,10 +21,23 @@
       records_.try_emplace({crash.agent, crash.target, crash.start_id}, record{noticed_at, 0, {}}).first->second;
   present.noticed_at = std::min(present.noticed_at, noticed_at);
   for (const crashed_task& crashed : crash.tasks) {
-    if (present.queues.size() < kMaxTasks && present.queues.emplace(crashed.task, crashed.queue).second) {
-      ++counts_[crashed.task];
-      added.push_back(crashed);
+    if (present.tasks.size() >= kMaxTasks && present.tasks.count(crashed.task) == 0) {
+      continue;
+    }
+    const auto [item, is_new] = present.tasks.try_emplace(crashed.task, task_record{crashed.queue, crashed.evidence});
+    if (!is_new && item->second.evidence >= crashed.evidence) {
+      continue;
+    }
+    crash_count& count = counts_[crashed.task];
+    if (!is_new) {
+      Count(count, item->second.evidence, kDecrement);
+      item->second.evidence = crashed.evidence;
+    }
+    Count(count, crashed.evidence, 1);
+    if (count.ran > 1 && crashed.evidence != crash_evidence::kMayHaveRun) {
+      repeated_at_ = std::max(repeated_at_.value_or(present.noticed_at), present.noticed_at);
     }
+    added.push_back(crashed);
   }
   if (!added.empty()) {
     present.revision = ++revision_;
@@ -29,6 +48,17 @@
   return added;
 }
 
+void crash_ledger::Count(crash_count& count, crash_evidence evidence, std::uint32_t change) {
+  count.possible += change;
+  count.ran += evidence != crash_evidence::kMayHaveRun ? change : 0;
+  count.alone += evidence == crash_evidence::kRanAlone ? change : 0;
+}
+
+bool crash_ledger::ReachesLimit(const crash_count& count) {
+  return count.ran >= kMaxCrashes || (count.alone > 0 && count.ran >= kMaxCrashesAlone) ||
+         count.possible >= kMaxPossibleCrashes;
+}
+
 void crash_ledger::Expire(instant now) {
   for (record_map::iterator item = records_.begin(); item != records_.end();) {
     item = now - item->second.noticed_at >= kRetention ? Remove(item) : std::next(item);
@@ -43,9 +73,10 @@
 }
 
 crash_ledger::record_map::iterator crash_ledger::Remove(record_map::iterator removed) {
-  for (const std::pair<const task_name, std::string>& crashed : removed->second.queues) {
-    const std::map<task_name, std::uint32_t>::iterator count = counts_.find(crashed.first);
-    if (--count->second == 0) {
+  for (const std::pair<const task_name, task_record>& crashed : removed->second.tasks) {
+    const std::map<task_name, crash_count>::iterator count = counts_.find(crashed.first);
+    Count(count->second, crashed.second.evidence, kDecrement);
+    if (count->second.possible == 0) {
       counts_.erase(count);
     }
   }
@@ -53,14 +84,19 @@
 }
 
 std::uint32_t crash_ledger::CrashesOf(const task_name& task) const {
-  const std::map<task_name, std::uint32_t>::const_iterator count = counts_.find(task);
-  return count == counts_.end() ? 0 : count->second;
+  const std::map<task_name, crash_count>::const_iterator count = counts_.find(task);
+  return count == counts_.end() ? 0 : count->second.ran;
+}
+
+bool crash_ledger::IsCrashing(const task_name& task) const {
+  const std::map<task_name, crash_count>::const_iterator count = counts_.find(task);
+  return count != counts_.end() && ReachesLimit(count->second);
 }
 
 bool crash_ledger::HasCrashingTask(std::string_view job_id) const {
-  for (std::map<task_name, std::uint32_t>::const_iterator count = counts_.lower_bound({std::string(job_id), 0, 0});
+  for (std::map<task_name, crash_count>::const_iterator count = counts_.lower_bound({std::string(job_id), 0, 0});
        count != counts_.end() && count->first.job_id == job_id; ++count) {
-    if (count->second >= kMaxCrashes) {
+    if (ReachesLimit(count->second)) {
       return true;
     }
   }
@@ -75,8 +111,8 @@
     }
     crash_record crash{
         std::get<0>(item.first), std::get<1>(item.first), std::get<2>(item.first), now - item.second.noticed_at, {}};
-    for (const std::pair<const task_name, std::string>& crashed : item.second.queues) {
-      crash.tasks.push_back({crashed.first, crashed.second});
+    for (const std::pair<const task_name, task_record>& crashed : item.second.tasks) {
+      crash.tasks.push_back({crashed.first, crashed.second.queue, crashed.second.evidence});
     }
     changed.push_back(std::move(crash));
   }
--- a/src/besteffort/dispatch_crashes.cc
+++ b/src/besteffort/dispatch_crashes.cc
@@ -19,7 +19,7 @@
 
 failure CrashFailure() {
   return failure(error_kind::kTargetLost, not_run_state::kNo,
-                 std::to_string(crash_ledger::kMaxCrashes) + " targets have crashed during the same task of the job");
+                 "targets have repeatedly crashed during the same task of the job");
 }
 
 void dispatch_core::RecordCrash(const crash_record& crash, instant now) {
@@ -32,7 +32,7 @@
                ", new tasks " + std::to_string(added.size()));
   std::set<std::string> given_up;
   for (const crashed_task& crashed : added) {
-    if (crashes_.CrashesOf(crashed.task) >= crash_ledger::kMaxCrashes) {
+    if (crashes_.IsCrashing(crashed.task)) {
       given_up.insert(crashed.task.job_id);
     }
   }
@@ -48,6 +48,14 @@
   }
 }
 
+crashed_task dispatch_core::CrashedTask(const run_map::value_type& run, const open_job& job) {
+  crash_evidence evidence = crash_evidence::kMayHaveRun;
+  if (run.second.settled) {
+    evidence = run.second.exclusive ? crash_evidence::kRanAlone : crash_evidence::kRan;
+  }
+  return {{run.first.job_id, run.first.step, run.first.index}, job.queue.name, evidence};
+}
+
 void dispatch_core::RecordReplacedTarget(fleet_target& at, const target_description& reported, instant now) {
   if (reported.id.empty()) {
     return;
@@ -62,7 +70,7 @@
       const job_map::const_iterator job = jobs_.find(item.first.job_id);
       if (item.second.target == at.index && item.second.target_generation == at.target_generation &&
           job != jobs_.end()) {
-        tasks.push_back({{item.first.job_id, item.first.step, item.first.index}, job->second->queue.name});
+        tasks.push_back(CrashedTask(item, *job->second));
       }
     }
     RecordCrash({at.agent, before.id, before.start_id, duration(0), std::move(tasks)}, now);
@@ -76,14 +84,19 @@
     const bool at_target =
         item.second.target == target.index && item.second.target_generation == target.target_generation;
     if (at_target && job != jobs_.end() && target.unconfirmed_tasks.size() < crash_ledger::kMaxTasks) {
-      target.unconfirmed_tasks.push_back(
-          {{item.first.job_id, item.first.step, item.first.index}, job->second->queue.name});
+      target.unconfirmed_tasks.push_back(CrashedTask(item, *job->second));
     }
   }
 }
 
 bool dispatch_core::IsSuspect(const open_job& job, const job_task& task) const {
-  return crashes_.size() > 0 && crashes_.CrashesOf({job.spec.id, task.step, task.index}) > 0;
+  if (crashes_.size() == 0) {
+    return false;
+  }
+  // A single crash counts against its tasks only while another task shows that tasks crash targets. Otherwise all tasks
+  // that are lost with a target would wait for targets of their own.
+  const std::uint32_t crashes = crashes_.CrashesOf({job.spec.id, task.step, task.index});
+  return crashes > 1 || (crashes == 1 && crashes_.HasRecentRepetition(last_now_));
 }
 
 bool dispatch_core::MayReserveTarget(instant now) const {
--- a/src/besteffort/run_manager_crashes.cc
+++ b/src/besteffort/run_manager_crashes.cc
@@ -14,10 +14,14 @@
   crash_record crash{settings_.agent.id, target_incarnation_.id, target_incarnation_.start_id, duration(0), {}};
   for (const std::pair<const run_key, managed_run>& item : runs_) {
     const managed_run& run = item.second;
-    // A start without a response may have been executed.
-    if (run.state != run_state::kWaiting && run.target_generation == target_generation_) {
-      crash.tasks.push_back({{item.first.job_id, item.first.step, item.first.index}, run.start.queue});
+    if (run.state == run_state::kWaiting || run.target_generation != target_generation_) {
+      continue;
     }
+    crash_evidence evidence = crash_evidence::kMayHaveRun;
+    if (run.accepted_at != instant{}) {
+      evidence = run.start.exclusive ? crash_evidence::kRanAlone : crash_evidence::kRan;
+    }
+    crash.tasks.push_back({{item.first.job_id, item.first.step, item.first.index}, run.start.queue, evidence});
   }
   if (!crashes_.Add(crash, now).empty()) {
     LogEvent("target_crashed", "",
--- a/src/wire/runs_codec.cc
+++ b/src/wire/runs_codec.cc
@@ -1,5 +1,7 @@
 #include "runs_codec.h"
 
+#include <algorithm>
+
 namespace bamboowing::detail {
 namespace {
 
@@ -74,6 +76,7 @@
       task.setStep(crashed.task.step);
       task.setIndex(crashed.task.index);
       task.setQueue(crashed.queue);
+      task.setEvidence(static_cast<std::uint8_t>(crashed.evidence));
     }
   }
 }
@@ -84,7 +87,10 @@
     crash_record crash{
         ToString(item.getAgent()), ToString(item.getTarget()), item.getStartId(), duration(item.getAgeUs()), {}};
     for (rpc::CrashedTask::Reader task : item.getTasks()) {
-      crash.tasks.push_back({{ToString(task.getJobId()), task.getStep(), task.getIndex()}, ToString(task.getQueue())});
+      const std::uint8_t evidence = std::min(task.getEvidence(), static_cast<std::uint8_t>(crash_evidence::kRanAlone));
+      crash.tasks.push_back({{ToString(task.getJobId()), task.getStep(), task.getIndex()},
+                             ToString(task.getQueue()),
+                             static_cast<crash_evidence>(evidence)});
     }
     crashes.push_back(std::move(crash));
   }
