--- a/src/besteffort/dispatch_unsettled.cc
+++ b/src/besteffort/dispatch_unsettled.cc
@@ -8,8 +8,7 @@
 namespace bamboowing {
 namespace {
 
-// A job is abandoned this long before its deadline, so that its caller receives the answer in time and does not submit
-// it again.
+// A job is abandoned this long before its deadline, so that its caller receives the answer in time.
 constexpr duration kAnswerMargin = std::chrono::milliseconds(100);
 // An agent without a report for this long may not learn of the loss of its target before a job's deadline.
 constexpr duration kSilentAfter = std::chrono::milliseconds(450);
--- a/tests/besteffort/cluster_overlap_test.cc
+++ b/tests/besteffort/cluster_overlap_test.cc
@@ -302,8 +302,8 @@
   EXPECT_TRUE(sim.jobs()[second].verdict == job_verdict::kNotRepeatable);
 }
 
-// Guards against a caller that submits a job again while an earlier start may still be executed: the answer must not
-// invite it, and a submission that arrives nevertheless starts nothing.
+// Guards against a job that is submitted again while an earlier start may still be executed: the submission must start
+// nothing.
 TEST_F(cluster_overlap, JobWhoseStartMayBeExecutedLateIsNotRepeated) {
   const std::size_t target = StartLongTaskByRepeatedRequest(std::chrono::seconds(4));
   sim.CrashTarget(target, std::chrono::seconds(2));
