Tell every entry which starts may still be executed

Callers saw a task run twice: a start without a response was executed by a restarted target while the task, submitted again, ran elsewhere. Cause: only the processes of the first submission knew of the start.

Entries and agents now exchange the ids of jobs that must not be started again, as they do with records of crashes, and send all of them to each new session; agents also tell all their entries which jobs have an unanswered start, which an entry takes as unknown when the agent is silent or restarts.

Ruled out: fence polls of idle targets for 15 s after the start of an agent; IdleAgentSendsNoPolls failed with them, and they shorten only one window.

--- a/include/bamboowing/besteffort/dispatch_core.h
+++ b/include/bamboowing/besteffort/dispatch_core.h
@@ -15,6 +15,7 @@
 #include "bamboowing/base/error.h"
 #include "bamboowing/base/random.h"
 #include "bamboowing/besteffort/crash_ledger.h"
+#include "bamboowing/besteffort/expiring_jobs.h"
 #include "bamboowing/besteffort/job.h"
 #include "bamboowing/besteffort/recent_minimum.h"
 #include "bamboowing/besteffort/target_fleet.h"
@@ -289,8 +290,11 @@
   /// Whether the deadline of the job is near while a run of it may still be started at a target whose agent is not in
   /// contact.
   bool MustAbandonBeforeDeadline(const open_job& job, instant now);
-  /// Whether a submission of the job must not start its tasks, since a run of an earlier one may still be started.
-  bool IsNotRepeatable(const std::string& job_id, instant now);
+  /// The agent is silent, so it may not report in time that its target executes an earlier start request. Forbids the
+  /// repetition of all jobs with such a request.
+  void HandleSilentAgent(fleet_target& target, instant now);
+  /// Stores the jobs that the report names as not repeatable or as having an unanswered start.
+  void MergeUnsettledJobs(fleet_target& target, const run_report& report, instant now);
   void ExpireAgents(instant now);
   /// When the job is answered at the latest.
   instant AnswerDeadline(const open_job& job) const;
@@ -319,7 +323,8 @@
   crash_ledger crashes_;
   waiting_queue queue_;  ///< jobs with waiting tasks by latest start
   run_map runs_;
-  std::map<std::string, instant> not_repeatable_until_;  ///< by job id
+  /// Jobs whose submissions must not start a task, known to this entry or reported by others.
+  expiring_jobs unrepeatable_;
   std::map<run_outcome, std::uint64_t> outcome_counts_;
   double waiting_work_us_ = 0;
   resource_sum waiting_need_;
--- a/include/bamboowing/besteffort/run_manager.h
+++ b/include/bamboowing/besteffort/run_manager.h
@@ -16,6 +16,7 @@
 #include "bamboowing/agent/session_table.h"
 #include "bamboowing/besteffort/crash_ledger.h"
 #include "bamboowing/besteffort/entry_selection.h"
+#include "bamboowing/besteffort/expiring_jobs.h"
 #include "bamboowing/besteffort/leased_target.h"
 #include "bamboowing/besteffort/unsettled_starts.h"
 #include "bamboowing/message/batch.h"
@@ -221,7 +222,9 @@
     resource_amount reported_amount;     ///< committed amount in the newest report to the entry
     std::size_t reported_unsettled = 0;  ///< number of unsettled runs in the newest report to the entry
     instant reported_at;
-    std::uint64_t crash_revision_sent = 0;  ///< revision of the crash ledger that was sent in this session
+    std::uint64_t crash_revision_sent = 0;         ///< revision of the crash ledger that was sent in this session
+    std::uint64_t unrepeatable_revision_sent = 0;  ///< the same of the unrepeatable jobs
+    std::uint64_t unanswered_revision_sent = 0;    ///< the same of the jobs with an unanswered start
   };
 
   /// Another target that announced itself.
@@ -274,7 +277,8 @@
   bool IsUnsettled(const managed_run& run, instant now) const;
   /// Runs of the entry with a start request that will be sent, or has had no response and may still be executed.
   std::vector<run_key> UnsettledRunsOf(const std::string& entry, instant now) const;
-  /// Whether the load or the number of unsettled runs differs from the newest report to the entry.
+  /// Whether the load, the number of unsettled runs or the jobs with an unanswered start differ from the newest report
+  /// to the entry.
   bool LoadReportPending(const std::string& entry, const owner& to, instant now) const;
   /// Records a start request without a response for as long as it may be executed, whether or not its run has ended.
   void RecordUnansweredStart(const pending_request& start, instant now);
@@ -283,7 +287,7 @@
   /// The target was lost, restarted or replaced: a later incarnation may execute start requests of ended runs.
   void ReportReleasedStarts(instant now);
   /// Reports to all entries that the run may still be started: its job may have been submitted to another one.
-  void ReportUnknown(const run_key& key);
+  void ReportUnknown(const run_key& key, instant now);
   /// Returns whether the response is that of the present target.
   bool HandleResponse(const request_response& response, const pending_request& request, instant now);
   /// The target refused a request with the fencing token @p token because it has seen a higher one.
@@ -422,7 +426,9 @@
   instant next_reconcile_poll_;
   instant late_start_until_;  ///< until then, a start request without a response may be executed
   unsettled_starts unsettled_starts_;
-  instant target_ended_at_;  ///< when the target was last lost, restarted or replaced
+  expiring_jobs unanswered_jobs_;  ///< jobs of the runs in `unsettled_starts_`
+  expiring_jobs unrepeatable_;     ///< jobs that must not be started again, relayed between entries
+  instant target_ended_at_;        ///< when the target was last lost, restarted or replaced
   bool draining_ = false;
 
   std::uint64_t last_request_id_ = 0;
--- a/include/bamboowing/besteffort/target_fleet.h
+++ b/include/bamboowing/besteffort/target_fleet.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "bamboowing/base/types.h"
+#include "bamboowing/besteffort/expiring_jobs.h"
 #include "bamboowing/dispatch/target_health.h"
 #include "bamboowing/dispatch/target_table.h"
 #include "bamboowing/message/batch.h"
@@ -47,16 +48,19 @@
   instant last_success_at;  ///< when a run of this entry last succeeded at the target
   instant backoff_until;    ///< no starts before this time, after the target rejected one
   speed_estimate speed;
-  std::uint32_t own_runs = 0;             ///< runs of this entry at the target
-  std::uint32_t own_exclusive_runs = 0;   ///< those of them that share the target with no other run
-  bool exclusive = false;                 ///< the newest report shows an exclusive run of any entry
-  std::uint64_t crash_revision_sent = 0;  ///< revision of the crash ledger that was sent in this session
-  target_description known_target;        ///< newest described target with an id
-  std::uint64_t target_generation = 0;    ///< increases with each other incarnation of `known_target`
+  std::uint32_t own_runs = 0;                    ///< runs of this entry at the target
+  std::uint32_t own_exclusive_runs = 0;          ///< those of them that share the target with no other run
+  bool exclusive = false;                        ///< the newest report shows an exclusive run of any entry
+  std::uint64_t crash_revision_sent = 0;         ///< revision of the crash ledger that was sent in this session
+  std::uint64_t unrepeatable_revision_sent = 0;  ///< revision of the unrepeatable jobs that was sent in this session
+  target_description known_target;               ///< newest described target with an id
+  std::uint64_t target_generation = 0;           ///< increases with each other incarnation of `known_target`
   /// Tasks whose runs at `known_target` were taken as lost because the agent was silent or has restarted.
   std::vector<crashed_task> unconfirmed_tasks;
   run_requests pending_requests;
   std::vector<released_start> released_starts;  ///< of runs of this entry
+  expiring_jobs unanswered_jobs;                ///< jobs of any entry with a start request that had no response
+  bool silence_handled = false;                 ///< since the newest report
 
   /// Committed amount of the newest report plus the starts that it does not include.
   resource_amount Committed() const {
--- a/include/bamboowing/message/best_effort.h
+++ b/include/bamboowing/message/best_effort.h
@@ -95,6 +95,12 @@
   std::vector<crashed_task> tasks;
 };
 
+/// A job that is known for a limited time.
+struct job_expiry {
+  std::string job_id;
+  duration remaining{0};  ///< time left when the message is sent
+};
+
 /// Request to an agent to start one run.
 struct run_start {
   run_key key;
@@ -112,6 +118,9 @@
   std::uint64_t starts_sent = 0;       ///< number of starts that the entry has sent in this session, including these
   std::uint64_t results_received = 0;  ///< sequence number of the newest result that the entry has received
   std::vector<crash_record> crashes;   ///< crashes that the entry has not sent in this session
+  /// Jobs that must not be started again, since a start request of theirs without a response may still be executed:
+  /// those that the entry has not sent in this session.
+  std::vector<job_expiry> unrepeatable;
 };
 
 /// How a run ended.
@@ -165,6 +174,10 @@
   std::vector<crash_record> crashes;  ///< crashes that the agent has not sent in this session
   /// Whether an exclusive run is active or waits; `committed` is then the whole capacity.
   bool exclusive = false;
+  std::vector<job_expiry> unrepeatable;  ///< as in run_requests
+  /// Jobs of any entry with a start request that the target left without a response, as far as the agent has not sent
+  /// them in this session. They are repeatable as long as the agent and its target stay in contact.
+  std::vector<job_expiry> unanswered;
 };
 
 }  // namespace bamboowing
--- a/schema/wire.capnp
+++ b/schema/wire.capnp
@@ -67,12 +67,18 @@
   tasks @4 :List(CrashedTask);
 }
 
+struct JobExpiry {
+  jobId @0 :Text;
+  remainingUs @1 :Int64;
+}
+
 struct RunOrders {
   starts @0 :List(RunStart);
   stops @1 :List(RunKey);
   startsSent @2 :UInt64;
   endsReceived @3 :UInt64;
   crashes @4 :List(CrashRecord);
+  unrepeatable @5 :List(JobExpiry);
 }
 
 struct RunEnd {
@@ -106,6 +112,8 @@
   unsettled @7 :List(RunKey);
   crashes @8 :List(CrashRecord);
   exclusive @9 :Bool;
+  unrepeatable @10 :List(JobExpiry);
+  unanswered @11 :List(JobExpiry);
 }
 
 struct EntryBatch {
--- a/src/besteffort/dispatch_core.cc
+++ b/src/besteffort/dispatch_core.cc
@@ -114,7 +114,7 @@
   std::optional<failure> refused = ValidateJob(job);
   const job_map::iterator known = jobs_.find(id);
   const bool open = known != jobs_.end() && !known->second->answered;
-  if (!refused && !open && IsNotRepeatable(id, now)) {
+  if (!refused && !open && unrepeatable_.Contains(id, now)) {
     LogEvent("job_not_repeatable", id, "a run of an earlier submission may still be started");
     actions_.emplace_back(answer_job{call, id, job_verdict::kNotRepeatable, NotRepeatableError()});
     return;
@@ -394,6 +394,7 @@
     fleet_.health().Restore(now, restored);
     fleet_.EvictSilent(now - kEvictTargetAfter);
     crashes_.Expire(now);
+    unrepeatable_.Expire(now);
   }
   RefuseOversizedJobs(now);
   Dispatch(now);
--- a/src/besteffort/dispatch_runs.cc
+++ b/src/besteffort/dispatch_runs.cc
@@ -52,7 +52,14 @@
                           reported.service != before.service || reported.labels != before.labels;
     RecordReplacedTarget(*target, reported, batch.header.incarnation, now);
   }
-  fleet_.OnReport(*target, batch, now);
+  if (fleet_.OnReport(*target, batch, now)) {
+    // The new agent process does not know the starts of its predecessor.
+    for (const job_expiry& job : target->unanswered_jobs.Since(0, now)) {
+      ForbidRepetition(job.job_id, now);
+    }
+    target->unanswered_jobs.Clear();
+  }
+  MergeUnsettledJobs(*target, batch.runs, now);
   MarkSettledRuns(*target, batch.runs);
   for (const crash_record& crash : batch.runs.crashes) {
     RecordCrash(crash, now);
@@ -291,6 +298,7 @@
   const duration loss_timeout = settings_.owner_timeout + settings_.lease + settings_.loss_margin;
   for (std::pair<const std::string, fleet_target>& item : fleet_.all()) {
     fleet_target& target = item.second;
+    HandleSilentAgent(target, now);
     if (target.session != 0 && now - target.last_report_at >= settings_.session_timeout) {
       LogEvent("agent_silent", "", "agent " + target.agent);
       actions_.emplace_back(close_run_session{target.session});
@@ -322,8 +330,9 @@
     fleet_target& target = item.second;
     const bool work = !target.pending_requests.starts.empty() || !target.pending_requests.stops.empty();
     const bool crashes = target.crash_revision_sent < crashes_.revision();
+    const bool unrepeatable = target.unrepeatable_revision_sent < unrepeatable_.revision();
     const bool due = now - target.last_sent_at >= settings_.heartbeat;
-    if (target.session == 0 || (!work && !crashes && !due)) {
+    if (target.session == 0 || (!work && !crashes && !unrepeatable && !due)) {
       continue;
     }
     send_run_batch send;
@@ -340,6 +349,8 @@
       send.batch.runs.crashes = crashes_.Since(target.crash_revision_sent, now);
       target.crash_revision_sent = crashes_.revision();
     }
+    send.batch.runs.unrepeatable = unrepeatable_.Since(target.unrepeatable_revision_sent, now);
+    target.unrepeatable_revision_sent = unrepeatable_.revision();
     target.pending_requests = {};
     target.last_sent_at = now;
     actions_.emplace_back(std::move(send));
--- a/src/besteffort/dispatch_unsettled.cc
+++ b/src/besteffort/dispatch_unsettled.cc
@@ -43,8 +43,9 @@
 }
 
 void dispatch_core::ForbidRepetition(const std::string& job_id, instant now) {
-  LogEvent("repetition_forbidden", job_id, "a start of the job without a response may still be executed");
-  not_repeatable_until_[job_id] = now + settings_.max_request_delay;
+  if (unrepeatable_.Add(job_id, now + settings_.max_request_delay)) {
+    LogEvent("repetition_forbidden", job_id, "a start of the job without a response may still be executed");
+  }
 }
 
 void dispatch_core::AbandonJob(open_job& job, instant now) {
@@ -112,12 +113,30 @@
   return false;
 }
 
-bool dispatch_core::IsNotRepeatable(const std::string& job_id, instant now) {
-  for (std::map<std::string, instant>::iterator item = not_repeatable_until_.begin();
-       item != not_repeatable_until_.end();) {
-    item = item->second <= now ? not_repeatable_until_.erase(item) : std::next(item);
+void dispatch_core::HandleSilentAgent(fleet_target& target, instant now) {
+  if (target.silence_handled || now - target.last_report_at < kSilentAfter) {
+    return;
+  }
+  target.silence_handled = true;
+  for (const job_expiry& job : target.unanswered_jobs.Since(0, now)) {
+    ForbidRepetition(job.job_id, now);
+  }
+  target.unanswered_jobs.Clear();
+  for (const released_start& start : target.released_starts) {
+    ForbidRepetition(start.key.job_id, now);
   }
-  return not_repeatable_until_.count(job_id) != 0;
+  for (const std::pair<run_key, std::uint64_t>& start : target.unsettled_starts) {
+    const run_map::const_iterator run = runs_.find(start.first);
+    if (run != runs_.end() && run->second.target == target.index) {
+      ForbidRepetition(start.first.job_id, now);
+    }
+  }
+}
+
+void dispatch_core::MergeUnsettledJobs(fleet_target& target, const run_report& report, instant now) {
+  target.silence_handled = false;
+  unrepeatable_.Merge(report.unrepeatable, settings_.max_request_delay, now);
+  target.unanswered_jobs.Merge(report.unanswered, settings_.max_request_delay, now);
 }
 
 }  // namespace bamboowing
--- a/src/besteffort/run_manager.cc
+++ b/src/besteffort/run_manager.cc
@@ -122,7 +122,7 @@
     end.run_time = now - ended.accepted_at;
   }
   if (outcome == run_outcome::kUnknown) {
-    ReportUnknown(run->first);
+    ReportUnknown(run->first, now);
     runs_.erase(run);
     return;
   }
--- a/src/besteffort/run_manager_entries.cc
+++ b/src/besteffort/run_manager_entries.cc
@@ -115,6 +115,8 @@
   opened.last_result_sent = 0;
   opened.initial_report_sent = false;
   opened.crash_revision_sent = 0;
+  opened.unrepeatable_revision_sent = 0;
+  opened.unanswered_revision_sent = 0;
 }
 
 void run_manager::OnSessionClosed(const std::string& entry, const std::string& reason, instant now) {
@@ -149,6 +151,7 @@
   for (const crash_record& crash : batch.runs.crashes) {
     crashes_.Add(crash, now);
   }
+  unrepeatable_.Merge(batch.runs.unrepeatable, settings_.max_request_delay, now);
   for (const run_key& key : batch.runs.stops) {
     const run_map::iterator found = runs_.find(key);
     if (found == runs_.end()) {
@@ -214,6 +217,8 @@
   if (now - selected_at_ >= kSelectInterval) {
     SelectEntries(now);
     crashes_.Expire(now);
+    unrepeatable_.Expire(now);
+    unanswered_jobs_.Expire(now);
   }
   CloseReleasedSessions(now);
 }
@@ -224,7 +229,9 @@
 }
 
 bool run_manager::ReportDue(const entry_session& session, const owner& to, instant now) const {
-  if (!to.initial_report_sent || to.target_update_pending || to.crash_revision_sent < crashes_.revision()) {
+  const bool records_pending =
+      to.crash_revision_sent < crashes_.revision() || to.unrepeatable_revision_sent < unrepeatable_.revision();
+  if (!to.initial_report_sent || to.target_update_pending || records_pending) {
     return true;
   }
   if (!to.unacknowledged_results.empty() && to.unacknowledged_results.back().sequence > to.last_result_sent) {
@@ -284,6 +291,10 @@
   }
   report.crashes = crashes_.Since(to.crash_revision_sent, now);
   to.crash_revision_sent = crashes_.revision();
+  report.unrepeatable = unrepeatable_.Since(to.unrepeatable_revision_sent, now);
+  to.unrepeatable_revision_sent = unrepeatable_.revision();
+  report.unanswered = unanswered_jobs_.Since(to.unanswered_revision_sent, now);
+  to.unanswered_revision_sent = unanswered_jobs_.revision();
   to.initial_report_sent = true;
   to.target_update_pending = false;
   to.reported_amount = report.committed;
--- a/src/besteffort/run_manager_incarnations.cc
+++ b/src/besteffort/run_manager_incarnations.cc
@@ -180,6 +180,7 @@
   target_clock_.reset();
   pending_starts_.clear();
   unsettled_starts_.Clear();  // another id refuses the requests
+  unanswered_jobs_.Clear();
   SuspendAdmission(now);
   AdoptCandidate(now);
 }
--- a/src/besteffort/run_manager_unsettled.cc
+++ b/src/besteffort/run_manager_unsettled.cc
@@ -22,12 +22,14 @@
 bool run_manager::LoadReportPending(const std::string& entry, const owner& to, instant now) const {
   // Runs that become unsettled change the load, too.
   const bool settled = to.reported_unsettled > 0 && UnsettledRunsOf(entry, now).size() < to.reported_unsettled;
-  return settled || !(ReportedAmount() == to.reported_amount);
+  const bool unanswered = to.unanswered_revision_sent < unanswered_jobs_.revision();
+  return settled || unanswered || !(ReportedAmount() == to.reported_amount);
 }
 
 void run_manager::RecordUnansweredStart(const pending_request& start, instant now) {
   unsettled_starts_.RemoveExpired(now);
   unsettled_starts_.Add(start.key, start.sent_at);
+  unanswered_jobs_.Add(start.key.job_id, start.sent_at + settings_.max_request_delay);
   // The target has ended while the request was on its way.
   if (start.sent_at <= target_ended_at_ && runs_.count(start.key) == 0) {
     ReportReleasedStarts(target_ended_at_);
@@ -55,13 +57,14 @@
       LogEvent("released_run_unknown", key.job_id,
                "task " + std::to_string(key.step) + "." + std::to_string(key.index) + " attempt " +
                    std::to_string(key.attempt) + ", the target was lost or restarted");
-      ReportUnknown(key);
+      ReportUnknown(key, now);
     }
   }
 }
 
-void run_manager::ReportUnknown(const run_key& key) {
+void run_manager::ReportUnknown(const run_key& key, instant now) {
   unsettled_starts_.Remove(key);
+  unrepeatable_.Add(key.job_id, now + settings_.max_request_delay);
   for (std::pair<const std::string, owner>& to : owners_) {
     const entry_session* session = sessions_.Find(to.first);
     const std::map<run_key, managed_run>::const_iterator run = runs_.find(key);
--- a/src/besteffort/target_fleet.cc
+++ b/src/besteffort/target_fleet.cc
@@ -37,6 +37,7 @@
     start.second = 0;
   }
   target.crash_revision_sent = 0;
+  target.unrepeatable_revision_sent = 0;
   target.exclusive = false;
   target.last_report_at = now;
   target.last_sent_at = instant{};
--- a/src/wire/runs_codec.cc
+++ b/src/wire/runs_codec.cc
@@ -97,6 +97,24 @@
   return crashes;
 }
 
+void WriteJobs(const std::vector<job_expiry>& jobs, capnp::List<rpc::JobExpiry>::Builder out) {
+  unsigned i = 0;
+  for (const job_expiry& job : jobs) {
+    rpc::JobExpiry::Builder item = out[i++];
+    item.setJobId(job.job_id);
+    item.setRemainingUs(job.remaining.count());
+  }
+}
+
+std::vector<job_expiry> ReadJobs(capnp::List<rpc::JobExpiry>::Reader in) {
+  std::vector<job_expiry> jobs;
+  jobs.reserve(in.size());
+  for (rpc::JobExpiry::Reader item : in) {
+    jobs.push_back({ToString(item.getJobId()), duration(item.getRemainingUs())});
+  }
+  return jobs;
+}
+
 }  // namespace
 
 void WriteRunRequests(const run_requests& requests, rpc::RunOrders::Builder out) {
@@ -115,6 +133,7 @@
   out.setStartsSent(requests.starts_sent);
   out.setEndsReceived(requests.results_received);
   WriteCrashes(requests.crashes, out.initCrashes(requests.crashes.size()));
+  WriteJobs(requests.unrepeatable, out.initUnrepeatable(requests.unrepeatable.size()));
 }
 
 run_requests ReadRunRequests(rpc::RunOrders::Reader in) {
@@ -127,6 +146,7 @@
   requests.starts_sent = in.getStartsSent();
   requests.results_received = in.getEndsReceived();
   requests.crashes = ReadCrashes(in.getCrashes());
+  requests.unrepeatable = ReadJobs(in.getUnrepeatable());
   return requests;
 }
 
@@ -154,6 +174,8 @@
   WriteRunKeys(report.unsettled_runs, out.initUnsettled(report.unsettled_runs.size()));
   WriteCrashes(report.crashes, out.initCrashes(report.crashes.size()));
   out.setExclusive(report.exclusive);
+  WriteJobs(report.unrepeatable, out.initUnrepeatable(report.unrepeatable.size()));
+  WriteJobs(report.unanswered, out.initUnanswered(report.unanswered.size()));
 }
 
 bool ReadReport(rpc::RunReport::Reader in, run_report& report) {
@@ -177,6 +199,8 @@
   report.unsettled_runs = ReadRunKeys(in.getUnsettled());
   report.crashes = ReadCrashes(in.getCrashes());
   report.exclusive = in.getExclusive();
+  report.unrepeatable = ReadJobs(in.getUnrepeatable());
+  report.unanswered = ReadJobs(in.getUnanswered());
   return true;
 }
 
--- a/tests/besteffort/cluster_overlap_test.cc
+++ b/tests/besteffort/cluster_overlap_test.cc
@@ -317,6 +317,50 @@
   EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
 }
 
+// Guards against a job that is submitted again to an entry that was restarted after the agents had reported the start
+// without a response.
+TEST_F(cluster_overlap, RestartedEntryLearnsOfUnansweredStart) {
+  const std::size_t target = StartLongTaskByRepeatedRequest(std::chrono::seconds(4));
+  sim.CrashTarget(target, std::chrono::seconds(2));
+  sim.RunFor(Ms(300));
+  ASSERT_TRUE(sim.jobs()[0].verdict == job_verdict::kNotRepeatable);
+  sim.KillEntry(1, Ms(100));
+  sim.RunFor(kRetransmitDelay);
+  const std::size_t again = sim.Submit(1, "job", 1, kLongWorkMs);
+  sim.RunFor(std::chrono::seconds(6));
+  EXPECT_TRUE(sim.jobs()[again].verdict == job_verdict::kNotRepeatable);
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
+// Guards against a job that is submitted to another entry because its first one was killed, while the agent that knows
+// of a start without a response is frozen and its target restarts.
+TEST_F(cluster_overlap, OtherEntryKnowsUnansweredStartOfFrozenAgent) {
+  const std::size_t target = StartLongTaskByRepeatedRequest(std::chrono::seconds(4));
+  sim.RunFor(Ms(100));
+  sim.KillEntry(0, std::chrono::seconds(10));
+  sim.FreezeAgent(target, std::chrono::seconds(8));
+  sim.CrashTarget(target, duration(0));
+  sim.RunFor(kRetransmitDelay);
+  sim.Submit(1, "job", 1, kLongWorkMs);
+  sim.RunFor(std::chrono::seconds(8));
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
+// Guards against entries that learn of a start without a response only from the agent that sent it, which has been
+// replaced by a new process.
+TEST_F(cluster_overlap, OtherEntryLearnsOfUnansweredStartOfRestartedAgent) {
+  const std::size_t target = StartLongTaskByRepeatedRequest(std::chrono::seconds(4));
+  sim.RunFor(Ms(100));
+  sim.KillEntry(0, std::chrono::seconds(10));
+  sim.KillAgent(target, Ms(100));
+  sim.CrashTarget(target, std::chrono::seconds(2));
+  sim.RunFor(kRetransmitDelay);
+  const std::size_t again = sim.Submit(1, "job", 1, kLongWorkMs);
+  sim.RunFor(std::chrono::seconds(8));
+  EXPECT_TRUE(sim.jobs()[again].verdict == job_verdict::kNotRepeatable);
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
 // Guards against a second submission of a job at the same entry, whose first caller has disconnected while the agent
 // was frozen: the restarted target executes a start without a response.
 TEST_F(cluster_overlap, SecondSubmissionDoesNotStartTaskOfFrozenAgent) {
--- a/tests/wire/codec_test.cc
+++ b/tests/wire/codec_test.cc
@@ -113,6 +113,29 @@
   EXPECT_EQ(builder.getRuns().getEnds()[0].getOutcome(), static_cast<std::uint8_t>(run_outcome::kLost));
 }
 
+// Guards against jobs that an entry starts again because the record of their unanswered starts was lost between
+// processes.
+TEST(Codec, RunsKeepUnrepeatableJobs) {
+  const auto expect_same = [](const std::vector<job_expiry>& copy, const char* job_id, duration remaining) {
+    ASSERT_EQ(copy.size(), 1U);
+    EXPECT_EQ(copy[0].job_id, job_id);
+    EXPECT_EQ(copy[0].remaining, remaining);
+  };
+  entry_batch sent;
+  sent.runs.unrepeatable = {{"job-1", duration(900)}};
+  const std::optional<entry_batch> received = RoundTrip<rpc::EntryBatch>(sent);
+  ASSERT_TRUE(received);
+  expect_same(received->runs.unrepeatable, "job-1", duration(900));
+
+  agent_batch reply;
+  reply.runs.unrepeatable = {{"job-2", duration(800)}};
+  reply.runs.unanswered = {{"job-3", duration(700)}};
+  const std::optional<agent_batch> report = RoundTrip<rpc::AgentBatch>(reply);
+  ASSERT_TRUE(report);
+  expect_same(report->runs.unrepeatable, "job-2", duration(800));
+  expect_same(report->runs.unanswered, "job-3", duration(700));
+}
+
 // Guards against crash counts and exclusive runs that are lost between processes: a deadly task would be started again.
 TEST(Codec, RunsKeepEveryFieldOnCrashes) {
   const crash_record crash{
