Keep a target that has left out of use after its agent restarts

Operators of similar systems saw a server that had left in use again after a restart. It could happen here: a new process of the agent knows only the announcements that reach it, and a delayed one from before the end of the target made it report the target as usable; in the new test, two tasks of eight started there. Entries now keep the end of a target, which is final for its incarnation, over a restart of its agent.

TargetThatHasLeftIsNotUsedByRestartedAgent failed before. BriefSilenceOfAgentDoesNotEndItsRun, for another of their reports, passed without a change.

--- a/src/besteffort/target_fleet.cc
+++ b/src/besteffort/target_fleet.cc
@@ -84,6 +84,9 @@
   if (report.has_target) {
     target.description = report.target;
     target.described = true;
+    const target_description& known = target.known_target;
+    const bool left = known.leaving && known.id == report.target.id && known.start_id == report.target.start_id;
+    target.description.draining = report.target.draining || left;
   }
   target.reported_amount = report.committed;
   target.exclusive = report.exclusive;
--- a/tests/besteffort/cluster_overlap_test.cc
+++ b/tests/besteffort/cluster_overlap_test.cc
@@ -398,6 +398,39 @@
   EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
 }
 
+// Guards against running work that is started again or given up because its agent was silent for less than the time
+// after which its runs must end.
+TEST_F(cluster_overlap, BriefSilenceOfAgentDoesNotEndItsRun) {
+  constexpr duration kSilence = std::chrono::milliseconds(500);
+  const std::size_t target = StartLongTask();
+  sim.FreezeAgent(target, kSilence);
+  sim.RunFor(kSilence + Ms(100));
+  sim.Partition(0, target, kSilence);
+  sim.RunFor(Ms(kLongWorkMs));
+  EXPECT_TRUE(sim.jobs()[0].verdict == job_verdict::kCompleted);
+  EXPECT_EQ(sim.history().size(), 1U);
+}
+
+// Guards against a target that has announced its end and is used again by the restarted process of its agent, which
+// knows only a late heartbeat.
+TEST_F(cluster_overlap, TargetThatHasLeftIsNotUsedByRestartedAgent) {
+  constexpr std::size_t kLeaving = 0;
+  sim.DelayHeartbeat(kLeaving, Ms(700));
+  sim.LeaveTarget(kLeaving, std::chrono::seconds(5), std::chrono::seconds(10));
+  sim.faults.lost_heartbeats = 1;
+  sim.RunFor(Ms(200));
+  sim.KillAgent(kLeaving, Ms(100));
+  sim.RunFor(Ms(800));
+  for (int i = 0; i < 8; ++i) {
+    sim.Submit(0, "job" + std::to_string(i), 1, 200);
+  }
+  sim.RunFor(std::chrono::seconds(1));
+  const std::string& left = sim.target(kLeaving).id();
+  EXPECT_EQ(std::count_if(sim.history().begin(), sim.history().end(),
+                          [&left](const run_record& run) { return run.target == left; }),
+            0);
+}
+
 // Guards against a task that is not started again for as long as the target of a restarted agent stays away.
 TEST_F(cluster_overlap, TaskOfLostMachineIsRestartedAlthoughItsAgentReturns) {
   const std::size_t target = StartLongTask();
