Test the reply to a report as contact with the entry

Three cases: it keeps the runs of the entry, it does not renew the view by which a paused entry starts tasks, and it does not count before the first batch of the entry's process in the session.

--- a/tests/besteffort/run_manager_test.cc
+++ b/tests/besteffort/run_manager_test.cc
@@ -318,6 +318,62 @@
   EXPECT_EQ(Results()[0].outcome, run_outcome::kNoRoom);
 }
 
+// Guards against runs that are stopped although their entry is in contact: between its rare heartbeats, only the
+// replies to reports show it.
+TEST_F(run_manager_fixture, ReplyToReportIsContactWithTheEntry) {
+  StartAccepted("a");
+  poll_response active;
+  active.running.push_back({"a", 0, 0, 1});
+  const instant from = now;
+  while (now - from < 2 * Settings().owner_timeout) {
+    now += std::chrono::milliseconds(100);
+    manager.OnReportAcknowledged(kEntry, now, now);
+    Step();
+    AnswerPolls(active);
+  }
+  EXPECT_FALSE(HasAction<send_stop_request>());
+  actions.clear();
+  now += Settings().owner_timeout;
+  Step();
+  EXPECT_TRUE(HasAction<send_stop_request>()) << "the entry replies no more";
+}
+
+// Guards against a process that was paused and then starts a task by an outdated view, although its connection has
+// replied to newer reports meanwhile.
+TEST_F(run_manager_fixture, ReplyToReportDoesNotRenewTheViewOfTheEntry) {
+  const instant view_at = now;
+  SendRequests({});
+  now += Settings().max_report_age;
+  manager.OnReportAcknowledged(kEntry, now, now);
+  entry_batch batch;
+  batch.header.incarnation = 3;
+  batch.header.echo = view_at;
+  batch.header.echo_incarnation = Settings().agent.incarnation;
+  batch.runs.starts.push_back(Start("a"));
+  actions.clear();
+  manager.OnBatch(kEntry, batch, now);
+  Step();
+  EXPECT_FALSE(HasAction<send_start_request>());
+  ASSERT_EQ(Results().size(), 1U);
+  EXPECT_EQ(Results()[0].outcome, run_outcome::kUnavailable);
+}
+
+// Guards against runs of a killed entry that continue because another process at its address replies to reports.
+TEST_F(run_manager_fixture, ReplyOfUnknownProcessIsNoContact) {
+  StartAccepted("a");
+  manager.OnSessionClosed(kEntry, "closed", now);
+  for (int i = 0; i < 20 && !HasAction<open_session>(); ++i) {
+    now += std::chrono::milliseconds(10);
+    Step();
+  }
+  manager.OnSessionOpened(kEntry, now);
+  actions.clear();
+  now += Settings().owner_timeout;
+  manager.OnReportAcknowledged(kEntry, now, now);
+  Step();
+  EXPECT_TRUE(HasAction<send_stop_request>());
+}
+
 // Guards against continuous polling of an idle target (169,187 polls in a run of 58 s).
 TEST_F(run_manager_fixture, IdleAgentSendsNoPolls) {
   run_requests requests;
