--- a/scripts/capacity/page.py
+++ b/scripts/capacity/page.py
@@ -1,9 +1,10 @@
-"""Computes docs/CAPACITY.md from the measured slopes in docs/capacity/slopes.json.
+"""Computes docs/CAPACITY.md from the measured slopes in docs/capacity/slopes.json and the sweep in sweep.json.
 
 With --check it writes nothing and fails when the page differs from the computed one.
 """
 
 import json
+import math
 import pathlib
 import sys
 
@@ -11,6 +12,7 @@
 
 PAGE = ROOT / "docs" / "CAPACITY.md"
 SLOPES = ROOT / "docs" / "capacity" / "slopes.json"
+SWEEP = ROOT / "docs" / "capacity" / "sweep.json"
 
 # The size that the design must support.
 WORKERS = 3100
@@ -131,6 +133,46 @@
     return "\n".join(rows)
 
 
+def growth_power(machines, values):
+    """Returns the exponent of the power law that fits the values best (least squares of the logarithms)."""
+    xs = [math.log(count) for count in machines]
+    ys = [math.log(value) for value in values]
+    mean_x, mean_y = sum(xs) / len(xs), sum(ys) / len(ys)
+    return (sum((x - mean_x) * (y - mean_y) for x, y in zip(xs, ys)) / sum((x - mean_x) ** 2 for x in xs))
+
+
+def sweep_rows(sweep):
+    lines = []
+    for row in sweep["rows"]:
+        power = growth_power(sweep["machines"], row["busiest"])
+        last = row["busiest"][-1]
+        projected = last * (WORKERS / sweep["machines"][-1]) ** max(0, power)
+        values = " | ".join(f"{a:g}, {b:g}" for a, b in zip(row["middle"], row["busiest"]))
+        limit = f"{row['limit']:,}: {compare_with_limit(projected, row['limit'])}" if "limit" in row else ""
+        lines.append(f"| {row['role']} | {row['measure']} | {values} | {power:.2f} | {projected:,.0f} | {limit} |")
+    return "\n".join(lines)
+
+
+def render_sweep(sweep):
+    sizes = " | ".join(f"{count} machines" for count in sweep["machines"])
+    return f"""
+## On the platform: growth from a sweep
+
+One day of {sweep["site"]} at several sizes (sources {sweep["sources"]}, journal entry {sweep["journal"]}): mean and busiest
+process of a role. The last columns carry the growth of the busiest process on to {WORKERS:,} machines, which was not played;
+a power below 0 counts as 0. The sizes above {sweep["machines"][-1]} machines of the sweep were not run. Limits are those of
+the smallest machine of the role: 0.09 cores, 120 MB, 20 Mbit/s and 3,075 descriptors for an entry. Processor time is in
+percent as the sweep prints it.
+
+| role | measure | {sizes} | power | at {WORKERS:,} | limit |
+|---|---|{"---|" * len(sweep["machines"])}---|---|---|
+{sweep_rows(sweep)}
+
+The processor time of an entry reaches its limit first. It is spent on the reports of the attached agents and on the starts
+of its own jobs: [decisions/wide-fleets.md](decisions/wide-fleets.md).
+"""
+
+
 def render(s):
     f = compute_figures(s)
     return f"""# Capacity
@@ -241,7 +283,7 @@
 
 
 def main():
-    text = render(json.loads(SLOPES.read_text()))
+    text = render(json.loads(SLOPES.read_text())) + render_sweep(json.loads(SWEEP.read_text()))
     if "--check" in sys.argv:
         if PAGE.read_text() != text:
             print("docs/CAPACITY.md differs from scripts/capacity-page; run it without --check")
