Use a target again if the end that its agent reported does not come

A late deregistration of an earlier incarnation also announces an end; the agent corrects it with the next announcement, but the entries never used the target again (found by reading; TargetIsUsedAgainAfterAnnouncementOfAnEndThatDoesNotCome failed before). An announced end now holds against other agent processes only, and for 15 s, the bound of the delay of an announcement.

--- a/include/bamboowing/besteffort/target_fleet.h
+++ b/include/bamboowing/besteffort/target_fleet.h
@@ -24,6 +24,14 @@
   instant until;                         ///< the request is not executed later than this
 };
 
+/// The end of a target that it has announced.
+struct announced_end {
+  std::string target;
+  std::uint64_t start_id = 0;   ///< of its incarnation
+  incarnation_id reporter = 0;  ///< the agent process that has reported it
+  instant until;                ///< announcements from before the end may arrive until then
+};
+
 /// An entry's view of one agent and its target.
 struct fleet_target {
   std::string agent;
@@ -54,6 +62,7 @@
   bool exclusive = false;                        ///< the newest report shows an exclusive run of any entry
   std::uint64_t crash_revision_sent = 0;         ///< revision of the crash ledger that was sent in this session
   std::uint64_t unrepeatable_revision_sent = 0;  ///< revision of the unrepeatable jobs that was sent in this session
+  announced_end end;                             ///< of the target or an earlier one; the target receives no starts
   target_description known_target;               ///< newest described target with an id
   std::uint64_t target_generation = 0;           ///< increases with each other incarnation of `known_target`
   /// Tasks whose runs at `known_target` were taken as lost because the agent was silent or has restarted.
@@ -118,9 +127,13 @@
   const std::map<std::string, fleet_target>& all() const { return by_agent_; }
 
  private:
+  /// Upper bound of the delay of an announcement by a partition.
+  static constexpr duration kMaxAnnouncementDelay = std::chrono::seconds(15);
   /// A target without a report for this long receives no new runs.
   static constexpr duration kSuspectAfter = std::chrono::milliseconds(450);
 
+  static void RecordAnnouncedEnd(fleet_target& target, const agent_batch& batch, instant now);
+
   std::map<std::string, fleet_target> by_agent_;
   std::map<session_id, std::string> sessions_;
   std::vector<std::string> by_index_;  ///< agent id by target index; empty if the index is unused
--- a/src/besteffort/dispatch_crashes.cc
+++ b/src/besteffort/dispatch_crashes.cc
@@ -71,8 +71,6 @@
   const target_description before = std::exchange(at.known_target, reported);
   std::vector<crashed_task> tasks = std::exchange(at.unconfirmed_tasks, {});
   if (before.id == reported.id && before.start_id == reported.start_id) {
-    // The end of a target is final. A restarted agent may know only an announcement from before it.
-    at.known_target.leaving = reported.leaving || before.leaving;
     return;
   }
   if (!before.id.empty() && !before.leaving) {
--- a/src/besteffort/target_fleet.cc
+++ b/src/besteffort/target_fleet.cc
@@ -84,9 +84,7 @@
   if (report.has_target) {
     target.description = report.target;
     target.described = true;
-    const target_description& known = target.known_target;
-    const bool left = known.leaving && known.id == report.target.id && known.start_id == report.target.start_id;
-    target.description.draining = report.target.draining || left;
+    RecordAnnouncedEnd(target, batch, now);
   }
   target.reported_amount = report.committed;
   target.exclusive = report.exclusive;
@@ -98,13 +96,28 @@
   return restarted;
 }
 
+void target_fleet::RecordAnnouncedEnd(fleet_target& target, const agent_batch& batch, instant now) {
+  const target_description& reported = batch.runs.target;
+  if (reported.leaving) {
+    target.end = {reported.id, reported.start_id, batch.header.incarnation, now + kMaxAnnouncementDelay};
+    return;
+  }
+  // The same agent process knows that the target goes on; another one may know only an announcement from before its
+  // end.
+  const bool other_target =
+      !reported.id.empty() && (target.end.target != reported.id || target.end.start_id != reported.start_id);
+  if (other_target || target.end.reporter == batch.header.incarnation) {
+    target.end = {};
+  }
+}
+
 void target_fleet::CountStart(fleet_target& target, const resource_amount& need) {
   target.unreported_starts.emplace_back(++target.starts_sent, need);
   AddTo(target.unreported_sum, need);
 }
 
 bool target_fleet::IsUsable(const fleet_target& target, instant now) const {
-  return target.session != 0 && target.described && !target.description.draining &&
+  return target.session != 0 && target.described && !target.description.draining && target.end.until <= now &&
          now - target.last_report_at < kSuspectAfter && target.backoff_until <= now &&
          health_.AllowedSlots(target.index) > target.own_runs;
 }
--- a/tests/besteffort/cluster_overlap_test.cc
+++ b/tests/besteffort/cluster_overlap_test.cc
@@ -431,6 +431,18 @@
             0);
 }
 
+// Guards against a target that is never used again because a late announcement of an earlier incarnation's end reached
+// its agent, although the target goes on announcing itself.
+TEST_F(cluster_overlap, TargetIsUsedAgainAfterAnnouncementOfAnEndThatDoesNotCome) {
+  for (std::size_t i = 0; i < kTargets; ++i) {
+    sim.LeaveTarget(i, std::chrono::minutes(5), duration(0));
+  }
+  sim.RunFor(std::chrono::seconds(4));
+  const std::size_t job = sim.Submit(0, "job", 1, 200);
+  sim.RunFor(std::chrono::seconds(1));
+  EXPECT_TRUE(sim.jobs()[job].verdict == job_verdict::kCompleted);
+}
+
 // Guards against a task that is not started again for as long as the target of a restarted agent stays away.
 TEST_F(cluster_overlap, TaskOfLostMachineIsRestartedAlthoughItsAgentReturns) {
   const std::size_t target = StartLongTask();
