--- a/review/harness.py
+++ b/review/harness.py
@@ -39,15 +39,27 @@
     """The case could not be set up."""
 
 
-def free_ports(count):
-    """Ports that are free on all loopback addresses."""
-    sockets = [socket.socket() for _ in range(count)]
+def free_ports(count, addresses):
+    """Ports that are free on all of the loopback addresses."""
+    taken = []
+    ports = []
     try:
-        for one in sockets:
-            one.bind(("", 0))
-        return [one.getsockname()[1] for one in sockets]
+        while len(ports) < count:
+            probe = socket.socket()
+            taken.append(probe)
+            probe.bind((addresses[0], 0))
+            port = probe.getsockname()[1]
+            try:
+                for address in addresses[1:]:
+                    other = socket.socket()
+                    taken.append(other)
+                    other.bind((address, port))
+            except OSError:
+                continue
+            ports.append(port)
+        return ports
     finally:
-        for one in sockets:
+        for one in taken:
             one.close()
 
 
@@ -143,9 +155,10 @@
         self.path = pathlib.Path(self.directory.name)
         self.deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         self.minion_type = minion_type
-        self.frontend, self.readiness, self.control, self.internal = free_ports(4)
         self.entry_ips = [f"127.0.0.{10 + i}" for i in range(entries)]
         self.side_ips = [f"127.0.0.{50 + i}" for i in range(sides)]
+        ports = free_ports(4, self.entry_ips + self.side_ips)
+        self.frontend, self.readiness, self.control, self.internal = ports
         self.store = Store()
         self.store.put_configuration({
             "version": 1, "limits": {}, "backends": [{"name": SERVICE, "enforce_capacity": True}],
