--- a/review/harness.py
+++ b/review/harness.py
@@ -24,7 +24,8 @@
 from platform_standin import Minion, Store  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+# Exit codes of a case; run.sh turns them into 0, 1 and 2. Python itself ends with 1 after an error.
+HELD, BROKEN, NOT_RUN = 10, 11, 12
 HOST = "jobs.example"
 SERVICE = "inspect"
 PREFIX = "/checks/"
@@ -354,7 +355,11 @@
 
 
 def run_case(folder, case):
-    """Runs case(record) and returns its exit code; CannotRun and unexpected errors give 2."""
+    """Runs case(record) and returns its exit code; CannotRun, SIGTERM and unexpected errors give NOT_RUN."""
+    def terminated(*_):
+        raise CannotRun("terminated")
+
+    signal.signal(signal.SIGTERM, terminated)
     record = Record(folder)
     record("case", trouble=TROUBLE)
     try:
@@ -367,5 +372,5 @@
         record("cannot-run", reason=f"{type(error).__name__}: {error}")
         print(f"cannot run: {type(error).__name__}: {error}")
         code = NOT_RUN
-    record("result", exit_code=code)
+    record("result", result={HELD: "held", BROKEN: "broken", NOT_RUN: "not run"}[code])
     return code
