Show that a late copy of a submission starts tasks that run elsewhere

The test fails on: the tasks of a job that runs at one entry are started by another one, which receives a copy of the submission and learns 12 ms later that its caller has left.

--- a/tests/besteffort/cluster_overlap_test.cc
+++ b/tests/besteffort/cluster_overlap_test.cc
@@ -398,6 +398,19 @@
   EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
 }
 
+// Guards against a submission that reaches its entry late, after its caller has given up the connection and submitted the
+// job at another entry: the entry must not start tasks that run there.
+TEST_F(cluster_overlap, LateSubmissionDoesNotStartTasksOfAnotherEntry) {
+  const std::size_t retry = sim.Submit(1, "job", 1, kLongWorkMs);
+  sim.RunFor(Ms(100));
+  const std::size_t late = sim.Submit(0, "job", 1, kLongWorkMs);
+  sim.RunFor(Ms(12));
+  sim.DisconnectCaller(late);
+  sim.RunFor(std::chrono::seconds(6));
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+  EXPECT_TRUE(sim.jobs()[retry].verdict == job_verdict::kCompleted);
+}
+
 // Guards against running work that is started again or given up because its agent was silent for less than the time
 // after which its runs must end.
 TEST_F(cluster_overlap, BriefSilenceOfAgentDoesNotEndItsRun) {
