Let one entry at a time start tasks of a job

Cause: a copy of a submission may wait for seconds in the buffers of a slow entry or on the way to it. Its caller has meanwhile left and submitted the job at another entry. The entry that receives the late copy starts the tasks at once; it knows neither the age of the copy nor what the other entry has open, and in wide fleets the two share no agent.

An entry now claims each job before it starts a task. The claim ends when the last run of the job has ended. Registrars remember for 15 s that a job has completed, so that a copy is answered and starts nothing, or that it is not repeatable. A new process first fetches the claims of the other entries and is not ready until then.

--- /dev/null
+++ b/include/bamboowing/besteffort/claim_registry.h
@@ -0,0 +1,62 @@
+/// @file
+/// Claims of jobs that an entry records as a registrar.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "bamboowing/base/types.h"
+#include "bamboowing/message/job_claim.h"
+
+namespace bamboowing {
+
+/// Which entry holds each job, and which jobs have completed. Does no I/O and reads no clock.
+class claim_registry {
+ public:
+  /// Beyond this number of records, those of completed and released jobs are dropped first.
+  static constexpr std::size_t kMaxRecords = 16'384;
+
+  /// @p run_end_limit is the time from the end of an entry's process until none of its runs is active; @p retention is
+  /// how long it is known how a claim has ended.
+  claim_registry(duration run_end_limit, duration retention) : run_end_limit_(run_end_limit), retention_(retention) {}
+
+  /// Records the claim if no other entry holds the job.
+  claim_answer Claim(const std::string& holder, incarnation_id incarnation, const job_claim& claim, instant now);
+
+  /// Ends the claim with this number or an earlier one of the same process. That a job is completed or not repeatable
+  /// holds whichever entry has claimed it.
+  void Release(const std::string& holder, incarnation_id incarnation, const claim_release& release, instant now);
+
+  /// A process of the entry at @p holder is heard of: the claims of its predecessors end soon.
+  void OnProcess(const std::string& holder, incarnation_id incarnation, instant now);
+
+  /// The process of the entry at @p holder has ended: its claims end soon.
+  void OnProcessEnded(const std::string& holder, instant now);
+
+  /// Removes the records whose time has passed.
+  void Expire(instant now);
+
+  std::size_t size() const { return records_.size(); }
+
+ private:
+  struct record {
+    std::optional<claim_end> end;  ///< nullopt while the job is held
+    std::string holder;
+    incarnation_id incarnation = 0;
+    std::uint64_t number = 0;
+    instant until;  ///< the record has no effect from then on
+  };
+
+  void Store(const std::string& job_id, record added);
+
+  duration run_end_limit_;
+  duration retention_;
+  std::unordered_map<std::string, record> records_;            ///< by job id
+  std::unordered_map<std::string, incarnation_id> processes_;  ///< newest process of each entry by address
+};
+
+}  // namespace bamboowing
--- a/include/bamboowing/besteffort/dispatch_core.h
+++ b/include/bamboowing/besteffort/dispatch_core.h
@@ -17,6 +17,7 @@
 #include "bamboowing/besteffort/crash_ledger.h"
 #include "bamboowing/besteffort/expiring_jobs.h"
 #include "bamboowing/besteffort/job.h"
+#include "bamboowing/besteffort/job_claims.h"
 #include "bamboowing/besteffort/recent_minimum.h"
 #include "bamboowing/besteffort/target_fleet.h"
 #include "bamboowing/dispatch/run_time_estimator.h"
@@ -26,6 +27,7 @@
 
 struct dispatch_core_settings {
   std::string id;                      ///< id of the entry process
+  std::string peers_address;           ///< at which other entries reach this one; empty if there are no others
   incarnation_id own_incarnation = 0;  ///< incarnation of this entry process, not 0
   duration heartbeat{150'000};         ///< longest interval between two batches to an agent
   /// The same for an agent that takes the reply to a report as contact.
@@ -36,6 +38,8 @@
   /// Upper bound of the time from sending a start request to its execution by a later incarnation of the target, as at
   /// the agents.
   duration max_request_delay{15'000'000};
+  /// Time from the end of an entry's process until its agents have ended its runs.
+  duration run_end_limit{1'200'000};
   duration loss_margin{150'000};  ///< added to owner_timeout and lease before the runs of a lost agent count as ended
   /// How long a start may wait at the agent for capacity that was expected to be free. The agent returns it at once if
   /// it expects a longer wait.
@@ -95,7 +99,8 @@
 /// Name of a verdict in logs and metrics.
 std::string_view JobVerdictName(job_verdict verdict);
 
-using dispatch_action = std::variant<answer_job, send_run_batch, close_run_session, log_dispatch_event>;
+using dispatch_action = std::variant<answer_job, send_run_batch, close_run_session, log_dispatch_event,
+                                     send_claim_request, abandon_claim_request>;
 
 /// State of a job for its callers.
 enum class job_phase : std::uint8_t { kQueued, kRunning };
@@ -123,6 +128,13 @@
   void OnSessionClosed(session_id session, const std::string& reason, instant now);
   void OnReport(session_id session, const agent_batch& batch, instant now);
 
+  /// Replaces the list of the other entries, by their addresses.
+  void OnPeers(const std::vector<std::string>& addresses, instant now);
+  /// Answers another entry's claims of jobs.
+  claim_reply OnClaimRequest(const claim_request& request, instant now);
+  /// The answer to a send_claim_request; nullopt if the connection failed.
+  void OnClaimReply(std::uint64_t exchange, const std::optional<claim_reply>& reply, instant now);
+
   /// Starts tasks, expires jobs and agents, and completes the batches. Call once after a group of inputs.
   void Advance(instant now);
   instant next_wakeup() const;
@@ -140,6 +152,7 @@
   /// Number of jobs that are not answered or whose runs have not ended.
   std::size_t jobs() const { return jobs_.size(); }
   std::size_t unanswered_jobs() const { return calls_.size(); }
+  const job_claims& claims() const { return claims_; }
   const target_fleet& fleet() const { return fleet_; }
 
  private:
@@ -163,6 +176,8 @@
     std::vector<std::uint32_t> remaining_tasks;  ///< number of tasks that are not done, by step
     std::uint32_t waiting = 0;
     std::uint32_t in_flight = 0;
+    bool claimed = false;       ///< this entry alone may start tasks of the job
+    bool completed = false;     ///< all tasks are done
     bool answered = false;      ///< the caller was answered or has disconnected; remaining runs are being stopped
     bool ever_started = false;  ///< a start request was sent
     instant arrival;
@@ -231,6 +246,14 @@
   /// Longest expected queue wait at which a job is still admitted.
   duration MaxQueueWait(instant now);
   void MakeTasks(open_job& job);
+  /// Claims an accepted job at the other entries.
+  void ClaimJob(const open_job& job, instant now);
+  /// Handles what job_claims has decided.
+  void HandleClaims();
+  void HandleDecidedClaim(const claim_decided& decided);
+  /// Answers a job that could not be claimed in time.
+  void AnswerUnclaimedJob(open_job& job);
+  void EraseJob(job_map::iterator job);
   double CriticalPathUs(const open_job& job) const;
   work_estimate EstimateOf(const open_job& job, std::uint32_t step) const;
   std::uint32_t TeamOf(const std::string& queue);
@@ -325,6 +348,7 @@
   job_map jobs_;
   std::map<call_id, std::string> calls_;
   crash_ledger crashes_;
+  job_claims claims_;
   waiting_queue queue_;  ///< jobs with waiting tasks by latest start
   run_map runs_;
   /// Jobs whose submissions must not start a task, known to this entry or reported by others.
--- /dev/null
+++ b/include/bamboowing/message/job_claim.h
@@ -0,0 +1,67 @@
+/// @file
+/// Messages between entries about which of them may start the tasks of a job.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "bamboowing/base/types.h"
+
+namespace bamboowing {
+
+/// An entry asks for the sole right to start tasks of a job, or states that it has it.
+struct job_claim {
+  std::string job_id;
+  std::uint64_t number = 0;  ///< grows with each claim of the sending process
+  duration hold{0};          ///< the sender has released the job after this time at the latest
+};
+
+/// What is known of a job whose claim has ended.
+enum class claim_end : std::uint8_t {
+  kReleased,       ///< another entry may run the job
+  kCompleted,      ///< all tasks of the job are done
+  kNotRepeatable,  ///< an earlier request may still start a task of the job
+};
+
+/// An entry ends its claim: none of its runs of the job is active.
+struct claim_release {
+  std::string job_id;
+  std::uint64_t number = 0;  ///< of the claim
+  claim_end end = claim_end::kReleased;
+};
+
+/// From an entry to a registrar of the jobs. It may be repeated.
+struct claim_request {
+  std::string address;  ///< "ip:port" at which the other entries reach the sender
+  incarnation_id incarnation = 0;
+  std::vector<claim_release> releases;  ///< precede the claims
+  std::vector<job_claim> claims;
+  bool fetch_claims = false;  ///< asks for the claims that the receiver holds
+};
+
+enum class claim_verdict : std::uint8_t {
+  kGranted,
+  kHeld,           ///< another entry holds the job
+  kCompleted,      ///< the job has completed
+  kNotRepeatable,  ///< no entry may run the job at present, since an earlier request may still start a task
+  /// The registrar can't tell: it has not learned the claims that were made before its start, or the claim is outdated.
+  kUndecided,
+};
+
+/// Answer to one claim.
+struct claim_answer {
+  std::string job_id;
+  std::uint64_t number = 0;
+  claim_verdict verdict = claim_verdict::kUndecided;
+  std::string holder;  ///< address of the entry that holds the job; empty unless the verdict is kHeld
+};
+
+/// Answer to a claim_request.
+struct claim_reply {
+  incarnation_id incarnation = 0;  ///< of the process that answers
+  std::vector<claim_answer> answers;
+  std::vector<job_claim> held;  ///< claims of the answering entry, if they were asked for
+};
+
+}  // namespace bamboowing
--- a/include/bamboowing/service/entry_rpc.h
+++ b/include/bamboowing/service/entry_rpc.h
@@ -1,5 +1,5 @@
 /// @file
-/// Cap'n Proto RPC of an entry: sessions of agents, and calls relayed between entries.
+/// Cap'n Proto RPC of an entry: sessions of agents, and calls between entries.
 #pragma once
 
 #include <cstdint>
@@ -11,9 +11,13 @@
 #include "bamboowing/base/error.h"
 #include "bamboowing/entry/entry_actions.h"
 #include "bamboowing/message/batch.h"
+#include "bamboowing/message/job_claim.h"
 
 namespace bamboowing {
 
+/// Identifies a request for claims from another entry. Never reused while the process runs.
+using claim_call_id = std::uint64_t;
+
 /// Receives session events, batches and relayed calls. All functions are called on the RPC thread and must return
 /// promptly.
 class entry_rpc_listener {
@@ -27,6 +31,10 @@
   virtual void OnRelayRequest(relay_id id, relay_request request) = 0;
   /// @p reply is nullopt if the connection broke or could not be established.
   virtual void OnRelayReply(relay_id id, std::optional<relay_reply> reply) = 0;
+  /// Another entry claims jobs. The reply is sent with entry_rpc::ReplyClaims().
+  virtual void OnClaimRequest(claim_call_id id, claim_request request) = 0;
+  /// @p reply is nullopt if the connection broke or could not be established.
+  virtual void OnClaimReply(std::uint64_t exchange, std::optional<claim_reply> reply) = 0;
 };
 
 /// Runs a kj event loop on its own thread. All functions are thread-safe and non-blocking.
@@ -52,6 +60,15 @@
 
   /// Replies to an incoming relay.
   virtual void ReplyRelay(relay_id id, relay_reply reply) = 0;
+
+  /// Sends a request for claims to the entry at @p address. The reply is reported through the listener.
+  virtual void SendClaims(std::uint64_t exchange, std::string address, claim_request request) = 0;
+
+  /// Cancels an outgoing request for claims and closes the connection to that entry. No reply is reported.
+  virtual void AbandonClaims(std::uint64_t exchange) = 0;
+
+  /// Replies to an incoming request for claims.
+  virtual void ReplyClaims(claim_call_id id, claim_reply reply) = 0;
 };
 
 }  // namespace bamboowing
--- a/schema/wire.capnp
+++ b/schema/wire.capnp
@@ -216,6 +216,39 @@
   messages @9 :UInt32;
 }
 
+struct JobClaim {
+  jobId @0 :Text;
+  number @1 :UInt64;
+  holdUs @2 :Int64;
+}
+
+struct ClaimRelease {
+  jobId @0 :Text;
+  number @1 :UInt64;
+  end @2 :UInt8;
+}
+
+struct ClaimAnswer {
+  jobId @0 :Text;
+  number @1 :UInt64;
+  verdict @2 :UInt8;
+  holder @3 :Text;
+}
+
+struct ClaimRequest {
+  address @0 :Text;
+  life @1 :UInt64;
+  releases @2 :List(ClaimRelease);
+  claims @3 :List(JobClaim);
+  fetchClaims @4 :Bool;
+}
+
+struct ClaimReply {
+  life @0 :UInt64;
+  answers @1 :List(ClaimAnswer);
+  held @2 :List(JobClaim);
+}
+
 struct RelayRequest {
   sender @0 :Text;
   life @1 :UInt64;
@@ -245,4 +278,5 @@
   # Bootstrap interface of an entry.
   attach @0 (agentId :Text, agent :AgentPort) -> (session :AgentSession);
   relay @1 (request :RelayRequest) -> (reply :RelayReply);
+  claim @2 (request :ClaimRequest) -> (reply :ClaimReply);
 }
--- a/src/besteffort/dispatch_core.cc
+++ b/src/besteffort/dispatch_core.cc
@@ -27,6 +27,15 @@
          " MB, accelerators " + std::to_string(need.accelerators);
 }
 
+job_claims_settings ClaimSettings(const dispatch_core_settings& settings) {
+  job_claims_settings claims;
+  claims.address = settings.peers_address;
+  claims.own_incarnation = settings.own_incarnation;
+  claims.run_end_limit = settings.run_end_limit;
+  claims.retention = settings.max_request_delay;
+  return claims;
+}
+
 }  // namespace
 
 std::string_view JobVerdictName(job_verdict verdict) {
@@ -53,6 +62,7 @@
       fleet_(settings.health, seed + 1),
       estimator_(kMaxTeams, kInitialEstimate),
       shortest_slack_(settings.slack_window),
+      claims_(ClaimSettings(settings), seed + 2, now),
       decayed_at_(now),
       started_at_(now),
       checked_at_(now),
@@ -166,7 +176,7 @@
       SetWaiting(accepted, task, true);
     }
   }
-  Enqueue(accepted);
+  ClaimJob(accepted, now);
 }
 
 duration dispatch_core::MaxQueueWait(instant now) {
@@ -341,7 +351,7 @@
     }
   }
   if (job.in_flight == 0) {
-    jobs_.erase(found);
+    EraseJob(found);
   }
 }
 
@@ -370,7 +380,9 @@
   for (const std::string& id : overdue) {
     open_job& job = *jobs_.at(id);
     const std::string waited = std::to_string((now - job.arrival).count() / 1000) + " ms";
-    if (job.ever_started) {
+    if (!job.claimed) {
+      AnswerUnclaimedJob(job);
+    } else if (job.ever_started) {
       Answer(job, job_verdict::kUnknown,
              failure(error_kind::kDeadlineExceeded, not_run_state::kUnknown, "job not completed within " + waited));
     } else {
@@ -397,6 +409,8 @@
     unrepeatable_.Expire(now);
   }
   RefuseOversizedJobs(now);
+  claims_.Advance(now);
+  HandleClaims();
   Dispatch(now);
   SendBatches(now);
 }
--- a/src/besteffort/dispatch_runs.cc
+++ b/src/besteffort/dispatch_runs.cc
@@ -193,6 +193,7 @@
   --job.remaining_tasks[task.step];
   if (std::all_of(job.remaining_tasks.begin(), job.remaining_tasks.end(),
                   [](std::uint32_t left) { return left == 0; })) {
+    job.completed = true;
     Answer(job, job_verdict::kCompleted, std::nullopt);
     return;
   }
--- a/src/besteffort/dispatch_unsettled.cc
+++ b/src/besteffort/dispatch_unsettled.cc
@@ -45,6 +45,7 @@
 void dispatch_core::ForbidRepetition(const std::string& job_id, instant now) {
   if (unrepeatable_.Add(job_id, now + settings_.max_request_delay)) {
     LogEvent("repetition_forbidden", job_id, "a start of the job without a response may still be executed");
+    claims_.ForbidRepetition(job_id, now);
   }
 }
 
--- a/src/service/best_effort_entry.cc
+++ b/src/service/best_effort_entry.cc
@@ -9,7 +9,9 @@
 
 #include "bamboowing/base/ring.h"
 #include "bamboowing/besteffort/agent_demand.h"
+#include "bamboowing/entry/directory.h"
 #include "bamboowing/entry/registration.h"
+#include "bamboowing/entry/store_watcher.h"
 #include "bamboowing/observe/metrics.h"
 #include "bamboowing/service/clock.h"
 #include "bamboowing/service/entry_rpc.h"
@@ -34,6 +36,8 @@
 // Agents take the reply to a report as contact. If the decision thread has not made a round for this long, they get
 // none, so that they stop the runs of an entry that no longer answers its callers.
 constexpr duration kStalledAfter = std::chrono::milliseconds(400);
+constexpr duration kDirectoryWait = std::chrono::seconds(10);
+constexpr duration kDirectoryRetry = std::chrono::milliseconds(500);
 // A target on which all tasks fail is ejected for this time; afterwards it gets a single task at first.
 constexpr duration kFirstEjectionTime = std::chrono::seconds(2);
 
@@ -69,6 +73,18 @@
   session_id session = 0;
   agent_batch batch;
 };
+struct claim_request_received {
+  claim_call_id id = 0;
+  claim_request request;
+};
+struct claim_reply_received {
+  std::uint64_t exchange = 0;
+  std::optional<claim_reply> reply;
+};
+struct directory_changed {
+  std::uint64_t call = 0;
+  directory_update update;
+};
 struct store_result_received {
   std::uint64_t call = 0;
   store_result result;
@@ -78,9 +94,10 @@
 };
 struct drain_requested {};
 struct finish_requested {};
-using entry_input = std::variant<job_submitted, caller_disconnected, cancel_requested, phase_requested,
-                                 pending_requested, session_opened, session_closed, report_received,
-                                 store_result_received, metrics_requested, drain_requested, finish_requested>;
+using entry_input =
+    std::variant<job_submitted, caller_disconnected, cancel_requested, phase_requested, pending_requested,
+                 session_opened, session_closed, report_received, claim_request_received, claim_reply_received,
+                 directory_changed, store_result_received, metrics_requested, drain_requested, finish_requested>;
 
 /// Whether the decision thread must wake for the report. Others are handled before its next decision.
 bool IsUrgent(const run_report& report) {
@@ -91,6 +108,7 @@
 dispatch_core_settings CoreSettings(const daemon_settings& settings, incarnation_id own_incarnation) {
   dispatch_core_settings core;
   core.id = settings.id;
+  core.peers_address = settings.peers_address;
   core.own_incarnation = own_incarnation;
   core.lease = settings.best_effort.lease;
   core.health.first_ejection = kFirstEjectionTime;
@@ -105,6 +123,13 @@
   return entry;
 }
 
+entry_settings WatcherSettings() {
+  entry_settings entry;
+  entry.watch_wait = kDirectoryWait;
+  entry.watch_retry_delay = kDirectoryRetry;
+  return entry;
+}
+
 class best_effort_entry_impl final : public best_effort_entry, public entry_rpc_listener {
  public:
   best_effort_entry_impl(const daemon_settings& settings, job_listener& listener)
@@ -114,7 +139,8 @@
         ring_(kRingCapacity),
         core_(CoreSettings(settings, incarnation_), RandomNumber(), Now()),
         demand_(Now()),
-        registration_(RegistrationSettings(settings, incarnation_)) {}
+        registration_(RegistrationSettings(settings, incarnation_)),
+        watcher_(WatcherSettings()) {}
 
   best_effort_entry_impl(const best_effort_entry_impl&) = delete;
   best_effort_entry_impl& operator=(const best_effort_entry_impl&) = delete;
@@ -135,7 +161,9 @@
     store_ = store_client::Open(std::move(store), {[this](std::uint64_t call, store_result result) {
                                                      ring_.Push(store_result_received{call, std::move(result)});
                                                    },
-                                                   [](std::uint64_t, const directory_update&) {}});
+                                                   [this](std::uint64_t call, directory_update update) {
+                                                     ring_.Push(directory_changed{call, std::move(update)});
+                                                   }});
     rpc_ = entry_rpc::Open(settings_.peers_address, *this, error);
     if (!rpc_) {
       return false;
@@ -195,6 +223,12 @@
     rpc_->ReplyRelay(id, std::move(reply));
   }
   void OnRelayReply(relay_id /*id*/, std::optional<relay_reply> /*reply*/) override {}
+  void OnClaimRequest(claim_call_id id, claim_request request) override {
+    ring_.Push(claim_request_received{id, std::move(request)});
+  }
+  void OnClaimReply(std::uint64_t exchange, std::optional<claim_reply> reply) override {
+    ring_.Push(claim_reply_received{exchange, std::move(reply)});
+  }
 
  private:
   bool OpenMetrics(failure& error) {
@@ -214,7 +248,7 @@
   void Run() {
     while (!ring_.closed()) {
       const instant before = Now();
-      const instant due = std::min(core_.next_wakeup(), registration_.next_wakeup());
+      const instant due = std::min({core_.next_wakeup(), registration_.next_wakeup(), watcher_.next_wakeup()});
       std::optional<entry_input> next = ring_.PopFor(std::clamp(due - before, duration(0), kMaxWait));
       pause_log_.OnRound(kMaxWait);
       instant now = Now();
@@ -225,8 +259,9 @@
       }
       core_.Advance(now);
       MaintainRegistration(now);
+      WatchDirectory(now);
       ExecuteActions();
-      ready_.store(!draining_ && core_.HasUsableTarget(now));
+      ready_.store(!draining_ && core_.claims().synchronized() && core_.HasUsableTarget(now));
       jobs_wait_.store(core_.waiting_tasks() > 0);
       last_round_us_.store(now.time_since_epoch().count());
       if (finishing_ && Drained(now)) {
@@ -252,6 +287,21 @@
   void Handle(session_opened& input, instant now) { core_.OnSessionOpened(input.session, input.agent, now); }
   void Handle(session_closed& input, instant now) { core_.OnSessionClosed(input.session, input.reason, now); }
   void Handle(report_received& input, instant now) { core_.OnReport(input.session, input.batch, now); }
+  void Handle(claim_request_received& input, instant now) {
+    rpc_->ReplyClaims(input.id, core_.OnClaimRequest(input.request, now));
+  }
+  void Handle(claim_reply_received& input, instant now) { core_.OnClaimReply(input.exchange, input.reply, now); }
+  void Handle(directory_changed& input, instant now) {
+    if (!watcher_.OnResult(input.call, input.update, now) || !input.update.answered) {
+      return;
+    }
+    directory_.Apply(input.update);
+    std::vector<std::string> addresses;
+    for (const std::pair<const std::string, entry_identity>& item : directory_.entries()) {
+      addresses.push_back(item.second.peers_address);
+    }
+    core_.OnPeers(addresses, now);
+  }
   void Handle(store_result_received& input, instant now) { registration_.OnResult(input.call, input.result, now); }
   void Handle(metrics_requested& input, instant /*now*/) {
     UpdateMetrics();
@@ -294,6 +344,12 @@
     CallStore(calls);
   }
 
+  void WatchDirectory(instant now) {
+    std::vector<entry_action> calls;
+    watcher_.OnTick(now, last_store_call_, calls);
+    CallStore(calls);
+  }
+
   void CallStore(const std::vector<entry_action>& calls) {
     for (const entry_action& call : calls) {
       if (const call_store* store_call = std::get_if<call_store>(&call); store_call != nullptr) {
@@ -319,6 +375,8 @@
     listener_.OnJobResult(action);
   }
   void Execute(const send_run_batch& action) { rpc_->SendToAgent(action.session, action.batch); }
+  void Execute(const send_claim_request& action) { rpc_->SendClaims(action.exchange, action.address, action.request); }
+  void Execute(const abandon_claim_request& action) { rpc_->AbandonClaims(action.exchange); }
   void Execute(const close_run_session& action) { rpc_->CloseSession(action.session); }
   static void Execute(const log_dispatch_event& action) {
     log_fields fields{{"detail", action.detail}};
@@ -335,6 +393,8 @@
   dispatch_core core_;
   agent_demand demand_;
   registration registration_;
+  store_watcher watcher_;
+  directory directory_;
   std::uint64_t last_store_call_ = 0;
   bool draining_ = false;
   instant answer_by_;       ///< while draining: when the last job is answered
--- a/src/service/entry_daemon.cc
+++ b/src/service/entry_daemon.cc
@@ -149,6 +149,9 @@
   void OnRelayReply(relay_id id, std::optional<relay_reply> reply) override {
     ring_.Push(relay_reply_received{id, std::move(reply)});
   }
+  // Shard leaders decide which jobs run, so there are no claims.
+  void OnClaimRequest(claim_call_id id, claim_request /*request*/) override { rpc_->ReplyClaims(id, {}); }
+  void OnClaimReply(std::uint64_t /*exchange*/, std::optional<claim_reply> /*reply*/) override {}
 
  private:
   entry_settings MakeSettings() const {
--- a/src/service/entry_rpc.cc
+++ b/src/service/entry_rpc.cc
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
+#include <functional>
 #include <future>
 #include <map>
 #include <thread>
@@ -19,8 +20,27 @@
 namespace {
 
 constexpr std::size_t kCommandCapacity = 2048;
+// Of an outgoing call whose connection is still being opened.
+constexpr std::uint64_t kNoConnection = 0;
 
-using command = std::variant<send_to_agent, close_agent_session, send_relay, abandon_relay, answer_relay>;
+struct send_claims {
+  std::uint64_t exchange = 0;
+  std::string address;
+  claim_request request;
+};
+struct abandon_claims {
+  std::uint64_t exchange = 0;
+};
+struct answer_claims {
+  claim_call_id id = 0;
+  claim_reply reply;
+};
+using command = std::variant<send_to_agent, close_agent_session, send_relay, abandon_relay, answer_relay, send_claims,
+                             abandon_claims, answer_claims>;
+
+/// An outgoing call to another entry: its kind and its number among the calls of this kind.
+enum class peer_call_kind : std::uint8_t { kRelay, kClaims };
+using peer_call = std::pair<peer_call_kind, std::uint64_t>;
 
 void EnableTcpNoDelay(kj::AsyncIoStream& stream) {
   const int one = 1;
@@ -42,8 +62,9 @@
 
 /// An outgoing connection to another entry.
 struct peer_connection {
-  explicit peer_connection(kj::Own<kj::AsyncIoStream> opened)
-      : stream(kj::mv(opened)), client(*stream), port(client.bootstrap().castAs<rpc::EntryPort>()) {}
+  peer_connection(std::uint64_t id, kj::Own<kj::AsyncIoStream> opened)
+      : connection(id), stream(kj::mv(opened)), client(*stream), port(client.bootstrap().castAs<rpc::EntryPort>()) {}
+  std::uint64_t connection;
   kj::Own<kj::AsyncIoStream> stream;
   capnp::TwoPartyClient client;
   rpc::EntryPort::Client port;
@@ -73,6 +94,7 @@
   entry_port_server(entry_loop& loop, std::uint64_t connection) : loop_(loop), connection_(connection) {}
   kj::Promise<void> attach(AttachContext context) override;
   kj::Promise<void> relay(RelayContext context) override;
+  kj::Promise<void> claim(ClaimContext context) override;
 
  private:
   entry_loop& loop_;
@@ -108,28 +130,45 @@
   }
 
   void Handle(send_relay& relay) {
-    const std::map<std::string, kj::Own<peer_connection>>::iterator found = peers_.find(relay.address);
-    if (found != peers_.end()) {
-      SendRelayOn(*found->second, relay);
-      return;
-    }
     const relay_id id = relay.relay;
-    const std::string address = relay.address;
-    TrackRelay(id, address,
-               io_.provider->getNetwork().parseAddress(address).then(
-                   [this, relay = std::move(relay)](kj::Own<kj::NetworkAddress>&& to) mutable {
-                     return Connect(kj::mv(to), std::move(relay));
-                   }));
+    CallPeer({peer_call_kind::kRelay, id}, relay.address,
+             [this, id, message = std::move(relay.request)](peer_connection& peer) {
+               capnp::Request<rpc::EntryPort::RelayParams, rpc::EntryPort::RelayResults> request =
+                   peer.port.relayRequest();
+               Write(message, request.initRequest());
+               return request.send().then([this, id](capnp::Response<rpc::EntryPort::RelayResults>&& response) {
+                 if (EndCall({peer_call_kind::kRelay, id})) {
+                   listener_.OnRelayReply(id, Read(response.getReply()));
+                 }
+               });
+             });
   }
 
-  void Handle(abandon_relay& abandon) {
-    const std::map<relay_id, outgoing_relay>::iterator found = outgoing_relays_.find(abandon.relay);
-    if (found == outgoing_relays_.end()) {
-      return;
+  void Handle(send_claims& claims) {
+    const std::uint64_t exchange = claims.exchange;
+    CallPeer({peer_call_kind::kClaims, exchange}, claims.address,
+             [this, exchange, message = std::move(claims.request)](peer_connection& peer) {
+               capnp::Request<rpc::EntryPort::ClaimParams, rpc::EntryPort::ClaimResults> request =
+                   peer.port.claimRequest();
+               Write(message, request.initRequest());
+               return request.send().then([this, exchange](capnp::Response<rpc::EntryPort::ClaimResults>&& response) {
+                 if (EndCall({peer_call_kind::kClaims, exchange})) {
+                   listener_.OnClaimReply(exchange, Read(response.getReply()));
+                 }
+               });
+             });
+  }
+
+  void Handle(abandon_relay& abandon) { AbandonCall({peer_call_kind::kRelay, abandon.relay}); }
+  void Handle(abandon_claims& abandon) { AbandonCall({peer_call_kind::kClaims, abandon.exchange}); }
+
+  void Handle(answer_claims& answer) {
+    const std::map<claim_call_id, kj::Own<kj::PromiseFulfiller<kj::Own<claim_reply>>>>::iterator found =
+        incoming_claims_.find(answer.id);
+    if (found != incoming_claims_.end()) {
+      found->second->fulfill(kj::heap<claim_reply>(std::move(answer.reply)));
+      incoming_claims_.erase(found);
     }
-    const std::string address = found->second.address;
-    outgoing_relays_.erase(found);
-    DropPeer(address);
   }
 
   void Handle(answer_relay& answer) {
@@ -162,6 +201,14 @@
     return kj::mv(pair.promise);
   }
 
+  kj::Promise<kj::Own<claim_reply>> AcceptClaims(claim_request request) {
+    kj::PromiseFulfillerPair<kj::Own<claim_reply>> pair = kj::newPromiseAndFulfiller<kj::Own<claim_reply>>();
+    const claim_call_id id = ++last_id_;
+    incoming_claims_.emplace(id, kj::mv(pair.fulfiller));
+    listener_.OnClaimRequest(id, std::move(request));
+    return kj::mv(pair.promise);
+  }
+
   entry_rpc_listener& listener() { return listener_; }
 
   // The end of the session reports a broken connection.
@@ -172,7 +219,9 @@
   }
 
  private:
-  struct outgoing_relay {
+  using call_sender = std::function<kj::Promise<void>(peer_connection& peer)>;
+
+  struct outgoing_call {
     std::string address;
     kj::Promise<void> promise = nullptr;
   };
@@ -210,60 +259,89 @@
     }
   }
 
-  kj::Promise<void> Connect(kj::Own<kj::NetworkAddress> to, send_relay relay) {
-    kj::Promise<kj::Own<kj::AsyncIoStream>> opened = to->connect();
-    return opened.attach(kj::mv(to))
-        .then([this, relay = std::move(relay)](kj::Own<kj::AsyncIoStream>&& stream) mutable {
-          EnableTcpNoDelay(*stream);
-          const std::string address = relay.address;
-          std::map<std::string, kj::Own<peer_connection>>::iterator found = peers_.find(address);
-          if (found == peers_.end()) {
-            kj::Own<peer_connection> added = kj::heap<peer_connection>(kj::mv(stream));
-            tasks_.add(added->client.onDisconnect().then([this, address]() { DropPeer(address); }));
-            found = peers_.emplace(address, kj::mv(added)).first;
-          }
-          return RelayOn(*found->second, relay);
-        });
+  /// Sends a call on the connection to the entry at @p address, which is opened if there is none.
+  void CallPeer(const peer_call& call, const std::string& address, call_sender send) {
+    const std::map<std::string, kj::Own<peer_connection>>::iterator found = peers_.find(address);
+    if (found != peers_.end()) {
+      TrackCall(call, address, found->second->connection, send(*found->second));
+      return;
+    }
+    TrackCall(call, address, kNoConnection,
+              io_.provider->getNetwork().parseAddress(address).then(
+                  [this, address, send = std::move(send)](kj::Own<kj::NetworkAddress>&& to) mutable {
+                    return Connect(kj::mv(to), address, std::move(send));
+                  }));
   }
 
-  kj::Promise<void> RelayOn(peer_connection& peer, send_relay& relay) {
-    capnp::Request<rpc::EntryPort::RelayParams, rpc::EntryPort::RelayResults> request = peer.port.relayRequest();
-    Write(relay.request, request.initRequest());
-    const relay_id id = relay.relay;
-    return request.send().then([this, id](capnp::Response<rpc::EntryPort::RelayResults>&& response) {
-      ReportReply(id, Read(response.getReply()));
+  kj::Promise<void> Connect(kj::Own<kj::NetworkAddress> to, const std::string& address, call_sender send) {
+    kj::Promise<kj::Own<kj::AsyncIoStream>> opened = to->connect();
+    return opened.attach(kj::mv(to)).then([this, address, send = std::move(send)](kj::Own<kj::AsyncIoStream>&& stream) {
+      EnableTcpNoDelay(*stream);
+      std::map<std::string, kj::Own<peer_connection>>::iterator found = peers_.find(address);
+      if (found == peers_.end()) {
+        const std::uint64_t id = ++last_id_;
+        kj::Own<peer_connection> added = kj::heap<peer_connection>(id, kj::mv(stream));
+        tasks_.add(added->client.onDisconnect().then([this, address, id]() { DropPeer(address, id); }));
+        found = peers_.emplace(address, kj::mv(added)).first;
+      }
+      return send(*found->second);
     });
   }
 
-  void SendRelayOn(peer_connection& peer, send_relay& relay) {
-    const relay_id id = relay.relay;
-    const std::string address = relay.address;
-    TrackRelay(id, address, RelayOn(peer, relay));
-  }
-
-  /// Holds the promise of an outgoing relay until its reply is reported or the relay is abandoned.
-  void TrackRelay(relay_id id, const std::string& address, kj::Promise<void> promise) {
-    outgoing_relay& tracked = outgoing_relays_[id];
+  /// Holds the promise of an outgoing call until its reply is reported or the call is abandoned.
+  void TrackCall(const peer_call& call, const std::string& address, std::uint64_t connection,
+                 kj::Promise<void> promise) {
+    outgoing_call& tracked = outgoing_calls_[call];
     tracked.address = address;
-    tracked.promise = promise.catch_([this, id](kj::Exception&&) { FailRelay(id); }).eagerlyEvaluate(nullptr);
+    tracked.promise = promise
+                          .catch_([this, call, address, connection](kj::Exception&&) {
+                            // The next call must not use the broken connection.
+                            DropPeer(address, connection);
+                            FailCall(call);
+                          })
+                          .eagerlyEvaluate(nullptr);
   }
 
-  void ReportReply(relay_id id, std::optional<relay_reply> reply) {
-    const std::map<relay_id, outgoing_relay>::iterator found = outgoing_relays_.find(id);
-    if (found == outgoing_relays_.end()) {
-      return;
+  /// Removes an outgoing call. Returns false if it was abandoned.
+  bool EndCall(const peer_call& call) {
+    const std::map<peer_call, outgoing_call>::iterator found = outgoing_calls_.find(call);
+    if (found == outgoing_calls_.end()) {
+      return false;
     }
     // This runs inside the promise that is being removed, so the promise is destroyed in a later event.
     tasks_.add(kj::evalLater([finished = kj::mv(found->second.promise)]() {}));
-    outgoing_relays_.erase(found);
-    listener_.OnRelayReply(id, std::move(reply));
+    outgoing_calls_.erase(found);
+    return true;
   }
 
-  void FailRelay(relay_id id) { ReportReply(id, std::nullopt); }
+  void FailCall(const peer_call& call) {
+    if (!EndCall(call)) {
+      return;
+    }
+    if (call.first == peer_call_kind::kRelay) {
+      listener_.OnRelayReply(call.second, std::nullopt);
+    } else {
+      listener_.OnClaimReply(call.second, std::nullopt);
+    }
+  }
 
-  void DropPeer(const std::string& address) {
+  void AbandonCall(const peer_call& call) {
+    const std::map<peer_call, outgoing_call>::iterator found = outgoing_calls_.find(call);
+    if (found == outgoing_calls_.end()) {
+      return;
+    }
+    const std::string address = found->second.address;
+    outgoing_calls_.erase(found);
+    const std::map<std::string, kj::Own<peer_connection>>::const_iterator peer = peers_.find(address);
+    if (peer != peers_.end()) {
+      DropPeer(address, peer->second->connection);
+    }
+  }
+
+  /// Closes a connection to another entry unless a later one has replaced it.
+  void DropPeer(const std::string& address, std::uint64_t connection) {
     const std::map<std::string, kj::Own<peer_connection>>::iterator found = peers_.find(address);
-    if (found != peers_.end()) {
+    if (found != peers_.end() && found->second->connection == connection) {
       tasks_.add(kj::evalLater([closed = kj::mv(found->second)]() {}));
       peers_.erase(found);
     }
@@ -274,8 +352,9 @@
   std::uint64_t last_id_ = 0;
   kj::Own<kj::ConnectionReceiver> receiver_;
   std::map<session_id, kj::Own<attached_agent>> sessions_;
-  std::map<relay_id, outgoing_relay> outgoing_relays_;
+  std::map<peer_call, outgoing_call> outgoing_calls_;
   std::map<relay_id, kj::Own<kj::PromiseFulfiller<kj::Own<relay_reply>>>> incoming_relays_;
+  std::map<claim_call_id, kj::Own<kj::PromiseFulfiller<kj::Own<claim_reply>>>> incoming_claims_;
   std::map<std::string, kj::Own<peer_connection>> peers_;
   std::map<std::uint64_t, kj::Own<connection>> connections_;
   kj::TaskSet tasks_;
@@ -308,6 +387,15 @@
   });
 }
 
+kj::Promise<void> entry_port_server::claim(ClaimContext context) {
+  std::optional<claim_request> request = Read(context.getParams().getRequest());
+  KJ_REQUIRE(request.has_value(), "request for claims with a value out of range");
+  context.releaseParams();
+  return loop_.AcceptClaims(std::move(*request)).then([context](kj::Own<claim_reply>&& reply) mutable {
+    Write(*reply, context.getResults().initReply());
+  });
+}
+
 class entry_rpc_impl final : public entry_rpc {
  public:
   explicit entry_rpc_impl(entry_rpc_listener& listener) : listener_(listener), mailbox_(kCommandCapacity) {}
@@ -338,6 +426,11 @@
   }
   void AbandonRelay(relay_id id) override { Post(abandon_relay{id}); }
   void ReplyRelay(relay_id id, relay_reply reply) override { Post(answer_relay{id, std::move(reply)}); }
+  void SendClaims(std::uint64_t exchange, std::string address, claim_request request) override {
+    Post(send_claims{exchange, std::move(address), std::move(request)});
+  }
+  void AbandonClaims(std::uint64_t exchange) override { Post(abandon_claims{exchange}); }
+  void ReplyClaims(claim_call_id id, claim_reply reply) override { Post(answer_claims{id, std::move(reply)}); }
 
  private:
   // If the mailbox is full, the command is dropped, like a message on a broken connection; the session
--- a/tests/besteffort/cluster_sim.cc
+++ b/tests/besteffort/cluster_sim.cc
@@ -30,7 +30,7 @@
 
 cluster_sim::cluster_sim(std::size_t entries, std::size_t targets, std::uint64_t seed, std::uint32_t cores,
                          std::size_t domains)
-    : random_(seed), seed_(seed), targets_(targets), cores_(cores), domains_(domains) {
+    : random_(seed), seed_(seed), entry_count_(entries), targets_(targets), cores_(cores), domains_(domains) {
   for (std::size_t i = 0; i < entries; ++i) {
     entries_.push_back(std::make_unique<entry_node>());
     StartEntry(i);
@@ -75,10 +75,58 @@
   }
   dispatch_core_settings settings;
   settings.id = "entry-" + std::to_string(entry);
+  settings.peers_address = Address(entry);
   settings.own_incarnation = ++last_incarnation_;
   entries_[entry]->entry_incarnation = settings.own_incarnation;
-  entries_[entry]->core =
-      std::make_unique<dispatch_core>(settings, seed_ + settings.own_incarnation, entries_[entry]->clock.Read(now_));
+  entries_[entry]->exchanges.clear();
+  const instant now = entries_[entry]->clock.Read(now_);
+  entries_[entry]->core = std::make_unique<dispatch_core>(settings, seed_ + settings.own_incarnation, now);
+  std::vector<std::string> addresses;
+  for (std::size_t i = 0; i < entry_count_; ++i) {
+    addresses.push_back(Address(i));
+  }
+  entries_[entry]->core->OnPeers(addresses, now);
+}
+
+duration cluster_sim::PeerDelay(std::size_t one, std::size_t other) {
+  instant arrives = now_ + kNetworkDelay + duration(random_.Below(500));
+  arrives = std::max(arrives, entries_partitioned_until_[std::minmax(one, other)]);
+  arrives = std::max(arrives, last_peer_arrival_[{one, other}]);
+  last_peer_arrival_[{one, other}] = arrives;
+  return arrives - now_;
+}
+
+void cluster_sim::SendClaims(std::size_t entry, const send_claim_request& send) {
+  ++claim_requests;
+  entries_[entry]->exchanges.insert(send.exchange);
+  const std::size_t to = *EntryAt(send.address);
+  const incarnation_id sender = entries_[entry]->entry_incarnation;
+  After(PeerDelay(entry, to), [this, entry, to, sender, send] {
+    if (entries_[entry]->entry_incarnation != sender || entries_[entry]->exchanges.count(send.exchange) == 0) {
+      return;  // the connection is closed
+    }
+    if (!entries_[to]->core) {
+      ReplyToClaims(entry, to, send.exchange, std::nullopt);
+      return;
+    }
+    DeliverToEntry(to, [this, entry, to, sender, send](dispatch_core& core, instant now) {
+      const claim_reply reply = core.OnClaimRequest(send.request, now);
+      if (entries_[entry]->entry_incarnation == sender) {
+        ReplyToClaims(entry, to, send.exchange, reply);
+      }
+    });
+  });
+}
+
+void cluster_sim::ReplyToClaims(std::size_t entry, std::size_t from, std::uint64_t exchange,
+                                std::optional<claim_reply> reply) {
+  const incarnation_id receiver = entries_[entry]->entry_incarnation;
+  After(PeerDelay(from, entry), [this, entry, exchange, receiver, reply = std::move(reply)] {
+    entry_node& node = *entries_[entry];
+    if (node.entry_incarnation == receiver && node.exchanges.erase(exchange) > 0) {
+      DeliverToEntry(entry, [=](dispatch_core& core, instant now) { core.OnClaimReply(exchange, reply, now); });
+    }
+  });
 }
 
 void cluster_sim::StartAgent(std::size_t agent) {
@@ -250,6 +298,10 @@
         }
       });
     }
+  } else if (const send_claim_request* claims = std::get_if<send_claim_request>(&action); claims != nullptr) {
+    SendClaims(entry, *claims);
+  } else if (const abandon_claim_request* abandon = std::get_if<abandon_claim_request>(&action); abandon != nullptr) {
+    entries_[entry]->exchanges.erase(abandon->exchange);
   } else if (const close_run_session* close = std::get_if<close_run_session>(&action); close != nullptr) {
     for (std::size_t agent = 0; agent < agents_.size(); ++agent) {
       const std::map<std::size_t, session_id>& open = agents_[agent]->sessions;
--- a/tests/besteffort/cluster_sim.h
+++ b/tests/besteffort/cluster_sim.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -105,6 +106,8 @@
   void SuspendAgent(std::size_t agent, duration time);
   /// Delays all messages between an entry and an agent for @p time; none is lost.
   void Partition(std::size_t entry, std::size_t agent, duration time);
+  /// Delays all messages between two entries for @p time; none is lost.
+  void PartitionEntries(std::size_t one, std::size_t other, duration time);
   void ResetSession(std::size_t entry, std::size_t agent);
   void CrashTarget(std::size_t target, duration down);
   void SilenceTarget(std::size_t target, duration time);
@@ -131,6 +134,7 @@
   duration deadly_down = std::chrono::seconds(3);         ///< how long its target is away
   std::function<void(std::size_t target)> on_crash;    ///< called when a deadly task crashes its target; may be empty
   std::size_t reports = 0;                             ///< number of batches sent by agents
+  std::size_t claim_requests = 0;                      ///< number of requests between entries
   std::function<void(const std::string& line)> trace;  ///< receives decisions, requests and faults; may be empty
 
   /// Number of open sessions of an agent.
@@ -151,6 +155,7 @@
   struct entry_node {
     std::unique_ptr<dispatch_core> core;
     incarnation_id entry_incarnation = 0;
+    std::set<std::uint64_t> exchanges;  ///< requests for claims without a reply
     instant frozen_until;
     machine_clock clock;
     std::vector<std::function<void()>> deferred_inputs;  ///< inputs that arrived while the process was frozen
@@ -196,6 +201,10 @@
   void StepAgent(std::size_t agent);
   void Execute(std::size_t entry, const dispatch_action& action);
   void Execute(std::size_t agent, const run_action& action);
+  void SendClaims(std::size_t entry, const send_claim_request& send);
+  /// Delivers the reply to a request for claims, unless the entry has given it up.
+  void ReplyToClaims(std::size_t entry, std::size_t from, std::uint64_t exchange, std::optional<claim_reply> reply);
+  duration PeerDelay(std::size_t one, std::size_t other);
   void OpenSession(std::size_t agent, const std::string& address);
   void CloseSession(std::size_t entry, std::size_t agent, bool notify_entry, bool notify_agent);
   /// The entry's process replies to a report.
@@ -216,6 +225,7 @@
   instant now_{std::chrono::seconds(1000)};
   seeded_random random_;
   std::uint64_t seed_;
+  std::size_t entry_count_;
   std::size_t targets_;
   std::uint32_t cores_;
   std::size_t domains_;
@@ -224,6 +234,8 @@
   std::vector<std::unique_ptr<agent_node>> agents_;
   std::map<std::pair<std::size_t, std::size_t>, instant> partitioned_until_;  ///< by entry and agent
   std::map<std::pair<std::size_t, std::size_t>, instant> last_arrival_;
+  std::map<std::pair<std::size_t, std::size_t>, instant> entries_partitioned_until_;  ///< the lower index first
+  std::map<std::pair<std::size_t, std::size_t>, instant> last_peer_arrival_;          ///< by sender and receiver
   std::vector<run_record> history_;
   std::vector<sim_job> jobs_;
   std::map<std::string, std::vector<instant>> crashes_;
--- a/tests/besteffort/cluster_sim_inputs.cc
+++ b/tests/besteffort/cluster_sim_inputs.cc
@@ -153,6 +153,11 @@
   partitioned_until_[{entry, agent}] = now_ + time;
 }
 
+void cluster_sim::PartitionEntries(std::size_t one, std::size_t other, duration time) {
+  TraceFault("partition from entry " + std::to_string(one) + " entry", other, time);
+  entries_partitioned_until_[std::minmax(one, other)] = now_ + time;
+}
+
 void cluster_sim::ResetSession(std::size_t entry, std::size_t agent) { CloseSession(entry, agent, true, true); }
 
 void cluster_sim::CrashTarget(std::size_t target, duration down) {
