Keep claims through resets, restarts and pauses of entries

The claims now end only if the holder is not heard of again, requests that fail with one connection count once, and only a reply shows that an entry can be reached. - A late message of a replaced process ended the claims of its successor. - A denial after a majority, and a pause of the holder, had no effect. The holder now answers the job and stops its runs, or confirms its claims before a further start. - With one registrar silent, a substitute and one registrar could grant a claim. Substitutes now count only if a majority of the registrars can't be reached. - A claim leaked at registrars that were passed over, releases were lost at the exit, denied claims were repeated without backoff, and unclaimed tasks counted as waiting work.

A copy of a submission at the job's own entry took the place of the caller that waits, and stopped the job when it left. All callers of a job are now answered; it is stopped when the last one has gone.

--- a/include/bamboowing/besteffort/claim_registry.h
+++ b/include/bamboowing/besteffort/claim_registry.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -20,9 +21,10 @@
   /// Beyond this number of records, those of completed and released jobs are dropped first.
   static constexpr std::size_t kMaxRecords = 16'384;
 
-  /// @p run_end_limit is the time from the end of an entry's process until none of its runs is active; @p retention is
-  /// how long it is known how a claim has ended.
-  claim_registry(duration run_end_limit, duration retention) : run_end_limit_(run_end_limit), retention_(retention) {}
+  /// @p run_end_limit is the time from the end of an entry's process until none of its runs is active; @p max_retention
+  /// bounds how long it is known how a claim has ended.
+  claim_registry(duration run_end_limit, duration max_retention)
+      : run_end_limit_(run_end_limit), max_retention_(max_retention) {}
 
   /// Records the claim if no other entry holds the job.
   claim_answer Claim(const std::string& holder, incarnation_id incarnation, const job_claim& claim, instant now);
@@ -31,11 +33,15 @@
   /// holds whichever entry has claimed it.
   void Release(const std::string& holder, incarnation_id incarnation, const claim_release& release, instant now);
 
-  /// A process of the entry at @p holder is heard of: the claims of its predecessors end soon.
-  void OnProcess(const std::string& holder, incarnation_id incarnation, instant now);
+  /// A message of a process of the entry at @p holder has arrived: the claims of its predecessors end soon, and its own
+  /// claims hold. Returns false if it is a late message of a predecessor, which must have no effect.
+  bool OnProcess(const std::string& holder, incarnation_id incarnation, instant now);
 
-  /// The process of the entry at @p holder has ended: its claims end soon.
-  void OnProcessEnded(const std::string& holder, instant now);
+  /// The process of the entry at @p holder seems to have ended: its claims end soon unless it is heard of again.
+  void OnProcessSuspected(const std::string& holder, instant now);
+
+  /// The claims that are recorded.
+  std::vector<held_claim> HeldClaims(instant now) const;
 
   /// Removes the records whose time has passed.
   void Expire(instant now);
@@ -48,15 +54,25 @@
     std::string holder;
     incarnation_id incarnation = 0;
     std::uint64_t number = 0;
-    instant until;  ///< the record has no effect from then on
+    instant until;       ///< the record has no effect from then on
+    instant hold_until;  ///< `until` if the holder's process runs
+  };
+
+  /// Processes of one entry. Their incarnations have no order, so those that were replaced are remembered.
+  struct entry_processes {
+    incarnation_id newest = 0;
+    std::deque<incarnation_id> replaced;
+    bool suspected = false;
   };
 
+  void LimitClaims(const std::string& holder, std::optional<incarnation_id> except, instant until);
+
   void Store(const std::string& job_id, record added);
 
   duration run_end_limit_;
-  duration retention_;
-  std::unordered_map<std::string, record> records_;            ///< by job id
-  std::unordered_map<std::string, incarnation_id> processes_;  ///< newest process of each entry by address
+  duration max_retention_;
+  std::unordered_map<std::string, record> records_;             ///< by job id
+  std::unordered_map<std::string, entry_processes> processes_;  ///< by address
 };
 
 }  // namespace bamboowing
--- a/include/bamboowing/besteffort/dispatch_core.h
+++ b/include/bamboowing/besteffort/dispatch_core.h
@@ -113,7 +113,7 @@
 
   /// Answered exactly once by answer_job, unless the caller disconnects first.
   void OnSubmit(call_id call, best_effort_job job, const queue_rule& queue, instant now);
-  /// The caller's connection closed: the job is stopped, since the caller may submit it again elsewhere.
+  /// The caller's connection closed. Without another caller the job is stopped, since it may be submitted elsewhere.
   void OnCallerDisconnected(call_id call, instant now);
   /// Returns whether this entry has the job; if so, the job is answered as cancelled.
   bool OnCancel(const std::string& job_id, instant now);
@@ -171,12 +171,13 @@
   struct open_job {
     best_effort_job spec;
     queue_rule queue;
-    call_id call = 0;
+    std::vector<call_id> calls;  ///< of the callers that wait for the answer
     std::vector<job_task> tasks;
     std::vector<std::uint32_t> remaining_tasks;  ///< number of tasks that are not done, by step
     std::uint32_t waiting = 0;
     std::uint32_t in_flight = 0;
-    bool claimed = false;       ///< this entry alone may start tasks of the job
+    bool claimed = false;       ///< the claim is granted, so that tasks may be started
+    bool begun = false;         ///< the claim was granted before
     bool completed = false;     ///< all tasks are done
     bool answered = false;      ///< the caller was answered or has disconnected; remaining runs are being stopped
     bool ever_started = false;  ///< a start request was sent
@@ -320,6 +321,9 @@
   /// The agent is silent, so it may not report in time that its target executes an earlier start request. Forbids the
   /// repetition of all jobs with such a request.
   void HandleSilentAgent(fleet_target& target, instant now);
+  /// The agent of these jobs' unanswered starts can't report them any more. Forbids the repetition of the jobs, and
+  /// abandons those that another entry had started before this one.
+  void HandleUnansweredJobs(fleet_target& target, instant now);
   /// Stores the jobs that the report names as not repeatable or as having an unanswered start.
   void MergeUnsettledJobs(fleet_target& target, const run_report& report, instant now);
   void ExpireAgents(instant now);
--- a/include/bamboowing/besteffort/expiring_jobs.h
+++ b/include/bamboowing/besteffort/expiring_jobs.h
@@ -35,7 +35,10 @@
   /// Removes the jobs whose time has passed.
   void Expire(instant now);
 
-  bool Contains(const std::string& job_id, instant now) const;
+  bool Contains(const std::string& job_id, instant now) const { return Remaining(job_id, now) > duration(0); }
+
+  /// Time for which the job is still known; 0 if it is not known.
+  duration Remaining(const std::string& job_id, instant now) const;
 
   /// Increases with each change that Since() returns.
   std::uint64_t revision() const { return revision_; }
--- a/include/bamboowing/besteffort/job_claims.h
+++ b/include/bamboowing/besteffort/job_claims.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -26,8 +27,9 @@
   /// How long it is known that a job has completed or is not repeatable. A copy of its submission that arrives within
   /// this time starts nothing.
   duration retention{15'000'000};
-  duration answer_limit{500'000};    ///< a registrar that has not answered for this long is replaced by another one
-  duration retry_interval{40'000};   ///< until a claim that was denied or not decided is repeated
+  duration answer_limit{500'000};   ///< a registrar that has not answered for this long is replaced by another one
+  duration retry_interval{40'000};  ///< until a claim that was denied or not decided is repeated for the first time
+  duration max_retry_interval{320'000};
   duration probe_interval{250'000};  ///< between requests to an unreachable entry
   duration release_delay{100'000};   ///< releases wait this long for a request that also has claims
   duration sync_limit{1'000'000};    ///< a new process waits this long for the claims of the other entries
@@ -45,10 +47,11 @@
   std::uint64_t exchange = 0;
 };
 
-/// A claim was decided.
+/// A claim was decided: granted, or ended by what is known of the job. kHeld or kUndecided follow only after kGranted:
+/// another entry has the job as well, or the claim is to be confirmed before a further task is started.
 struct claim_decided {
   std::string job_id;
-  claim_verdict verdict = claim_verdict::kUndecided;  ///< kGranted, kCompleted or kNotRepeatable
+  claim_verdict verdict = claim_verdict::kUndecided;
 };
 
 /// Logs a decision.
@@ -61,8 +64,9 @@
 using claim_action = std::variant<send_claim_request, abandon_claim_request, claim_decided, log_claim_event>;
 
 /// Claims jobs at three registrars each, which are entries chosen by a rendezvous hash of the job's id and the entry's
-/// address; a majority must grant the claim, and no one may deny it. Entries that do not answer are passed over. This
-/// entry is a registrar as well. Does no I/O and reads no clock.
+/// address; a majority must grant the claim, and no one may deny it. If a majority can't be reached, the next entries
+/// take the place of those that do not answer; a claim that the others have granted may then be missed. This entry is a
+/// registrar as well. Does no I/O and reads no clock.
 class job_claims {
  public:
   /// Number of registrars of a job, if there are as many entries.
@@ -77,8 +81,8 @@
   /// Claims a job that this entry does not hold. claim_decided follows unless the claim is released before. The claim
   /// is repeated until then. The caller releases it before @p hold has passed.
   void Claim(const std::string& job_id, duration hold, instant now);
-  /// Ends a claim: no run of the job is active.
-  void Release(const std::string& job_id, claim_end end, instant now);
+  /// Ends a claim: no run of the job is active. The end is remembered for @p retention.
+  void Release(const std::string& job_id, claim_end end, duration retention, instant now);
   /// An earlier request may start a task of a job, also if this entry has released the job.
   void ForbidRepetition(const std::string& job_id, instant now);
   /// The entry that was last reported to hold a job which this one has claimed; empty if there is none.
@@ -94,6 +98,11 @@
 
   std::vector<claim_action> TakeActions();
 
+  /// Releases are sent without delay from now on, since the process exits soon.
+  void OnDrain() { settings_.release_delay = duration(0); }
+  /// Whether a release has not reached a reachable entry.
+  bool has_open_releases() const;
+
   /// Whether this entry knows the claims that were made before its process started.
   bool synchronized() const { return synchronized_; }
   std::size_t open_claims() const { return claims_.size(); }
@@ -105,7 +114,10 @@
     std::uint64_t number = 0;
     instant until;  ///< the claim ends at this time at the latest
     bool decided = false;
+    bool granted = false;  ///< a majority has granted the claim, so that tasks may have been started
     std::map<std::string, std::optional<claim_verdict>> registrars;  ///< newest answers by address; nullopt if pending
+    std::set<std::string> told;                                      ///< entries that may have recorded the claim
+    int retries = 0;
     std::optional<instant> retry_at;
     std::string holder;
   };
@@ -113,13 +125,13 @@
   struct peer {
     bool listed = true;
     bool reachable = true;
-    incarnation_id process = 0;       ///< 0 before its first message
-    bool awaits_claims = false;       ///< its claims are to be fetched
-    int failed_exchanges = 0;         ///< successive requests that failed with their connections
-    instant failed_at;                ///< when the newest of them failed
-    int open_exchanges = 0;           ///< requests without a reply
-    bool check = false;               ///< whether its process runs is to be checked by a request
-    std::vector<std::string> claims;  ///< ids of jobs to be claimed with the next request
+    incarnation_id process = 0;         ///< 0 before its first message
+    bool awaits_claims = false;         ///< its claims are to be fetched
+    int failed_exchanges = 0;           ///< successive requests that failed with their connections
+    std::uint64_t failed_exchange = 0;  ///< last request sent before the newest of them failed
+    int open_exchanges = 0;             ///< requests without a reply
+    bool check = false;                 ///< whether its process runs is to be checked by a request
+    std::vector<std::string> claims;    ///< ids of jobs to be claimed with the next request
     std::vector<claim_release> releases;
     instant oldest_release;
     instant next_probe;
@@ -134,8 +146,10 @@
   };
 
   void LogEvent(std::string event, std::string job_id, std::string detail);
-  /// Addresses of the entries that decide about a job at present.
-  std::vector<std::string> RegistrarsOf(const std::string& job_id) const;
+  /// Addresses of the registrars of a job among all known entries, or among those that are reachable.
+  std::vector<std::string> RegistrarsOf(const std::string& job_id, bool reachable_only) const;
+  /// Whether a majority of the registrars has granted the claim.
+  bool HasMajority(const std::string& job_id, const open_claim& claim) const;
   job_claim Describe(const std::string& job_id, const open_claim& claim, instant now) const;
   /// Asks those registrars of the job that have not been asked.
   void AskRegistrars(const std::string& job_id, open_claim& claim, instant now);
@@ -150,7 +164,14 @@
   /// Ends the claim at all registrars that were asked, and repeats it later under a new number.
   void Withdraw(const std::string& job_id, open_claim& claim, instant now);
   void SendRelease(const std::string& address, const claim_release& release, instant now);
-  void OnContact(const std::string& address, incarnation_id process, instant now);
+  /// Adds an entry that is not listed.
+  void AddPeer(const std::string& address, instant now);
+  /// A message of a process of the entry has arrived. Returns false if it must have no effect.
+  bool OnContact(const std::string& address, incarnation_id process, instant now);
+  void SetReachable(const std::string& address, instant now);
+  /// Ends the claim at all entries that may have recorded it.
+  void ReleaseEverywhere(const std::string& job_id, const open_claim& claim, claim_end end, duration retention,
+                         instant now);
   void SetUnreachable(const std::string& address, const std::string& reason, instant now);
   /// Asks further registrars after the set of reachable entries has changed.
   void ReassignRegistrars(instant now);
@@ -158,6 +179,8 @@
   void TakeBack(const exchange_state& failed, instant now);
   /// Gives up the requests to entries that do not answer.
   void ExpireExchanges(instant now);
+  /// This process was paused, so that the others may have passed it over. Asks for all granted claims again.
+  void ConfirmClaims(instant now);
   void RepeatClaims(instant now);
   void SendRequests(instant now);
   void SendRequest(const std::string& address, peer& to, instant now);
--- a/include/bamboowing/message/job_claim.h
+++ b/include/bamboowing/message/job_claim.h
@@ -17,6 +17,13 @@
   duration hold{0};          ///< the sender has released the job after this time at the latest
 };
 
+/// A claim as a registrar or its holder has recorded it.
+struct held_claim {
+  std::string holder;              ///< address of the entry that holds the job
+  incarnation_id incarnation = 0;  ///< of its process
+  job_claim claim;
+};
+
 /// What is known of a job whose claim has ended.
 enum class claim_end : std::uint8_t {
   kReleased,       ///< another entry may run the job
@@ -29,6 +36,7 @@
   std::string job_id;
   std::uint64_t number = 0;  ///< of the claim
   claim_end end = claim_end::kReleased;
+  duration retention{0};  ///< how long the end is to be remembered
 };
 
 /// From an entry to a registrar of the jobs. It may be repeated.
@@ -61,7 +69,8 @@
 struct claim_reply {
   incarnation_id incarnation = 0;  ///< of the process that answers
   std::vector<claim_answer> answers;
-  std::vector<job_claim> held;  ///< claims of the answering entry, if they were asked for
+  std::vector<held_claim> held;    ///< claims that the answering entry has or has recorded, if they were asked for
+  std::vector<std::string> peers;  ///< addresses of the entries that it reaches, if its claims were asked for
 };
 
 }  // namespace bamboowing
--- a/schema/wire.capnp
+++ b/schema/wire.capnp
@@ -222,10 +222,17 @@
   holdUs @2 :Int64;
 }
 
+struct HeldClaim {
+  holder @0 :Text;
+  life @1 :UInt64;
+  claim @2 :JobClaim;
+}
+
 struct ClaimRelease {
   jobId @0 :Text;
   number @1 :UInt64;
   end @2 :UInt8;
+  retentionUs @3 :Int64;
 }
 
 struct ClaimAnswer {
@@ -246,7 +253,8 @@
 struct ClaimReply {
   life @0 :UInt64;
   answers @1 :List(ClaimAnswer);
-  held @2 :List(JobClaim);
+  held @2 :List(HeldClaim);
+  peers @3 :List(Text);
 }
 
 struct RelayRequest {
--- a/src/besteffort/claim_registry.cc
+++ b/src/besteffort/claim_registry.cc
@@ -7,6 +7,9 @@
 namespace bamboowing {
 namespace {
 
+// Replaced processes of one entry whose late messages are recognized.
+constexpr std::size_t kMaxReplacedProcesses = 16;
+
 claim_verdict VerdictOf(claim_end end) {
   switch (end) {
     case claim_end::kReleased:
@@ -40,13 +43,15 @@
     }
   }
   if (answer.verdict == claim_verdict::kGranted) {
-    Store(claim.job_id, {std::nullopt, holder, incarnation, claim.number, now + claim.hold});
+    const instant until = now + claim.hold;
+    Store(claim.job_id, {std::nullopt, holder, incarnation, claim.number, until, until});
   }
   return answer;
 }
 
 void claim_registry::Release(const std::string& holder, incarnation_id incarnation, const claim_release& release,
                              instant now) {
+  instant until = now + std::min(release.retention, max_retention_);
   const std::unordered_map<std::string, record>::const_iterator found = records_.find(release.job_id);
   if (found != records_.end() && now < found->second.until) {
     const record& known = found->second;
@@ -56,30 +61,63 @@
     if (final || (release.end == claim_end::kReleased && !current)) {
       return;
     }
+    if (!current) {
+      until = std::max(until, known.until);  // the record also keeps others from a job that its holder may still run
+    }
   }
-  Store(release.job_id, {release.end, holder, incarnation, release.number, now + retention_});
+  Store(release.job_id, {release.end, holder, incarnation, release.number, until, until});
 }
 
-void claim_registry::OnProcess(const std::string& holder, incarnation_id incarnation, instant now) {
-  incarnation_id& newest = processes_[holder];
-  if (std::exchange(newest, incarnation) == incarnation) {
-    return;
+bool claim_registry::OnProcess(const std::string& holder, incarnation_id incarnation, instant now) {
+  entry_processes& processes = processes_[holder];
+  std::deque<incarnation_id>& replaced = processes.replaced;
+  if (std::find(replaced.begin(), replaced.end(), incarnation) != replaced.end()) {
+    return false;
   }
-  for (std::pair<const std::string, record>& item : records_) {
-    record& known = item.second;
-    if (!known.end && known.holder == holder && known.incarnation != incarnation) {
-      known.until = std::min(known.until, now + run_end_limit_);
+  if (processes.newest != incarnation) {
+    if (processes.newest != 0) {
+      replaced.push_back(processes.newest);
+    }
+    if (replaced.size() > kMaxReplacedProcesses) {
+      replaced.pop_front();
+    }
+    processes.newest = incarnation;
+    LimitClaims(holder, incarnation, now + run_end_limit_);
+  }
+  if (std::exchange(processes.suspected, false)) {
+    for (std::pair<const std::string, record>& item : records_) {
+      record& known = item.second;
+      if (!known.end && known.holder == holder && known.incarnation == incarnation) {
+        known.until = known.hold_until;
+      }
     }
   }
+  return true;
+}
+
+void claim_registry::OnProcessSuspected(const std::string& holder, instant now) {
+  processes_[holder].suspected = true;
+  LimitClaims(holder, std::nullopt, now + run_end_limit_);
 }
 
-void claim_registry::OnProcessEnded(const std::string& holder, instant now) {
+void claim_registry::LimitClaims(const std::string& holder, std::optional<incarnation_id> except, instant until) {
   for (std::pair<const std::string, record>& item : records_) {
     record& known = item.second;
-    if (!known.end && known.holder == holder) {
-      known.until = std::min(known.until, now + run_end_limit_);
+    if (!known.end && known.holder == holder && known.incarnation != except) {
+      known.until = std::min(known.until, until);
+    }
+  }
+}
+
+std::vector<held_claim> claim_registry::HeldClaims(instant now) const {
+  std::vector<held_claim> held;
+  for (const std::pair<const std::string, record>& item : records_) {
+    const record& known = item.second;
+    if (!known.end && now < known.until) {
+      held.push_back({known.holder, known.incarnation, {item.first, known.number, known.until - now}});
     }
   }
+  return held;
 }
 
 void claim_registry::Expire(instant now) {
--- a/src/besteffort/dispatch_claims.cc
+++ b/src/besteffort/dispatch_claims.cc
@@ -58,9 +58,27 @@
   open_job& job = *found->second;
   if (decided.verdict == claim_verdict::kGranted) {
     job.claimed = true;
+    const bool first = !std::exchange(job.begun, true);
+    for (job_task& task : job.tasks) {
+      if (first && job.spec.steps[task.step].after.empty()) {
+        SetWaiting(job, task, true);
+      }
+    }
     Enqueue(job);
     return;
   }
+  if (decided.verdict == claim_verdict::kUndecided) {
+    job.claimed = false;
+    Dequeue(job);
+    return;
+  }
+  if (decided.verdict == claim_verdict::kHeld) {
+    Answer(job, job_verdict::kUnknown,
+           failure(error_kind::kOutcomeUnknown, not_run_state::kUnknown, "another entry has the job as well"));
+    StopRuns(job, last_now_);
+    EraseIfFinished(decided.job_id);
+    return;
+  }
   if (decided.verdict == claim_verdict::kCompleted) {
     // The answer to an earlier submission has not reached the caller.
     job.completed = true;
@@ -73,10 +91,11 @@
 
 void dispatch_core::AnswerUnclaimedJob(open_job& job) {
   const std::string holder = claims_.HolderOf(job.spec.id);
-  if (!holder.empty()) {
+  if (!holder.empty() || job.ever_started) {
     Answer(job, job_verdict::kUnknown,
            failure(error_kind::kOutcomeUnknown, not_run_state::kUnknown,
-                   "an earlier submission of the job is open at entry " + holder));
+                   holder.empty() ? "the other entries have not confirmed that the job is open nowhere else"
+                                  : "an earlier submission of the job is open at entry " + holder));
     return;
   }
   failure unclaimed(error_kind::kNotReady, not_run_state::kYes,
@@ -87,12 +106,15 @@
 
 void dispatch_core::EraseJob(job_map::iterator job) {
   claim_end end = claim_end::kReleased;
+  duration retention = settings_.max_request_delay;
+  const duration unrepeatable = unrepeatable_.Remaining(job->first, last_now_);
   if (job->second->completed) {
     end = claim_end::kCompleted;
-  } else if (unrepeatable_.Contains(job->first, last_now_)) {
+  } else if (unrepeatable > duration(0)) {
     end = claim_end::kNotRepeatable;
+    retention = unrepeatable;
   }
-  claims_.Release(job->first, end, last_now_);
+  claims_.Release(job->first, end, retention, last_now_);
   jobs_.erase(job);
 }
 
--- a/src/besteffort/dispatch_core.cc
+++ b/src/besteffort/dispatch_core.cc
@@ -131,9 +131,8 @@
   }
   if (!refused && known != jobs_.end()) {
     if (!known->second->answered) {
-      // The caller repeated its submission; the newest call receives the answer.
-      calls_.erase(known->second->call);
-      known->second->call = call;
+      // The earlier call may be that of a caller that still waits, and this one a copy.
+      known->second->calls.push_back(call);
       calls_.emplace(call, id);
       return;
     }
@@ -145,7 +144,7 @@
   }
   std::unique_ptr<open_job> opened = std::make_unique<open_job>();
   if (!refused) {
-    opened->call = call;
+    opened->calls.push_back(call);
     opened->arrival = now;
     opened->queue = queue;
     opened->estimate_team = TeamOf(queue.name);
@@ -171,11 +170,6 @@
   }
   open_job& accepted = *jobs_.emplace(id, std::move(opened)).first->second;
   calls_.emplace(call, id);
-  for (job_task& task : accepted.tasks) {
-    if (accepted.spec.steps[task.step].after.empty()) {
-      SetWaiting(accepted, task, true);
-    }
-  }
   ClaimJob(accepted, now);
 }
 
@@ -257,6 +251,10 @@
   open_job& job = *jobs_.at(id);
   LogEvent("caller_gone", id, "disconnected after " + std::to_string((now - job.arrival).count() / 1000) + " ms");
   calls_.erase(call);
+  job.calls.erase(std::find(job.calls.begin(), job.calls.end(), call));
+  if (!job.calls.empty()) {
+    return;
+  }
   job.answered = true;
   StopRuns(job, now);
   EraseIfFinished(id);
@@ -276,7 +274,10 @@
   return true;
 }
 
-void dispatch_core::OnDrain(instant answer_by) { drain_deadline_ = answer_by; }
+void dispatch_core::OnDrain(instant answer_by) {
+  drain_deadline_ = answer_by;
+  claims_.OnDrain();
+}
 
 std::optional<job_phase> dispatch_core::PhaseOf(const std::string& job_id) const {
   const job_map::const_iterator found = jobs_.find(job_id);
@@ -298,9 +299,12 @@
     return;
   }
   job.answered = true;
-  calls_.erase(job.call);
   LogAnswer(job, verdict, error);
-  actions_.emplace_back(answer_job{job.call, job.spec.id, verdict, std::move(error), last_now_ - job.arrival});
+  const duration response_time = std::max(last_now_ - job.arrival, duration(0));
+  for (const call_id call : job.calls) {
+    calls_.erase(call);
+    actions_.emplace_back(answer_job{call, job.spec.id, verdict, error, response_time});
+  }
 }
 
 void dispatch_core::LogAnswer(const open_job& job, job_verdict verdict, const std::optional<failure>& error) {
--- a/src/besteffort/dispatch_place.cc
+++ b/src/besteffort/dispatch_place.cc
@@ -131,7 +131,7 @@
 }
 
 void dispatch_core::Enqueue(open_job& job) {
-  if (job.waiting > 0) {
+  if (job.claimed && job.waiting > 0) {
     queue_.emplace(job.latest_start, job.spec.id);
   }
 }
--- a/src/besteffort/dispatch_runs.cc
+++ b/src/besteffort/dispatch_runs.cc
@@ -54,10 +54,7 @@
   }
   if (fleet_.OnReport(*target, batch, now)) {
     // The new agent process does not know the starts of its predecessor.
-    for (const job_expiry& job : target->unanswered_jobs.Since(0, now)) {
-      ForbidRepetition(job.job_id, now);
-    }
-    target->unanswered_jobs.Clear();
+    HandleUnansweredJobs(*target, now);
   }
   MergeUnsettledJobs(*target, batch.runs, now);
   MarkSettledRuns(*target, batch.runs);
--- a/src/besteffort/dispatch_unsettled.cc
+++ b/src/besteffort/dispatch_unsettled.cc
@@ -119,10 +119,7 @@
     return;
   }
   target.silence_handled = true;
-  for (const job_expiry& job : target.unanswered_jobs.Since(0, now)) {
-    ForbidRepetition(job.job_id, now);
-  }
-  target.unanswered_jobs.Clear();
+  HandleUnansweredJobs(target, now);
   for (const released_start& start : target.released_starts) {
     ForbidRepetition(start.key.job_id, now);
   }
@@ -134,6 +131,25 @@
   }
 }
 
+void dispatch_core::HandleUnansweredJobs(fleet_target& target, instant now) {
+  for (const job_expiry& unanswered : target.unanswered_jobs.Since(0, now)) {
+    const std::string& id = unanswered.job_id;
+    ForbidRepetition(id, now);
+    const bool own_run = std::any_of(
+        runs_.lower_bound({id, 0, 0, 0}), runs_.end(),
+        [&](const run_map::value_type& run) { return run.first.job_id == id && run.second.target == target.index; });
+    const bool own_start =
+        own_run || std::any_of(target.released_starts.begin(), target.released_starts.end(),
+                               [&id](const released_start& start) { return start.key.job_id == id; });
+    const job_map::iterator open = jobs_.find(id);
+    if (!own_start && open != jobs_.end() && !open->second->answered) {
+      AbandonJob(*open->second, now);
+      EraseIfFinished(id);
+    }
+  }
+  target.unanswered_jobs.Clear();
+}
+
 void dispatch_core::MergeUnsettledJobs(fleet_target& target, const run_report& report, instant now) {
   target.silence_handled = false;
   unrepeatable_.Merge(report.unrepeatable, settings_.max_request_delay, now);
--- a/src/besteffort/expiring_jobs.cc
+++ b/src/besteffort/expiring_jobs.cc
@@ -35,9 +35,9 @@
   }
 }
 
-bool expiring_jobs::Contains(const std::string& job_id, instant now) const {
+duration expiring_jobs::Remaining(const std::string& job_id, instant now) const {
   const std::map<std::string, known_job>::const_iterator known = jobs_.find(job_id);
-  return known != jobs_.end() && now < known->second.until;
+  return known == jobs_.end() ? duration(0) : std::max(known->second.until - now, duration(0));
 }
 
 std::vector<job_expiry> expiring_jobs::Since(std::uint64_t revision, instant now) const {
--- a/src/besteffort/job_claims.cc
+++ b/src/besteffort/job_claims.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::size_t kMaxPendingReleases = 4096;
+// Bound of the exponent of the retry interval.
+constexpr int kMaxDoublings = 8;
 constexpr duration kExpiryInterval = std::chrono::seconds(1);
 // An entry whose connection has failed is tried once more before it counts as unreachable: connections are reset while
 // both processes run.
@@ -66,11 +68,21 @@
   UpdateSynchronized(now);
 }
 
-std::vector<std::string> job_claims::RegistrarsOf(const std::string& job_id) const {
+bool job_claims::has_open_releases() const {
+  const bool unsent = std::any_of(peers_.begin(), peers_.end(), [](const std::pair<const std::string, peer>& item) {
+    return item.second.reachable && !item.second.releases.empty();
+  });
+  return unsent || std::any_of(exchanges_.begin(), exchanges_.end(),
+                               [](const std::pair<const std::uint64_t, exchange_state>& item) {
+                                 return !item.second.releases.empty();
+                               });
+}
+
+std::vector<std::string> job_claims::RegistrarsOf(const std::string& job_id, bool reachable_only) const {
   std::vector<std::pair<std::uint64_t, std::string>> ranked;
   ranked.emplace_back(Rank(job_id, settings_.address), settings_.address);
   for (const std::pair<const std::string, peer>& item : peers_) {
-    if (item.second.reachable) {
+    if (item.second.reachable || !reachable_only) {
       ranked.emplace_back(Rank(job_id, item.first), item.first);
     }
   }
@@ -94,7 +106,7 @@
 }
 
 void job_claims::AskRegistrars(const std::string& job_id, open_claim& claim, instant now) {
-  for (const std::string& address : RegistrarsOf(job_id)) {
+  for (const std::string& address : RegistrarsOf(job_id, true)) {
     if (claim.registrars.count(address) == 0) {
       Ask(address, job_id, claim, now);
     }
@@ -147,9 +159,6 @@
   if (answer.verdict == claim_verdict::kHeld) {
     NoteHolder(answer.job_id, claim, answer.holder);
   }
-  if (claim.decided) {
-    return;
-  }
   if (answer.verdict == claim_verdict::kUndecided && !claim.retry_at) {
     claim.retry_at = now + settings_.retry_interval;
   }
@@ -157,55 +166,82 @@
 }
 
 void job_claims::Decide(const std::string& job_id, open_claim& claim, instant now) {
-  if (claim.decided) {
-    return;
-  }
   bool held = false;
   for (const std::pair<const std::string, std::optional<claim_verdict>>& item : claim.registrars) {
-    if (item.second == claim_verdict::kCompleted || item.second == claim_verdict::kNotRepeatable) {
+    const bool final = item.second == claim_verdict::kCompleted || item.second == claim_verdict::kNotRepeatable;
+    if (final && !claim.decided) {
       claim.decided = true;
       actions_.emplace_back(claim_decided{job_id, *item.second});
       return;
     }
     held = held || item.second == claim_verdict::kHeld;
   }
+  if (held && claim.granted) {
+    claim.decided = true;
+    actions_.emplace_back(claim_decided{job_id, claim_verdict::kHeld});
+    return;
+  }
   if (held) {
     Withdraw(job_id, claim, now);
     return;
   }
-  const std::vector<std::string> registrars = RegistrarsOf(job_id);
-  const std::size_t majority = registrars.size() / 2 + 1;
-  std::size_t grants = 0;
-  for (const std::string& address : registrars) {
-    const std::map<std::string, std::optional<claim_verdict>>::const_iterator asked = claim.registrars.find(address);
-    grants += asked != claim.registrars.end() && asked->second == claim_verdict::kGranted ? 1 : 0;
-  }
-  if (grants >= majority) {
+  if (!claim.decided && HasMajority(job_id, claim)) {
+    claim.granted = true;
     claim.decided = true;
-    claim.retry_at.reset();
     actions_.emplace_back(claim_decided{job_id, claim_verdict::kGranted});
   }
 }
 
+bool job_claims::HasMajority(const std::string& job_id, const open_claim& claim) const {
+  const auto count_grants = [&claim](const std::vector<std::string>& registrars) {
+    return static_cast<std::size_t>(
+        std::count_if(registrars.begin(), registrars.end(), [&claim](const std::string& address) {
+          const std::map<std::string, std::optional<claim_verdict>>::const_iterator asked =
+              claim.registrars.find(address);
+          return asked != claim.registrars.end() && asked->second == claim_verdict::kGranted;
+        }));
+  };
+  const std::vector<std::string> all = RegistrarsOf(job_id, false);
+  const std::size_t majority = all.size() / 2 + 1;
+  if (count_grants(all) >= majority) {
+    return true;
+  }
+  const std::vector<std::string> reachable = RegistrarsOf(job_id, true);
+  const std::size_t left = static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [&](const std::string& item) {
+    return std::find(reachable.begin(), reachable.end(), item) != reachable.end();
+  }));
+  return left < majority && count_grants(reachable) >= reachable.size() / 2 + 1;
+}
+
 void job_claims::Withdraw(const std::string& job_id, open_claim& claim, instant now) {
-  for (const std::pair<const std::string, std::optional<claim_verdict>>& item : claim.registrars) {
-    SendRelease(item.first, {job_id, claim.number, claim_end::kReleased}, now);
-  }
+  ReleaseEverywhere(job_id, claim, claim_end::kReleased, settings_.retention, now);
   claim.registrars.clear();
+  claim.told.clear();
   claim.number = ++last_number_;
   // Two entries that each had a part of the registrars must not repeat their claims at the same time.
-  const duration spread(random_.Below(static_cast<std::uint64_t>(settings_.retry_interval.count())));
-  claim.retry_at = now + settings_.retry_interval / 2 + spread;
+  const duration interval = std::min(settings_.retry_interval * (1 << claim.retries), settings_.max_retry_interval);
+  claim.retries = std::min(claim.retries + 1, kMaxDoublings);
+  const duration spread(random_.Below(static_cast<std::uint64_t>(interval.count())));
+  claim.retry_at = now + interval / 2 + spread;
+}
+
+void job_claims::ReleaseEverywhere(const std::string& job_id, const open_claim& claim, claim_end end,
+                                   duration retention, instant now) {
+  std::set<std::string> told = claim.told;
+  for (const std::pair<const std::string, std::optional<claim_verdict>>& item : claim.registrars) {
+    told.insert(item.first);
+  }
+  for (const std::string& address : told) {
+    SendRelease(address, {job_id, claim.number, end, retention}, now);
+  }
 }
 
-void job_claims::Release(const std::string& job_id, claim_end end, instant now) {
+void job_claims::Release(const std::string& job_id, claim_end end, duration retention, instant now) {
   const std::map<std::string, open_claim>::iterator found = claims_.find(job_id);
   if (found == claims_.end()) {
     return;
   }
-  for (const std::pair<const std::string, std::optional<claim_verdict>>& item : found->second.registrars) {
-    SendRelease(item.first, {job_id, found->second.number, end}, now);
-  }
+  ReleaseEverywhere(job_id, found->second, end, retention, now);
   claims_.erase(found);
 }
 
@@ -213,8 +249,8 @@
   if (claims_.count(job_id) != 0) {
     return;  // the registrars learn of it when the claim is released
   }
-  for (const std::string& address : RegistrarsOf(job_id)) {
-    SendRelease(address, {job_id, ++last_number_, claim_end::kNotRepeatable}, now);
+  for (const std::string& address : RegistrarsOf(job_id, true)) {
+    SendRelease(address, {job_id, ++last_number_, claim_end::kNotRepeatable, settings_.retention}, now);
   }
 }
 
@@ -243,9 +279,13 @@
 }
 
 claim_reply job_claims::OnRequest(const claim_request& request, instant now) {
-  OnContact(request.address, request.incarnation, now);
   claim_reply reply;
   reply.incarnation = settings_.own_incarnation;
+  if (!OnContact(request.address, request.incarnation, now)) {
+    return reply;
+  }
+  // A request proves that the sender runs, not that it can be reached.
+  peers_[request.address].check = !peers_[request.address].reachable;
   for (const claim_release& release : request.releases) {
     registry_.Release(request.address, request.incarnation, release, now);
   }
@@ -258,9 +298,21 @@
     }
   }
   if (request.fetch_claims) {
-    for (const std::pair<const std::string, open_claim>& item : claims_) {
-      if (item.second.decided) {
-        reply.held.push_back(Describe(item.first, item.second, now));
+    for (std::pair<const std::string, open_claim>& item : claims_) {
+      if (item.second.granted) {
+        reply.held.push_back({settings_.address, settings_.own_incarnation, Describe(item.first, item.second, now)});
+        item.second.told.insert(request.address);
+      }
+    }
+    // The process of a holder may have ended while its runs are active.
+    for (held_claim& recorded : registry_.HeldClaims(now)) {
+      if (recorded.holder != request.address && recorded.holder != settings_.address) {
+        reply.held.push_back(std::move(recorded));
+      }
+    }
+    for (const std::pair<const std::string, peer>& item : peers_) {
+      if (item.second.reachable) {
+        reply.peers.push_back(item.first);
       }
     }
   }
@@ -278,20 +330,27 @@
   if (!reply) {
     TakeBack(ended, now);
     peer& failed = peers_[ended.address];
-    if (ended.sent_at < failed.failed_at) {
+    if (exchange <= failed.failed_exchange) {
       return;  // the same connection has failed for another request
     }
-    failed.failed_at = now;
+    failed.failed_exchange = last_exchange_;
     failed.check = true;
     if (++failed.failed_exchanges >= kMaxFailedExchanges) {
-      registry_.OnProcessEnded(ended.address, now);
+      registry_.OnProcessSuspected(ended.address, now);
       SetUnreachable(ended.address, "its connection failed", now);
     }
     return;
   }
-  OnContact(ended.address, reply->incarnation, now);
-  for (const job_claim& held : reply->held) {
-    registry_.Claim(ended.address, reply->incarnation, held, now);
+  if (!OnContact(ended.address, reply->incarnation, now)) {
+    TakeBack(ended, now);
+    return;
+  }
+  SetReachable(ended.address, now);
+  for (const held_claim& held : reply->held) {
+    registry_.Claim(held.holder, held.incarnation, held.claim, now);
+  }
+  for (const std::string& address : reply->peers) {
+    AddPeer(address, now);
   }
   if (ended.fetches_claims) {
     peers_[ended.address].awaits_claims = false;
@@ -302,26 +361,39 @@
   }
 }
 
-void job_claims::OnContact(const std::string& address, incarnation_id process, instant now) {
-  registry_.OnProcess(address, process, now);
-  const bool added = peers_.count(address) == 0;
-  peer& from = peers_[address];
-  from.listed = from.listed && !added;
-  from.failed_exchanges = 0;
-  const bool returned = !std::exchange(from.reachable, true);
-  const incarnation_id before = std::exchange(from.process, process);
-  if (before != 0 && before != process) {
-    // The new process does not know the claims of its predecessor.
-    for (std::pair<const std::string, open_claim>& item : claims_) {
-      if (item.second.registrars.count(address) != 0) {
-        Ask(address, item.first, item.second, now);
-      }
+void job_claims::AddPeer(const std::string& address, instant now) {
+  if (address == settings_.address || peers_.count(address) != 0) {
+    return;
+  }
+  peer& added = peers_[address];
+  added.listed = false;
+  added.awaits_claims = !synchronized_;
+  ReassignRegistrars(now);
+}
+
+bool job_claims::OnContact(const std::string& address, incarnation_id process, instant now) {
+  if (!registry_.OnProcess(address, process, now)) {
+    return false;
+  }
+  AddPeer(address, now);
+  const incarnation_id before = std::exchange(peers_[address].process, process);
+  if (before == 0 || before == process) {
+    return true;
+  }
+  // The new process does not know the claims of its predecessor.
+  for (std::pair<const std::string, open_claim>& item : claims_) {
+    if (item.second.registrars.count(address) != 0) {
+      Ask(address, item.first, item.second, now);
     }
   }
-  if (returned) {
+  return true;
+}
+
+void job_claims::SetReachable(const std::string& address, instant now) {
+  peer& from = peers_[address];
+  from.failed_exchanges = 0;
+  if (!std::exchange(from.reachable, true)) {
     LogEvent("entry_reachable", "", "entry " + address);
-  }
-  if (returned || added) {
     ReassignRegistrars(now);
   }
 }
@@ -366,6 +438,9 @@
     to.oldest_release = now;
   }
   to.releases.insert(to.releases.begin(), failed.releases.begin(), failed.releases.end());
+  if (to.releases.size() > kMaxPendingReleases) {
+    to.releases.resize(kMaxPendingReleases);
+  }
 }
 
 void job_claims::ExpireExchanges(instant now) {
@@ -390,6 +465,19 @@
   }
 }
 
+void job_claims::ConfirmClaims(instant now) {
+  for (std::pair<const std::string, open_claim>& item : claims_) {
+    open_claim& claim = item.second;
+    if (!claim.granted) {
+      continue;
+    }
+    claim.decided = false;
+    claim.registrars.clear();
+    actions_.emplace_back(claim_decided{item.first, claim_verdict::kUndecided});
+    AskRegistrars(item.first, claim, now);
+  }
+}
+
 void job_claims::RepeatClaims(instant now) {
   for (std::pair<const std::string, open_claim>& item : claims_) {
     open_claim& claim = item.second;
@@ -414,9 +502,11 @@
   if (synchronized_ || !peers_known_at_) {
     return;
   }
-  const bool complete = std::none_of(peers_.begin(), peers_.end(), [](const std::pair<const std::string, peer>& item) {
-    return item.second.reachable && item.second.awaits_claims;
-  });
+  // Without another entry in the list, this process may be the first one, or the others have yet to register again.
+  const bool complete =
+      !peers_.empty() && std::none_of(peers_.begin(), peers_.end(), [](const std::pair<const std::string, peer>& item) {
+        return item.second.reachable && item.second.awaits_claims;
+      });
   if (complete || now - *peers_known_at_ >= settings_.sync_limit) {
     synchronized_ = true;
     LogEvent("claims_synchronized", "",
@@ -438,9 +528,10 @@
   to.check = false;
   sent.fetches_claims = to.awaits_claims;
   for (const std::string& job_id : std::exchange(to.claims, {})) {
-    const std::map<std::string, open_claim>::const_iterator claim = claims_.find(job_id);
+    const std::map<std::string, open_claim>::iterator claim = claims_.find(job_id);
     if (claim != claims_.end()) {
       send.request.claims.push_back(Describe(job_id, claim->second, now));
+      claim->second.told.insert(address);
       sent.claims.push_back(job_id);
     }
   }
@@ -459,7 +550,7 @@
     const bool idle = to.open_exchanges == 0;
     const bool releases_due = !to.releases.empty() && now - to.oldest_release >= settings_.release_delay;
     const bool due = !to.claims.empty() || releases_due || (idle && (to.awaits_claims || to.check));
-    const bool probe_due = idle && now >= to.next_probe;
+    const bool probe_due = idle && (now >= to.next_probe || to.check);
     if (to.reachable ? due : probe_due) {
       to.next_probe = now + settings_.probe_interval;
       SendRequest(item->first, to, now);
@@ -475,6 +566,7 @@
     for (std::pair<const std::uint64_t, exchange_state>& item : exchanges_) {
       item.second.sent_at += pause;
     }
+    ConfirmClaims(now);
   }
   ExpireExchanges(now);
   RepeatClaims(now);
--- a/src/service/best_effort_entry.cc
+++ b/src/service/best_effort_entry.cc
@@ -272,7 +272,8 @@
 
   /// Whether the process may exit. Runs that an agent has not reported as stopped by then end with their lease.
   bool Drained(instant now) const {
-    return core_.jobs() == 0 || (core_.unanswered_jobs() == 0 && now >= answer_by_ + kStopWait);
+    const bool released = core_.jobs() == 0 && !core_.claims().has_open_releases();
+    return released || (core_.unanswered_jobs() == 0 && now >= answer_by_ + kStopWait);
   }
 
   void Handle(job_submitted& input, instant now) { core_.OnSubmit(input.call, std::move(input.job), input.queue, now); }
--- a/src/service/entry_rpc.cc
+++ b/src/service/entry_rpc.cc
@@ -223,6 +223,7 @@
 
   struct outgoing_call {
     std::string address;
+    std::uint64_t connection = kNoConnection;  ///< on which the call was sent
     kj::Promise<void> promise = nullptr;
   };
 
@@ -268,24 +269,27 @@
     }
     TrackCall(call, address, kNoConnection,
               io_.provider->getNetwork().parseAddress(address).then(
-                  [this, address, send = std::move(send)](kj::Own<kj::NetworkAddress>&& to) mutable {
-                    return Connect(kj::mv(to), address, std::move(send));
+                  [this, call, address, send = std::move(send)](kj::Own<kj::NetworkAddress>&& to) mutable {
+                    return Connect(kj::mv(to), call, address, std::move(send));
                   }));
   }
 
-  kj::Promise<void> Connect(kj::Own<kj::NetworkAddress> to, const std::string& address, call_sender send) {
+  kj::Promise<void> Connect(kj::Own<kj::NetworkAddress> to, const peer_call& call, const std::string& address,
+                            call_sender send) {
     kj::Promise<kj::Own<kj::AsyncIoStream>> opened = to->connect();
-    return opened.attach(kj::mv(to)).then([this, address, send = std::move(send)](kj::Own<kj::AsyncIoStream>&& stream) {
-      EnableTcpNoDelay(*stream);
-      std::map<std::string, kj::Own<peer_connection>>::iterator found = peers_.find(address);
-      if (found == peers_.end()) {
-        const std::uint64_t id = ++last_id_;
-        kj::Own<peer_connection> added = kj::heap<peer_connection>(id, kj::mv(stream));
-        tasks_.add(added->client.onDisconnect().then([this, address, id]() { DropPeer(address, id); }));
-        found = peers_.emplace(address, kj::mv(added)).first;
-      }
-      return send(*found->second);
-    });
+    return opened.attach(kj::mv(to))
+        .then([this, call, address, send = std::move(send)](kj::Own<kj::AsyncIoStream>&& stream) {
+          EnableTcpNoDelay(*stream);
+          std::map<std::string, kj::Own<peer_connection>>::iterator found = peers_.find(address);
+          if (found == peers_.end()) {
+            const std::uint64_t id = ++last_id_;
+            kj::Own<peer_connection> added = kj::heap<peer_connection>(id, kj::mv(stream));
+            tasks_.add(added->client.onDisconnect().then([this, address, id]() { DropPeer(address, id); }));
+            found = peers_.emplace(address, kj::mv(added)).first;
+          }
+          outgoing_calls_[call].connection = found->second->connection;
+          return send(*found->second);
+        });
   }
 
   /// Holds the promise of an outgoing call until its reply is reported or the call is abandoned.
@@ -293,10 +297,11 @@
                  kj::Promise<void> promise) {
     outgoing_call& tracked = outgoing_calls_[call];
     tracked.address = address;
+    tracked.connection = connection;
     tracked.promise = promise
-                          .catch_([this, call, address, connection](kj::Exception&&) {
+                          .catch_([this, call, address](kj::Exception&&) {
                             // The next call must not use the broken connection.
-                            DropPeer(address, connection);
+                            DropPeer(address, outgoing_calls_[call].connection);
                             FailCall(call);
                           })
                           .eagerlyEvaluate(nullptr);
--- a/src/wire/claim_codec.cc
+++ b/src/wire/claim_codec.cc
@@ -5,23 +5,14 @@
 namespace detail {
 namespace {
 
-void WriteClaims(const std::vector<job_claim>& claims, capnp::List<rpc::JobClaim>::Builder out) {
-  unsigned i = 0;
-  for (const job_claim& claim : claims) {
-    rpc::JobClaim::Builder item = out[i++];
-    item.setJobId(claim.job_id);
-    item.setNumber(claim.number);
-    item.setHoldUs(claim.hold.count());
-  }
+void WriteClaim(const job_claim& claim, rpc::JobClaim::Builder out) {
+  out.setJobId(claim.job_id);
+  out.setNumber(claim.number);
+  out.setHoldUs(claim.hold.count());
 }
 
-std::vector<job_claim> ReadClaims(capnp::List<rpc::JobClaim>::Reader in) {
-  std::vector<job_claim> claims;
-  claims.reserve(in.size());
-  for (rpc::JobClaim::Reader item : in) {
-    claims.push_back({ToString(item.getJobId()), item.getNumber(), duration(item.getHoldUs())});
-  }
-  return claims;
+job_claim ReadClaim(rpc::JobClaim::Reader in) {
+  return {ToString(in.getJobId()), in.getNumber(), duration(in.getHoldUs())};
 }
 
 }  // namespace
@@ -31,22 +22,35 @@
   out.setAddress(request.address);
   out.setLife(request.incarnation);
   out.setFetchClaims(request.fetch_claims);
-  detail::WriteClaims(request.claims, out.initClaims(request.claims.size()));
-  capnp::List<rpc::ClaimRelease>::Builder releases = out.initReleases(request.releases.size());
+  capnp::List<rpc::JobClaim>::Builder claims = out.initClaims(request.claims.size());
   unsigned i = 0;
+  for (const job_claim& claim : request.claims) {
+    detail::WriteClaim(claim, claims[i++]);
+  }
+  capnp::List<rpc::ClaimRelease>::Builder releases = out.initReleases(request.releases.size());
+  i = 0;
   for (const claim_release& release : request.releases) {
     rpc::ClaimRelease::Builder item = releases[i++];
     item.setJobId(release.job_id);
     item.setNumber(release.number);
     item.setEnd(static_cast<std::uint8_t>(release.end));
+    item.setRetentionUs(release.retention.count());
   }
 }
 
 void Write(const claim_reply& reply, rpc::ClaimReply::Builder out) {
   out.setLife(reply.incarnation);
-  detail::WriteClaims(reply.held, out.initHeld(reply.held.size()));
-  capnp::List<rpc::ClaimAnswer>::Builder answers = out.initAnswers(reply.answers.size());
+  capnp::List<rpc::HeldClaim>::Builder held = out.initHeld(reply.held.size());
   unsigned i = 0;
+  for (const held_claim& claim : reply.held) {
+    rpc::HeldClaim::Builder item = held[i++];
+    item.setHolder(claim.holder);
+    item.setLife(claim.incarnation);
+    detail::WriteClaim(claim.claim, item.initClaim());
+  }
+  detail::WriteTexts(reply.peers, out.initPeers(reply.peers.size()));
+  capnp::List<rpc::ClaimAnswer>::Builder answers = out.initAnswers(reply.answers.size());
+  i = 0;
   for (const claim_answer& answer : reply.answers) {
     rpc::ClaimAnswer::Builder item = answers[i++];
     item.setJobId(answer.job_id);
@@ -61,13 +65,16 @@
   request.address = detail::ToString(in.getAddress());
   request.incarnation = in.getLife();
   request.fetch_claims = in.getFetchClaims();
-  request.claims = detail::ReadClaims(in.getClaims());
+  for (rpc::JobClaim::Reader item : in.getClaims()) {
+    request.claims.push_back(detail::ReadClaim(item));
+  }
   for (rpc::ClaimRelease::Reader item : in.getReleases()) {
     const std::optional<claim_end> end = detail::ToEnum(item.getEnd(), claim_end::kNotRepeatable);
     if (!end) {
       return std::nullopt;
     }
-    request.releases.push_back({detail::ToString(item.getJobId()), item.getNumber(), *end});
+    request.releases.push_back(
+        {detail::ToString(item.getJobId()), item.getNumber(), *end, duration(item.getRetentionUs())});
   }
   return request;
 }
@@ -75,7 +82,10 @@
 std::optional<claim_reply> Read(rpc::ClaimReply::Reader in) {
   claim_reply reply;
   reply.incarnation = in.getLife();
-  reply.held = detail::ReadClaims(in.getHeld());
+  for (rpc::HeldClaim::Reader item : in.getHeld()) {
+    reply.held.push_back({detail::ToString(item.getHolder()), item.getLife(), detail::ReadClaim(item.getClaim())});
+  }
+  reply.peers = detail::ReadTexts(in.getPeers());
   for (rpc::ClaimAnswer::Reader item : in.getAnswers()) {
     const std::optional<claim_verdict> verdict = detail::ToEnum(item.getVerdict(), claim_verdict::kUndecided);
     if (!verdict) {
--- a/tests/besteffort/cluster_overlap_test.cc
+++ b/tests/besteffort/cluster_overlap_test.cc
@@ -398,8 +398,26 @@
   EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
 }
 
-// Guards against a submission that reaches its entry late, after its caller has given up the connection and submitted the
-// job at another entry: the entry must not start tasks that run there.
+// Guards against a task that waits for capacity and is started although the agent of another entry's unanswered start
+// of it has fallen silent meanwhile.
+TEST_F(cluster_overlap, WaitingTaskIsNotStartedAfterAgentOfUnansweredStartIsSilent) {
+  const std::size_t target = StartLongTaskByRepeatedRequest(std::chrono::seconds(4));
+  sim.RunFor(Ms(100));
+  sim.KillEntry(0, std::chrono::seconds(10));
+  sim.RunFor(kRetransmitDelay);
+  constexpr std::uint32_t kAllCores = 16;
+  sim.Submit(1, "other", kAllCores, 700);
+  sim.RunFor(Ms(20));
+  sim.Submit(1, "job", 1, kLongWorkMs);
+  sim.RunFor(Ms(20));
+  sim.FreezeAgent(target, std::chrono::seconds(8));
+  sim.CrashTarget(target, duration(0));
+  sim.RunFor(std::chrono::seconds(8));
+  EXPECT_EQ(sim.OverlappingRuns(), std::vector<std::string>());
+}
+
+// Guards against a submission that reaches its entry late, after its caller has given up the connection and submitted
+// the job at another entry: the entry must not start tasks that run there.
 TEST_F(cluster_overlap, LateSubmissionDoesNotStartTasksOfAnotherEntry) {
   const std::size_t retry = sim.Submit(1, "job", 1, kLongWorkMs);
   sim.RunFor(Ms(100));
--- a/tests/besteffort/cluster_sim.cc
+++ b/tests/besteffort/cluster_sim.cc
@@ -23,6 +23,8 @@
 constexpr duration kMinLateDelay = std::chrono::seconds(2);
 constexpr duration kLateSpread = std::chrono::seconds(4);
 constexpr duration kLongLateSpread = std::chrono::seconds(10);
+// Bound of the time until a restarted entry knows the others.
+constexpr duration kListDelay = std::chrono::milliseconds(500);
 // A slow request is executed within this time, which is longer than the agent waits for its response.
 constexpr duration kSlowRequestDelay = std::chrono::milliseconds(60);
 
@@ -85,7 +87,15 @@
   for (std::size_t i = 0; i < entry_count_; ++i) {
     addresses.push_back(Address(i));
   }
-  entries_[entry]->core->OnPeers(addresses, now);
+  // The store lists the entries to a restarted process some time after others may have reached it.
+  const bool restarted = settings.own_incarnation > entry_count_;
+  if (!restarted) {
+    entries_[entry]->core->OnPeers(addresses, now);
+    return;
+  }
+  After(duration(random_.Below(static_cast<std::uint64_t>(kListDelay.count()))), [this, entry, addresses] {
+    DeliverToEntry(entry, [addresses](dispatch_core& core, instant at) { core.OnPeers(addresses, at); });
+  });
 }
 
 duration cluster_sim::PeerDelay(std::size_t one, std::size_t other) {
