Count runs instead of their needs at the agent

Cause: TargetHasRuns() took the sum of needs for the number of runs, so the agent neither polled the target nor renewed its lease while only such runs were there.

HasRunsAtTarget(), which counts runs, replaces TargetHasRuns().

--- a/include/bamboowing/besteffort/run_manager.h
+++ b/include/bamboowing/besteffort/run_manager.h
@@ -362,6 +362,7 @@
   void StartWaitingRuns(instant now);
   /// Whether the run may start beside those that are at the target.
   bool FitsBesideOthers(const managed_run& run) const;
+  /// Whether a run is at a target, whatever it needs: runs may need nothing.
   bool HasRunsAtTarget() const;
   /// Committed amount as reported to the entries: the whole capacity while there is an exclusive run.
   resource_amount ReportedAmount() const;
@@ -393,7 +394,6 @@
   void SendReport(entry_session& session, owner& to, instant now);
   duration ReportInterval() const;
   bool ReportDue(const entry_session& session, const owner& to, instant now) const;
-  bool TargetHasRuns() const;
   /// Whether no request has been unanswered for `unresponsive_after`.
   bool TargetResponsive(instant now) const;
 
--- a/src/besteffort/run_manager_target.cc
+++ b/src/besteffort/run_manager_target.cc
@@ -97,11 +97,6 @@
   poll_now_ = true;
 }
 
-bool run_manager::TargetHasRuns() const {
-  return committed_at_target_.cpu_millicores > 0 || committed_at_target_.memory_mb > 0 ||
-         committed_at_target_.accelerators > 0;
-}
-
 instant run_manager::LeaseExpiryBound(const managed_run& run) const {
   const duration lease(
       static_cast<std::int64_t>(static_cast<double>(settings_.lease.count()) * (1 + 2 * settings_.clock_drift)));
@@ -120,7 +115,7 @@
 }
 
 bool run_manager::FencePollDue(instant now) const {
-  const bool idle = phase_ == phase::kServing && !TargetHasRuns() && TargetResponsive(now);
+  const bool idle = phase_ == phase::kServing && !HasRunsAtTarget() && TargetResponsive(now);
   return (phase_ == phase::kLost || idle) && MayExecuteLateStart(now) && pending_polls_.empty() &&
          now - last_poll_at_ >= settings_.fence_poll_interval;
 }
@@ -174,7 +169,7 @@
     SendPoll(duration(0), now);
     return;
   }
-  const bool needed = TargetHasRuns() || last_finished_sequence_ > acknowledged_sequence_ || !TargetResponsive(now);
+  const bool needed = HasRunsAtTarget() || last_finished_sequence_ > acknowledged_sequence_ || !TargetResponsive(now);
   if (!needed) {
     poll_now_ = false;
     return;
@@ -183,14 +178,14 @@
     poll_now_ = false;
     SendPoll(duration(0), now);
   } else if (long_polls == 0 && TargetResponsive(now)) {
-    SendPoll(TargetHasRuns() ? settings_.poll_wait : duration(0), now);
+    SendPoll(HasRunsAtTarget() ? settings_.poll_wait : duration(0), now);
   } else if (now >= NextPollAt()) {
     SendPoll(duration(0), now);
   }
 }
 
 instant run_manager::NextPollAt() const {
-  if (TargetHasRuns() && TargetResponsive(last_now_)) {
+  if (HasRunsAtTarget() && TargetResponsive(last_now_)) {
     return last_poll_at_ + settings_.poll_overdue_after;
   }
   return std::max(last_lease_sent_at_ + settings_.renew_after, last_poll_at_ + settings_.poll_interval);
@@ -379,7 +374,7 @@
       next = std::min(next, LeaseExpiryBound(run.second));
     }
   }
-  if (phase_ == phase::kServing && (TargetHasRuns() || !TargetResponsive(last_now_))) {
+  if (phase_ == phase::kServing && (HasRunsAtTarget() || !TargetResponsive(last_now_))) {
     next = std::min(next, NextPollAt());
     next = std::min(next, last_now_ + settings_.stop_retry_interval);
   }
--- a/tests/besteffort/load_test.cc
+++ b/tests/besteffort/load_test.cc
@@ -231,5 +231,22 @@
   }
 }
 
+// Guards against jobs without needs that never complete: their runs were started again each time their lease ended, and
+// the caller got no result.
+TEST(load, CompletesJobsWithoutNeeds) {
+  for (const int work_ms : {60, 1500}) {
+    for (const std::uint32_t tasks : {1U, 180U}) {
+      cluster_sim sim(2, 4, 16);
+      sim.RunFor(std::chrono::seconds(2));
+      for (int i = 0; i < 5; ++i) {
+        sim.Submit(static_cast<std::size_t>(i) % 2, JobId(i), {sim.Step(tasks, work_ms, {})}, work_ms);
+      }
+      sim.RunFor(std::chrono::milliseconds(work_ms) + std::chrono::seconds(1));
+      EXPECT_EQ(Completed(sim, "job", std::chrono::milliseconds(work_ms + 200)), 5U) << tasks << " of " << work_ms;
+      EXPECT_EQ(sim.history().size(), 5U * tasks) << "no task may be started twice";
+    }
+  }
+}
+
 }  // namespace
 }  // namespace bamboowing
--- a/tests/besteffort/run_manager_test.cc
+++ b/tests/besteffort/run_manager_test.cc
@@ -175,6 +175,27 @@
   EXPECT_EQ(Results()[0].run_time, std::chrono::milliseconds(60));
 }
 
+// Guards against a run without needs that is taken for no run: its result was never read and its lease ran out.
+TEST_F(run_manager_fixture, PollsAndRenewsLeaseOfRunWithoutNeeds) {
+  run_requests requests;
+  requests.starts.push_back(Start("a"));
+  requests.starts[0].need = {};
+  SendRequests(requests);
+  ASSERT_EQ(ActionsOf<send_start_request>().size(), 1U);
+  manager.OnStartResponse(ActionsOf<send_start_request>()[0].request_id, {request_status::kAccepted, target_time(1001)},
+                          now);
+  actions.clear();
+  now += Settings().renew_after;
+  Step();
+  ASSERT_TRUE(HasAction<send_poll_request>());
+  EXPECT_TRUE(ActionsOf<send_poll_request>().back().request.lease_end);
+  poll_response answer;
+  answer.finished.push_back({1, {"a", 0, 0, 1}, target_outcome::kDone});
+  AnswerNewestPoll(5, answer);
+  ASSERT_EQ(Results().size(), 1U);
+  EXPECT_EQ(Results()[0].outcome, run_outcome::kDone);
+}
+
 TEST_F(run_manager_fixture, RejectsStartWithoutCapacityInTime) {
   run_requests requests;
   requests.starts = {Start("a"), Start("b")};
