Report starts of runs without needs without delay

The agent reports a start when it changes the load, which a run without needs never does. Its entry then learned only from the next heartbeat that the run was settled, that is, that its start request had been answered. If the agent or its target was lost before, the entry had to take the start as one that may still be executed, and the job as one not to be repeated.

Evidence: run_manager_fixture.ReportsAnsweredRunWithoutNeedsAsSettled saw no report after the report interval. A report is now also due if starts have arrived that the newest report does not count. Starts of other runs change the load and were due already.

--- a/include/bamboowing/besteffort/run_manager.h
+++ b/include/bamboowing/besteffort/run_manager.h
@@ -228,6 +228,7 @@
     bool target_update_pending = false;
     std::optional<instant> released_at;  ///< when the session became unneeded
     resource_amount reported_amount;     ///< committed amount in the newest report to the entry
+    std::uint64_t reported_starts = 0;   ///< number of received starts in the newest report to the entry
     std::size_t reported_unsettled = 0;  ///< number of unsettled runs in the newest report to the entry
     instant reported_at;
     std::uint64_t crash_revision_sent = 0;         ///< revision of the crash ledger that was sent in this session
--- a/src/besteffort/run_manager_entries.cc
+++ b/src/besteffort/run_manager_entries.cc
@@ -279,7 +279,9 @@
   // Runs that become unsettled change the load, too.
   const bool settled = to.reported_unsettled > 0 && UnsettledRunsOf(entry, now).size() < to.reported_unsettled;
   const bool unanswered = to.unanswered_revision_sent < unanswered_jobs_.revision();
-  if (!settled && !unanswered && load == to.reported_amount) {
+  // The start of a run without needs leaves the load as it was.
+  const bool started = to.reported_starts < to.starts_received;
+  if (!settled && !unanswered && !started && load == to.reported_amount) {
     return std::nullopt;
   }
   return to.reported_at + ReportInterval() * (selection_.is_subset() ? settings_.minor_report_factor : 1);
@@ -341,6 +343,7 @@
   to.initial_report_sent = true;
   to.target_update_pending = false;
   to.reported_amount = report.committed;
+  to.reported_starts = report.starts_received;
   to.reported_unsettled = report.unsettled_runs.size();
   to.reported_at = now;
   to.last_result_sent = to.last_result_number;
--- a/tests/besteffort/run_manager_test.cc
+++ b/tests/besteffort/run_manager_test.cc
@@ -940,6 +940,25 @@
   EXPECT_EQ(UnsettledRuns(), std::vector<run_key>());
 }
 
+// As above, for a run without needs, which never changes the load.
+TEST_F(run_manager_fixture, ReportsAnsweredRunWithoutNeedsAsSettled) {
+  now += Settings().report_interval;
+  Step();
+  actions.clear();
+  run_requests requests;
+  requests.starts.push_back(Start("a"));
+  requests.starts[0].need = {};
+  requests.starts_sent = 1;
+  SendRequests(requests);
+  manager.OnStartResponse(ActionsOf<send_start_request>().back().request_id,
+                          {request_status::kAccepted, target_time(1001)}, now);
+  now += Settings().report_interval;
+  Step();
+  ASSERT_TRUE(HasAction<send_batch>());
+  EXPECT_EQ(ActionsOf<send_batch>().back().batch.runs.starts_received, 1U);
+  EXPECT_EQ(UnsettledRuns(), std::vector<run_key>());
+}
+
 // Guards against two runs of one task: a run that started longer ago than a request may be late is reported as lost
 // as soon as its target announces its end, while its lease is valid.
 TEST_F(run_manager_fixture, AnnouncedEndOfTargetDoesNotEndLongRun) {
