Place tasks without needs by the number of runs

Targets were chosen by their utilization, which tasks without needs do not change: of 180 such tasks, one or two targets of four got nearly all (2, 92, 2 and 90 running). And if no waiting task needed a processor, the free processors still bounded how many tasks fit, so jobs that need memory only were refused beside jobs that fill the processors: 6 of 10 completed.

Tasks that need nothing are now placed by the entry's number of runs at each target, and only resources that waiting tasks need bound how many of them fit. load.SpreadsTasksWithoutNeeds and load.AdmitsJobsWithoutNeedsAtFullTargets failed and pass.

--- a/src/besteffort/dispatch_place.cc
+++ b/src/besteffort/dispatch_place.cc
@@ -101,11 +101,17 @@
 
 double dispatch_core::WaitingTasksWithin(const resource_amount& amount) const {
   const double waiting = std::max(1.0, static_cast<double>(waiting_tasks_));
-  const double by_cpu = amount.cpu_millicores * waiting / std::max(1.0, waiting_need_.cpu_millicores);
-  const double by_memory = waiting_need_.memory_mb > 0 ? amount.memory_mb * waiting / waiting_need_.memory_mb : by_cpu;
-  const double by_accelerators =
-      waiting_need_.accelerators > 0 ? amount.accelerators * waiting / waiting_need_.accelerators : by_cpu;
-  return std::min({by_cpu, by_memory, by_accelerators});
+  if (waiting_need_.cpu_millicores + waiting_need_.memory_mb + waiting_need_.accelerators == 0) {
+    return waiting;  // tasks that need nothing fit anywhere
+  }
+  double tasks = std::numeric_limits<double>::max();
+  const auto limit = [&tasks, waiting](double available, double needed) {
+    tasks = needed > 0 ? std::min(tasks, available * waiting / needed) : tasks;
+  };
+  limit(amount.cpu_millicores, waiting_need_.cpu_millicores);
+  limit(amount.memory_mb, waiting_need_.memory_mb);
+  limit(amount.accelerators, waiting_need_.accelerators);
+  return tasks;
 }
 
 void dispatch_core::SetWaiting(open_job& job, job_task& task, bool waiting) {
@@ -206,8 +212,11 @@
   }
   target_choice best;
   double best_load = std::numeric_limits<double>::max();
+  const bool needs_nothing = step.need == resource_amount();
   for (const target_choice& candidate : free) {
-    const double load = candidate.target->Utilization() + kRandomWeight * random_.Unit();
+    // Tasks that need nothing do not change the utilization.
+    const double known_load = needs_nothing ? candidate.target->own_runs : candidate.target->Utilization();
+    const double load = known_load + kRandomWeight * random_.Unit();
     if (candidate.expected_run_us <= best_us * (1 + kSpeedTolerance) && load < best_load) {
       best = candidate;
       best_load = load;
--- a/tests/besteffort/load_test.cc
+++ b/tests/besteffort/load_test.cc
@@ -248,5 +248,41 @@
   }
 }
 
+// Guards against tasks without needs that all run at one target, because they don't change the load by which targets
+// are chosen.
+TEST(load, SpreadsTasksWithoutNeeds) {
+  cluster_sim sim(1, 4, 17);
+  sim.RunFor(std::chrono::seconds(2));
+  // One target is idle, the others are half full.
+  for (std::size_t i = 0; i < 6; ++i) {
+    sim.Submit(0, "long" + std::to_string(i), 1, 5000);
+    sim.RunFor(std::chrono::milliseconds(30));
+  }
+  sim.Submit(0, "empty", {sim.Step(180, 500, {})}, 500);
+  sim.RunFor(std::chrono::milliseconds(200));
+  for (std::size_t target = 0; target < 4; ++target) {
+    EXPECT_GE(sim.target(target).running(), 40U) << target;
+    EXPECT_LE(sim.target(target).running(), 50U) << target;
+  }
+}
+
+// Guards against refusals of jobs that arrive together and fit beside those that fill the processors: their tasks need
+// no processor.
+TEST(load, AdmitsJobsWithoutNeedsAtFullTargets) {
+  for (const resource_amount& need : {resource_amount{}, resource_amount{0, 64, 0}}) {
+    cluster_sim sim(2, 4, 18);
+    WarmUp(sim, 60);
+    for (int i = 0; i < 16; ++i) {
+      sim.Submit(static_cast<std::size_t>(i) % 2, "full" + std::to_string(i), 1, 3000);
+      sim.RunFor(std::chrono::milliseconds(40));
+    }
+    for (int i = 0; i < 10; ++i) {
+      sim.Submit(static_cast<std::size_t>(i) % 2, JobId(i), {sim.Step(180, 60, need)}, 60);
+    }
+    sim.RunFor(std::chrono::seconds(1));
+    EXPECT_EQ(Completed(sim, "job", std::chrono::milliseconds(300)), 10U) << need.memory_mb << " MB";
+  }
+}
+
 }  // namespace
 }  // namespace bamboowing
