Test jobs that request nothing on processes

Jobs of 1 and of 180 tasks without cpu, mem_mb and gpu complete, each task ends `done` once, and no two runs of a task overlap.

--- a/tests/end_to_end/platform_test.py
+++ b/tests/end_to_end/platform_test.py
@@ -201,6 +201,18 @@
         connection.close()
         wait_until(lambda: self.running("00000000000000a7") == 0, "the end of its tasks", 1)
 
+    def test_a_job_whose_tasks_request_nothing_completes(self):
+        """Guards against a job that runs again and again because its runs are not counted: its tasks take no capacity."""
+        for job_id, count, work_ms in (("00000000000000aa", 1, 60), ("00000000000000ab", 180, 1500)):
+            body = job(work_ms=work_ms, words="cpu=0 mem_mb=0")
+            body["steps"] = [{"count": count, "estimate_ms": work_ms}]
+            self.assertEqual(self.post(job_id, body, deadline_ms=6000), (200, {"state": "completed"}))
+            runs = [r for m in self.fleet.platform_minions for r in m.runs if r[0].startswith(job_id)]
+            # A start that a busy minion answers late is stopped and repeated, so a task may have an earlier, stopped run.
+            done = sorted(int(r[0].rsplit(".", 1)[1]) for r in runs if r[4] == "done")
+            self.assertEqual(done, list(range(count)))
+        self.assertEqual(overlapping_runs(self.fleet.platform_minions), [])
+
     def test_a_start_whose_answer_is_lost_runs_once(self):
         """Guards against a second run of a task whose start request got no response."""
         for minion in self.fleet.platform_minions:
