Deliver a pipelined cancel before the response to its job

Cause: the connection read the next request ahead and delivered it only after the response to the one before.

Requests are now delivered when they arrive, and responses are kept until those before them are written. A POST still waits for the responses before it: a copy of an open submission takes over the answer, so the connection would wait forever for the response to the first. At most 8 requests of a connection are open, as one that pipelines without limit would take memory without limit. A draining entry answers what it has delivered before it closes the connection. As before, odd input ends its connection only, and so the open job.

--- a/src/transport/connection_server.cc
+++ b/src/transport/connection_server.cc
@@ -1,7 +1,6 @@
 #include "bamboowing/transport/connection_server.h"
 
-#include <array>
-#include <atomic>
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -9,6 +8,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <cctype>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -28,6 +28,8 @@
 constexpr std::chrono::seconds kIdleCheckInterval{5};
 constexpr int kTooLarge = 413;
 constexpr int kBadRequest = 400;
+// Pipelined requests of one connection that are delivered before the first of them is answered.
+constexpr std::size_t kMaxPipelinedCalls = 8;
 
 std::string ToLower(std::string_view text) {
   std::string lower(text);
@@ -78,8 +80,9 @@
   bool keep_alive_disabled = false;  ///< connections close after their next response
 };
 
-/// Serves the requests of one connection in order. The next request is read while the current one waits for its
-/// response, so that a disconnect is detected; it is delivered only after that response.
+/// Serves the requests of one connection and answers them in order. A request is delivered when it arrives, so that a
+/// cancel takes effect before the response to its job. Only a POST waits for all responses before its own, as it may be
+/// a copy of an open one. Reading goes on while a response is due, so that a disconnect is detected.
 class connection : public std::enable_shared_from_this<connection> {
  public:
   connection(tcp::socket socket, server_state& state) : socket_(std::move(socket)), state_(state) {}
@@ -91,31 +94,42 @@
     Read();
   }
 
-  void Respond(http_response&& response) {
-    const bool keep_alive = keep_alive_ && !state_.keep_alive_disabled;
-    response_ = ToMessage(std::move(response), keep_alive);
-    http::async_write(socket_, response_,
-                      [self = shared_from_this(), keep_alive](const error_code& error, std::size_t) {
-                        self->OnWritten(error, keep_alive);
-                      });
+  void Respond(call_id call, http_response&& response) {
+    const std::deque<open_call>::iterator answered =
+        std::find_if(calls_.begin(), calls_.end(), [call](const open_call& open) { return open.id == call; });
+    if (answered != calls_.end() && !answered->response) {
+      answered->response = std::move(response);
+      WriteNext();
+    }
   }
 
   void Close() {
+    if (std::exchange(closed_, true)) {
+      return;
+    }
+    const std::shared_ptr<connection> self = shared_from_this();
     error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_both, ignored);
     socket_.close(ignored);
-    if (call_ != 0) {
-      const call_id call = std::exchange(call_, 0);
-      state_.calls.erase(call);
-      state_.listener.OnCallerDisconnected(call);
+    for (const open_call& open : calls_) {
+      if (state_.calls.erase(open.id) > 0) {
+        state_.listener.OnCallerDisconnected(open.id);
+      }
     }
-    state_.connections.erase(shared_from_this());
+    state_.connections.erase(self);
   }
 
-  bool idle() const { return call_ == 0; }
+  bool idle() const { return calls_.empty(); }
   std::chrono::steady_clock::time_point last_activity() const { return last_activity_; }
 
  private:
+  /// A request whose response has not been written.
+  struct open_call {
+    call_id id = 0;  ///< 0 if the request was refused here
+    bool keep_alive = false;
+    std::optional<http_response> response;
+  };
+
   void RecordActivity() { last_activity_ = std::chrono::steady_clock::now(); }
 
   void Read() {
@@ -127,6 +141,9 @@
   }
 
   void OnRead(const error_code& error) {
+    if (closed_) {
+      return;
+    }
     if (error == http::error::body_limit || error == http::error::header_limit) {
       Refuse(kTooLarge, error_kind::kTooLarge, error.message());
       return;
@@ -141,52 +158,80 @@
       return;
     }
     next_request_ = parser_->release();
-    if (call_ == 0) {
-      DeliverRequest();
-    }
+    DeliverNext();
   }
 
   void Refuse(int status, error_kind kind, const std::string& reason) {
-    if (call_ != 0) {
+    if (!calls_.empty()) {
       Close();
       return;
     }
-    keep_alive_ = false;
     http_response response = ErrorResponse(failure(kind, not_run_state::kYes, reason));
     response.status = status;
-    Respond(std::move(response));
+    calls_.push_back({0, false, std::move(response)});
+    WriteNext();
+  }
+
+  /// Whether the request that was read last is held back by those before it.
+  bool MustWait() const {
+    const bool follows_last = !calls_.empty() && !calls_.back().keep_alive;
+    const bool is_post = next_request_->method() == http::verb::post;
+    return follows_last || (is_post && !calls_.empty()) || calls_.size() >= kMaxPipelinedCalls;
   }
 
-  void DeliverRequest() {
+  void DeliverNext() {
+    if (!next_request_ || MustWait()) {
+      return;
+    }
     RecordActivity();
-    keep_alive_ = next_request_->keep_alive();
-    call_ = ++state_.last_call;
-    state_.calls.emplace(call_, weak_from_this());
+    const call_id call = ++state_.last_call;
+    calls_.push_back({call, next_request_->keep_alive(), std::nullopt});
+    state_.calls.emplace(call, weak_from_this());
     http_request request = FromMessage(std::move(*next_request_));
     next_request_.reset();
-    const call_id call = call_;
     Read();
     state_.listener.OnRequest(call, std::move(request));
   }
 
+  /// Writes the response to the oldest open request, if there is one and none is being written.
+  void WriteNext() {
+    if (closed_ || writing_ || calls_.empty() || !calls_.front().response) {
+      return;
+    }
+    // Requests that have been delivered are answered before the connection closes.
+    const bool keep_alive = calls_.front().keep_alive && (!state_.keep_alive_disabled || calls_.size() > 1);
+    response_ = ToMessage(std::move(*calls_.front().response), keep_alive);
+    writing_ = true;
+    http::async_write(socket_, response_,
+                      [self = shared_from_this(), keep_alive](const error_code& error, std::size_t) {
+                        self->OnWritten(error, keep_alive);
+                      });
+  }
+
   void OnWritten(const error_code& error, bool keep_alive) {
-    call_ = 0;
+    writing_ = false;
+    if (closed_) {
+      return;
+    }
+    calls_.pop_front();
     RecordActivity();
     if (error || !keep_alive) {
       Close();
-    } else if (next_request_) {
-      DeliverRequest();
+      return;
     }
+    WriteNext();
+    DeliverNext();
   }
 
   tcp::socket socket_;
   server_state& state_;
   boost::beast::flat_buffer buffer_;
   std::optional<http::request_parser<http::string_body>> parser_;
-  std::optional<http::request<http::string_body>> next_request_;
-  http::response<http::string_body> response_;
-  call_id call_ = 0;
-  bool keep_alive_ = true;
+  std::optional<http::request<http::string_body>> next_request_;  ///< read, not delivered yet
+  http::response<http::string_body> response_;                    ///< being written
+  std::deque<open_call> calls_;                                   ///< in the order of their requests
+  bool writing_ = false;
+  bool closed_ = false;
   std::chrono::steady_clock::time_point last_activity_;
 };
 
@@ -225,7 +270,7 @@
       const std::map<call_id, std::weak_ptr<connection>>::node_type node = state_.calls.extract(call);
       const std::shared_ptr<connection> caller_connection = node.empty() ? nullptr : node.mapped().lock();
       if (caller_connection) {
-        caller_connection->Respond(std::move(response));
+        caller_connection->Respond(call, std::move(response));
       }
     });
   }
--- a/tests/end_to_end/platform_test.py
+++ b/tests/end_to_end/platform_test.py
@@ -213,6 +213,22 @@
             self.assertEqual(done, list(range(count)))
         self.assertEqual(overlapping_runs(self.fleet.platform_minions), [])
 
+    def test_a_cancel_that_follows_its_job_on_one_connection_takes_effect_at_once(self):
+        """Guards against a pipelined cancel that waits for the end of its job."""
+        ip, callers, _ = self.fleet.addresses["entry-1"]
+        path = QUEUE + "00000000000000ac"
+        body = json.dumps(job(work_ms=5000, count=2))
+        with socket.create_connection((ip, callers), timeout=4) as connection:
+            connection.sendall(f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nDeadline-Ms: 9000\r\n"
+                               f"Content-Length: {len(body)}\r\n\r\n{body}".encode())
+            wait_until(lambda: self.running("00000000000000ac") == 2, "its tasks")
+            connection.sendall(f"DELETE {path} HTTP/1.1\r\nHost: {HOST}\r\nConnection: close\r\n\r\n".encode())
+            answers = b"".join(iter(lambda: connection.recv(4096), b""))
+        first, second = answers.split(b"HTTP/1.1 200 OK")[1:]
+        self.assertIn(b'"cancelled"', first)
+        self.assertTrue(second.endswith(b"{}"), second)
+        wait_until(lambda: self.running("00000000000000ac") == 0, "the end of its tasks", 1)
+
     def test_a_start_whose_answer_is_lost_runs_once(self):
         """Guards against a second run of a task whose start request got no response."""
         for minion in self.fleet.platform_minions:
