Read durations in the settings as whole numbers or fractions

The platform may state a bound as a fraction. The templates wrote `grace_s` followed by 000, so 1.3 became 1.3000 and the process did not start, 0 became 000, and no value did too; a lease such as 800.5 ms was refused as no integer. The settings had integers of milliseconds only.

`grace_s` now replaces `grace_ms`, without arithmetic on text, and lease, grace period and announcement interval are read as numbers that may be fractions; a grace period of 0 is read, too. Without a value, the line number was that after the key.

--- a/src/service/settings.cc
+++ b/src/service/settings.cc
@@ -3,6 +3,7 @@
 #include <yaml-cpp/yaml.h>
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 #include "bamboowing/base/address.h"
@@ -10,6 +11,9 @@
 namespace bamboowing {
 namespace {
 
+constexpr duration kMillisecond = std::chrono::milliseconds(1);
+constexpr duration kSecond = std::chrono::seconds(1);
+
 /// Reads values from a YAML map and records which keys are known.
 class map_reader {
  public:
@@ -30,7 +34,7 @@
       return;
     }
     if (!node.IsScalar()) {
-      Report(key, node, "a list or map", "a string");
+      Report(key, node, Found(node), "a string");
       return;
     }
     out = node.Scalar();
@@ -57,8 +61,24 @@
       }
     } catch (const YAML::Exception&) {  // reported below together with values out of range
     }
-    Report(key, node, node.IsScalar() ? node.Scalar() : "a list or map",
-           "an integer from " + std::to_string(low) + " to " + std::to_string(high));
+    Report(key, node, Found(node), "an integer from " + std::to_string(low) + " to " + std::to_string(high));
+  }
+
+  /// Reads a number of @p unit, which may be a fraction. The bounds are multiples of @p unit.
+  void Duration(const std::string& key, duration& out, duration unit, std::int64_t low, std::int64_t high) {
+    const YAML::Node node = Get(key);
+    if (!node) {
+      return;
+    }
+    try {
+      const double value = node.as<double>();
+      if (value >= static_cast<double>(low) && value <= static_cast<double>(high)) {
+        out = duration(std::llround(value * static_cast<double>(unit.count())));
+        return;
+      }
+    } catch (const YAML::Exception&) {  // reported below together with values out of range
+    }
+    Report(key, node, Found(node), "a number from " + std::to_string(low) + " to " + std::to_string(high));
   }
 
   void OneOf(const std::string& key, std::string& out, const std::vector<std::string>& allowed, bool required) {
@@ -106,7 +126,11 @@
   }
 
   void Report(const std::string& key, const YAML::Node& where, std::string found, std::string allowed) {
-    const std::uint32_t line = where ? static_cast<std::uint32_t>(where.Mark().line + 1) : 0;
+    std::uint32_t line = where ? static_cast<std::uint32_t>(where.Mark().line + 1) : 0;
+    // The parser places a missing value on the line after its key.
+    if (where && where.IsNull()) {
+      line = LineOf(key).value_or(line);
+    }
     errors_.push_back({path_.empty() ? key : path_ + "." + key, line, std::move(found), std::move(allowed)});
   }
 
@@ -121,6 +145,22 @@
   }
 
  private:
+  std::optional<std::uint32_t> LineOf(const std::string& key) const {
+    for (const auto& item : map_) {
+      if (item.first.Scalar() == key) {
+        return static_cast<std::uint32_t>(item.first.Mark().line + 1);
+      }
+    }
+    return std::nullopt;
+  }
+
+  static std::string Found(const YAML::Node& node) {
+    if (node.IsNull()) {
+      return "no value";
+    }
+    return node.IsScalar() ? node.Scalar() : "a list or map";
+  }
+
   static bool IsAddress(const std::string& text) {
     failure malformed;
     return ParseEndpoint(text, malformed).has_value();
@@ -168,12 +208,6 @@
   agent.ReportUnknownKeys();
 }
 
-void ReadMilliseconds(map_reader& map, const std::string& key, duration& out, std::int64_t low, std::int64_t high) {
-  std::int64_t value = std::chrono::duration_cast<std::chrono::milliseconds>(out).count();
-  map.Integer(key, value, low, high);
-  out = std::chrono::milliseconds(value);
-}
-
 /// Reads the seed addresses and replaces each port by the port on which entries serve agents.
 void ReadSeeds(map_reader& map, daemon_settings& settings) {
   std::int64_t port = 0;
@@ -194,8 +228,8 @@
   best_effort.enabled = true;
   map_reader map(top.Map("best_effort"), "best_effort", errors);
   map.Address("store_address", settings.store_address, true);
-  ReadMilliseconds(map, "lease_ms", best_effort.lease, 100, 600'000);
-  ReadMilliseconds(map, "grace_ms", best_effort.grace, 100, 3'600'000);
+  map.Duration("lease_ms", best_effort.lease, kMillisecond, 100, 600'000);
+  map.Duration("grace_s", best_effort.grace, kSecond, 0, 3600);
   if (settings.role == daemon_role::kEntry) {
     map.Address("callers_address", best_effort.callers_address, true);
     map.Address("metrics_address", best_effort.metrics_address, false);
@@ -203,7 +237,7 @@
     map.Address("peers_address", settings.peers_address, true);
   } else {
     map.Address("announce_address", best_effort.announce_address, true);
-    ReadMilliseconds(map, "announcement_interval_ms", best_effort.announcement_interval, 100, 600'000);
+    map.Duration("announcement_interval_ms", best_effort.announcement_interval, kMillisecond, 100, 600'000);
     ReadSeeds(map, settings);
   }
   map.ReportUnknownKeys();
