--- a/include/bamboowing/besteffort/run_manager.h
+++ b/include/bamboowing/besteffort/run_manager.h
@@ -228,6 +228,7 @@
     bool target_update_pending = false;
     std::optional<instant> released_at;  ///< when the session became unneeded
     resource_amount reported_amount;     ///< committed amount in the newest report to the entry
+    std::uint64_t reported_starts = 0;   ///< number of received starts in the newest report to the entry
     std::size_t reported_unsettled = 0;  ///< number of unsettled runs in the newest report to the entry
     instant reported_at;
     std::uint64_t crash_revision_sent = 0;         ///< revision of the crash ledger that was sent in this session
@@ -362,6 +363,7 @@
   void StartWaitingRuns(instant now);
   /// Whether the run may start beside those that are at the target.
   bool FitsBesideOthers(const managed_run& run) const;
+  /// Whether a run is at a target, whatever it needs: runs may need nothing.
   bool HasRunsAtTarget() const;
   /// Committed amount as reported to the entries: the whole capacity while there is an exclusive run.
   resource_amount ReportedAmount() const;
@@ -393,7 +395,6 @@
   void SendReport(entry_session& session, owner& to, instant now);
   duration ReportInterval() const;
   bool ReportDue(const entry_session& session, const owner& to, instant now) const;
-  bool TargetHasRuns() const;
   /// Whether no request has been unanswered for `unresponsive_after`.
   bool TargetResponsive(instant now) const;
 
--- a/tests/besteffort/run_manager_test.cc
+++ b/tests/besteffort/run_manager_test.cc
@@ -175,6 +175,27 @@
   EXPECT_EQ(Results()[0].run_time, std::chrono::milliseconds(60));
 }
 
+// Guards against a run without needs that is taken for no run: its result was never read and its lease ran out.
+TEST_F(run_manager_fixture, PollsAndRenewsLeaseOfRunWithoutNeeds) {
+  run_requests requests;
+  requests.starts.push_back(Start("a"));
+  requests.starts[0].need = {};
+  SendRequests(requests);
+  ASSERT_EQ(ActionsOf<send_start_request>().size(), 1U);
+  manager.OnStartResponse(ActionsOf<send_start_request>()[0].request_id, {request_status::kAccepted, target_time(1001)},
+                          now);
+  actions.clear();
+  now += Settings().renew_after;
+  Step();
+  ASSERT_TRUE(HasAction<send_poll_request>());
+  EXPECT_TRUE(ActionsOf<send_poll_request>().back().request.lease_end);
+  poll_response answer;
+  answer.finished.push_back({1, {"a", 0, 0, 1}, target_outcome::kDone});
+  AnswerNewestPoll(5, answer);
+  ASSERT_EQ(Results().size(), 1U);
+  EXPECT_EQ(Results()[0].outcome, run_outcome::kDone);
+}
+
 TEST_F(run_manager_fixture, RejectsStartWithoutCapacityInTime) {
   run_requests requests;
   requests.starts = {Start("a"), Start("b")};
@@ -919,6 +940,25 @@
   EXPECT_EQ(UnsettledRuns(), std::vector<run_key>());
 }
 
+// As above, for a run without needs, which never changes the load.
+TEST_F(run_manager_fixture, ReportsAnsweredRunWithoutNeedsAsSettled) {
+  now += Settings().report_interval;
+  Step();
+  actions.clear();
+  run_requests requests;
+  requests.starts.push_back(Start("a"));
+  requests.starts[0].need = {};
+  requests.starts_sent = 1;
+  SendRequests(requests);
+  manager.OnStartResponse(ActionsOf<send_start_request>().back().request_id,
+                          {request_status::kAccepted, target_time(1001)}, now);
+  now += Settings().report_interval;
+  Step();
+  ASSERT_TRUE(HasAction<send_batch>());
+  EXPECT_EQ(ActionsOf<send_batch>().back().batch.runs.starts_received, 1U);
+  EXPECT_EQ(UnsettledRuns(), std::vector<run_key>());
+}
+
 // Guards against two runs of one task: a run that started longer ago than a request may be late is reported as lost
 // as soon as its target announces its end, while its lease is valid.
 TEST_F(run_manager_fixture, AnnouncedEndOfTargetDoesNotEndLongRun) {
--- a/tests/end_to_end/platform_test.py
+++ b/tests/end_to_end/platform_test.py
@@ -6,7 +6,9 @@
 import pathlib
 import signal
 import socket
+import subprocess
 import sys
+import tempfile
 import threading
 import time
 import unittest
@@ -93,7 +95,7 @@
             name, f"role: entry\nid: {name}\nfailure_domain: hobart\nbest_effort:\n"
                   f"  callers_address: {ip}:{callers}\n  readiness_address: {ip}:{readiness}\n"
                   f"  peers_address: {ip}:{self.peers_port}\n  store_address: {self.store_address()}\n"
-                  f"  metrics_address: {self.metrics[name]}\n  lease_ms: 1000\n  grace_ms: 6000\n")
+                  f"  metrics_address: {self.metrics[name]}\n  lease_ms: 1000\n  grace_s: 6\n")
         self.start(name, [BUILD / "platform/bamboowing_platform", "--config", settings])
 
     def start_platform_agent(self, name):
@@ -102,7 +104,7 @@
         self.write_settings(
             name, f"role: agent\nid: {name}\nfailure_domain: hobart\nbest_effort:\n"
                   f"  announce_address: 127.0.0.1:{announce}\n  seeds: [{seeds}]\n  peers_port: {self.peers_port}\n"
-                  f"  store_address: {self.store_address()}\n  lease_ms: 1000\n  grace_ms: 6000\n")
+                  f"  store_address: {self.store_address()}\n  lease_ms: 1000\n  grace_s: 6\n")
         self.launch_agent(name)
         self.platform_minions.append(self.minion_type(f"minion-{name}", SERVICE, f"127.0.0.1:{announce}"))
         self.connect_minion(self.platform_minions[-1])
@@ -201,6 +203,34 @@
         connection.close()
         wait_until(lambda: self.running("00000000000000a7") == 0, "the end of its tasks", 1)
 
+    def test_a_job_whose_tasks_request_nothing_completes(self):
+        """Guards against a job that runs again and again because its runs are not counted: its tasks take no capacity."""
+        for job_id, count, work_ms in (("00000000000000aa", 1, 60), ("00000000000000ab", 180, 1500)):
+            body = job(work_ms=work_ms, words="cpu=0 mem_mb=0")
+            body["steps"] = [{"count": count, "estimate_ms": work_ms}]
+            self.assertEqual(self.post(job_id, body, deadline_ms=6000), (200, {"state": "completed"}))
+            runs = [r for m in self.fleet.platform_minions for r in m.runs if r[0].startswith(job_id)]
+            # A start that a busy minion answers late is stopped and repeated, so a task may have an earlier, stopped run.
+            done = sorted(int(r[0].rsplit(".", 1)[1]) for r in runs if r[4] == "done")
+            self.assertEqual(done, list(range(count)))
+        self.assertEqual(overlapping_runs(self.fleet.platform_minions), [])
+
+    def test_a_cancel_that_follows_its_job_on_one_connection_takes_effect_at_once(self):
+        """Guards against a pipelined cancel that waits for the end of its job."""
+        ip, callers, _ = self.fleet.addresses["entry-1"]
+        path = QUEUE + "00000000000000ac"
+        body = json.dumps(job(work_ms=5000, count=2))
+        with socket.create_connection((ip, callers), timeout=4) as connection:
+            connection.sendall(f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nDeadline-Ms: 9000\r\n"
+                               f"Content-Length: {len(body)}\r\n\r\n{body}".encode())
+            wait_until(lambda: self.running("00000000000000ac") == 2, "its tasks")
+            connection.sendall(f"DELETE {path} HTTP/1.1\r\nHost: {HOST}\r\nConnection: close\r\n\r\n".encode())
+            answers = b"".join(iter(lambda: connection.recv(4096), b""))
+        first, second = answers.split(b"HTTP/1.1 200 OK")[1:]
+        self.assertIn(b'"cancelled"', first)
+        self.assertTrue(second.endswith(b"{}"), second)
+        wait_until(lambda: self.running("00000000000000ac") == 0, "the end of its tasks", 1)
+
     def test_a_start_whose_answer_is_lost_runs_once(self):
         """Guards against a second run of a task whose start request got no response."""
         for minion in self.fleet.platform_minions:
@@ -231,6 +261,50 @@
             for entry in self.fleet.addresses:
                 wait_until(lambda entry=entry: self.post("00000000000000b3", job(), entry)[0] == 200, "the old route")
 
+    def test_a_job_whose_route_is_removed_can_be_stopped(self):
+        """Guards against a cancel that is answered as only an older configuration allows, and against a job of a removed
+        route that its caller can't stop."""
+        ip, callers, _ = self.fleet.addresses["entry-1"]
+        path = QUEUE + "00000000000000b4"
+        connection = http.client.HTTPConnection(ip, callers)
+        connection.request("POST", path, json.dumps(job(work_ms=9000, count=2)), {"Host": HOST, "Deadline-Ms": "12000"})
+        other = concurrent.futures.ThreadPoolExecutor()
+        self.addCleanup(other.shutdown)
+        answer = other.submit(self.post, "00000000000000b6", job(work_ms=9000, count=2), deadline_ms=12000, timeout=15)
+        wait_until(lambda: self.running("00000000000000b4") == self.running("00000000000000b6") == 2, "their tasks")
+        self.fleet.kv.put_configuration(configuration(4, prefix="/moved/"))
+        try:
+            wait_until(lambda: self.fleet.ask("entry-1", "GET", path)[0] == 404, "the change", 2)
+            self.assertEqual(self.fleet.ask("entry-1", "DELETE", path)[0], 404)
+            self.assertEqual(self.running("00000000000000b4"), 2)
+            connection.sock.shutdown(socket.SHUT_RDWR)
+            connection.close()
+            wait_until(lambda: self.running("00000000000000b4") == 0, "the end of its tasks", 1)
+            self.assertEqual(self.fleet.ask("entry-1", "DELETE", "/moved/00000000000000b6")[0], 200)
+            self.assertEqual(answer.result(), (200, {"state": "cancelled"}))
+        finally:
+            self.fleet.kv.put_configuration(configuration(5))
+            for entry in self.fleet.addresses:
+                wait_until(lambda entry=entry: self.post("00000000000000b5", job(), entry)[0] == 200, "the old route")
+
+
+class UnreadableSettings(unittest.TestCase):
+
+    def test_a_process_with_an_unreadable_setting_ends_at_once_and_names_it(self):
+        """Guards against a process that starts with a default in place of the platform's value, or ends without a reason."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "boot.yaml"
+            for value, found in (("true", "true"), ("", "no value"), ("6s", "6s")):
+                path.write_text("role: entry\nid: a\nfailure_domain: hobart\nbest_effort:\n"
+                                "  callers_address: 127.0.0.1:1\n  readiness_address: 127.0.0.1:1\n"
+                                "  peers_address: 127.0.0.1:1\n  store_address: 127.0.0.1:1\n  lease_ms: 1000.5\n"
+                                f"  grace_s: {value}\n")
+                ended = subprocess.run([BUILD / "platform/bamboowing_platform"], capture_output=True, text=True, timeout=20,
+                                       env={"BAMBOOWING_SETTINGS": str(path)})
+                self.assertEqual(ended.returncode, 3, ended.stderr)
+                self.assertEqual(ended.stderr, f"{path}: settings line 10: best_effort.grace_s: found {found}, "
+                                               "expected a number from 0 to 3600\n")
+
 
 class Faults(unittest.TestCase):
     """Tests with faults; each test has a fleet of its own."""
