Let an agent without a target sleep until its next event

Cause: next_wakeup() took the time of the next fence poll while a start request without a response may still be executed and no poll is pending. SchedulePoll() sends such polls only to a lost or an idle target, and none without a target. The time then lay in the past, and the agent woke every millisecond for the rest of the 15 s.

Why it works: both use NeedsFencePolls(), so the agent wakes for a fence poll only if it will send one.

--- a/include/bamboowing/besteffort/run_manager.h
+++ b/include/bamboowing/besteffort/run_manager.h
@@ -278,6 +278,8 @@
   bool MayExecuteLateStart(instant now) const { return now < late_start_until_; }
   /// Whether the target is polled although it has no runs and refuses connections or is idle: its next incarnation must
   /// see a higher fencing token before it executes a late start request.
+  bool NeedsFencePolls(instant now) const;
+  /// Whether such a poll is due now.
   bool FencePollDue(instant now) const;
   static void MarkAccepted(managed_run& run, instant now);
   void HandleUnansweredStart(run_map::iterator run, instant now);
--- a/src/besteffort/run_manager_target.cc
+++ b/src/besteffort/run_manager_target.cc
@@ -120,9 +120,12 @@
 }
 
 bool run_manager::FencePollDue(instant now) const {
+  return NeedsFencePolls(now) && now - last_poll_at_ >= settings_.fence_poll_interval;
+}
+
+bool run_manager::NeedsFencePolls(instant now) const {
   const bool idle = phase_ == phase::kServing && !TargetHasRuns() && TargetResponsive(now);
-  return (phase_ == phase::kLost || idle) && MayExecuteLateStart(now) && pending_polls_.empty() &&
-         now - last_poll_at_ >= settings_.fence_poll_interval;
+  return (phase_ == phase::kLost || idle) && MayExecuteLateStart(now) && pending_polls_.empty();
 }
 
 void run_manager::ExpireUnleasedRuns(instant now) {
@@ -371,7 +374,7 @@
   if (capacity_known_) {
     next = std::min(next, capacity_known_at_ + settings_.max_capacity_age);
   }
-  if (MayExecuteLateStart(last_now_) && pending_polls_.empty()) {
+  if (NeedsFencePolls(last_now_)) {
     next = std::min(next, last_poll_at_ + settings_.fence_poll_interval);
   }
   for (const std::pair<const run_key, managed_run>& run : runs_) {
--- a/tests/besteffort/run_manager_test.cc
+++ b/tests/besteffort/run_manager_test.cc
@@ -1030,6 +1030,30 @@
   EXPECT_LT(rounds, 100);
 }
 
+// Guards against an agent that wakes every millisecond for up to 15 s: a start request has no response, another target
+// answers at the address, and none has announced itself since.
+TEST_F(run_manager_fixture, ReplacedTargetDoesNotKeepAgentBusy) {
+  StartAcceptedByRepeatedRequest("a");
+  poll_response replaced;
+  replaced.status = request_status::kOtherIncarnation;
+  manager.OnPollResponse(ActionsOf<send_poll_request>().back().request_id, replaced, now);
+  Step();
+  ASSERT_FALSE(manager.accepting());
+  actions.clear();
+  const instant from = now;
+  int rounds = 0;
+  while (now - from < std::chrono::seconds(1)) {
+    now = *manager.next_wakeup();
+    Step();
+    for (const open_session& open : ActionsOf<open_session>()) {
+      manager.OnSessionClosed(open.address, "refused", now);
+    }
+    actions.clear();
+    ++rounds;
+  }
+  EXPECT_LT(rounds, 100);
+}
+
 // Guards against a target that gets no starts and no lease renewals for 15 s: a run of the target before it is kept,
 // and the entry of that run has ended.
 TEST_F(run_manager_fixture, RunOfReplacedTargetAndEndedEntryDoesNotBlockLeases) {
