--- /dev/null
+++ b/tests/besteffort/claim_registry_test.cc
@@ -0,0 +1,182 @@
+#include "bamboowing/besteffort/claim_registry.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace bamboowing {
+namespace {
+
+constexpr duration kRunEndLimit = std::chrono::milliseconds(1200);
+constexpr duration kRetention = std::chrono::seconds(15);
+constexpr duration kHold = std::chrono::seconds(60);
+constexpr const char* kOne = "10.0.0.1:7000";
+constexpr const char* kOther = "10.0.0.2:7000";
+
+class claim_registry_test : public testing::Test {
+ protected:
+  claim_answer Claim(const std::string& holder, incarnation_id process, std::uint64_t number,
+                     const std::string& job = "job") {
+    return registry.Claim(holder, process, {job, number, kHold}, now);
+  }
+  claim_verdict Verdict(const std::string& holder, incarnation_id process, std::uint64_t number) {
+    return Claim(holder, process, number).verdict;
+  }
+  void Release(const std::string& holder, incarnation_id process, std::uint64_t number, claim_end end,
+               const std::string& job = "job") {
+    registry.Release(holder, process, {job, number, end}, now);
+  }
+
+  claim_registry registry{kRunEndLimit, kRetention};
+  instant now{std::chrono::seconds(1000)};
+};
+
+// Guards against two entries that hold a job, and against a denial that does not say who holds it.
+TEST_F(claim_registry_test, GrantsJobToOneEntry) {
+  const claim_answer granted = Claim(kOne, 1, 7);
+  EXPECT_EQ(granted.job_id, "job");
+  EXPECT_EQ(granted.number, 7U);
+  EXPECT_EQ(granted.verdict, claim_verdict::kGranted);
+  EXPECT_EQ(granted.holder, "");
+  const claim_answer denied = Claim(kOther, 2, 9);
+  EXPECT_EQ(denied.number, 9U);
+  EXPECT_EQ(denied.verdict, claim_verdict::kHeld);
+  EXPECT_EQ(denied.holder, kOne);
+  EXPECT_EQ(Claim(kOther, 2, 10, "other job").verdict, claim_verdict::kGranted);
+}
+
+// Guards against a repeated request, after a lost reply, that denies an entry its own claim.
+TEST_F(claim_registry_test, GrantsRepeatedClaimOfSameProcess) {
+  EXPECT_EQ(Verdict(kOne, 1, 7), claim_verdict::kGranted);
+  EXPECT_EQ(Verdict(kOne, 1, 7), claim_verdict::kGranted);
+  EXPECT_EQ(Verdict(kOne, 1, 8), claim_verdict::kGranted);
+}
+
+// Guards against a claim that outlives the time for which it was made, e.g. after a lost release.
+TEST_F(claim_registry_test, ClaimEndsAfterItsHoldTime) {
+  Claim(kOne, 1, 1);
+  now += kHold - duration(1);
+  EXPECT_EQ(Verdict(kOther, 2, 1), claim_verdict::kHeld);
+  now += duration(1);
+  EXPECT_EQ(Verdict(kOther, 2, 2), claim_verdict::kGranted);
+}
+
+// Guards against a job that no entry can run after its holder has released it.
+TEST_F(claim_registry_test, ReleasedJobIsGrantedToAnotherEntry) {
+  Claim(kOne, 1, 1);
+  Release(kOne, 1, 1, claim_end::kReleased);
+  EXPECT_EQ(Verdict(kOther, 2, 1), claim_verdict::kGranted);
+  EXPECT_EQ(Verdict(kOne, 1, 2), claim_verdict::kHeld);
+}
+
+// Guards against a release by an entry, a process or a number that does not hold the job.
+TEST_F(claim_registry_test, OnlyTheHolderReleases) {
+  Claim(kOne, 2, 5);
+  Release(kOther, 3, 9, claim_end::kReleased);
+  Release(kOne, 1, 9, claim_end::kReleased);
+  Release(kOne, 2, 4, claim_end::kReleased);
+  EXPECT_EQ(Verdict(kOther, 3, 10), claim_verdict::kHeld);
+  Release(kOne, 2, 6, claim_end::kReleased);
+  EXPECT_EQ(Verdict(kOther, 3, 11), claim_verdict::kGranted);
+}
+
+// Guards against a claim that its release has overtaken on another connection: nobody would release it again.
+TEST_F(claim_registry_test, OutdatedClaimIsNotRecorded) {
+  Release(kOne, 1, 3, claim_end::kReleased);
+  EXPECT_EQ(Verdict(kOne, 1, 2), claim_verdict::kUndecided);
+  EXPECT_EQ(Verdict(kOne, 1, 3), claim_verdict::kUndecided);
+  EXPECT_EQ(Verdict(kOther, 2, 1), claim_verdict::kGranted);
+  Release(kOther, 2, 1, claim_end::kReleased);
+  EXPECT_EQ(Verdict(kOne, 1, 4), claim_verdict::kGranted);
+  EXPECT_EQ(Verdict(kOne, 1, 3), claim_verdict::kUndecided) << "overtaken by a newer claim";
+}
+
+// Guards against a copy of a completed job that runs again, or that is refused for ever.
+TEST_F(claim_registry_test, CompletedJobIsKnownForRetention) {
+  Claim(kOne, 1, 1);
+  Release(kOne, 1, 1, claim_end::kCompleted);
+  now += kRetention - duration(1);
+  EXPECT_EQ(Verdict(kOther, 2, 1), claim_verdict::kCompleted);
+  EXPECT_EQ(Verdict(kOne, 1, 2), claim_verdict::kCompleted);
+  now += duration(1);
+  EXPECT_EQ(Verdict(kOther, 2, 2), claim_verdict::kGranted);
+}
+
+// Guards against a job that runs again while an earlier request may start its tasks, also if another entry holds it or
+// releases it later.
+TEST_F(claim_registry_test, NotRepeatableJobIsNotGranted) {
+  Claim(kOther, 2, 1);
+  Release(kOne, 1, 1, claim_end::kNotRepeatable);
+  EXPECT_EQ(Verdict(kOther, 2, 2), claim_verdict::kNotRepeatable);
+  Release(kOther, 2, 3, claim_end::kReleased);
+  Release(kOther, 2, 3, claim_end::kCompleted);
+  EXPECT_EQ(Verdict(kOther, 2, 4), claim_verdict::kNotRepeatable);
+  now += kRetention;
+  EXPECT_EQ(Verdict(kOther, 2, 5), claim_verdict::kGranted);
+}
+
+// Guards against runs of a killed process that overlap with those of the next holder, and against a job that stays held
+// by a process that has ended.
+TEST_F(claim_registry_test, ClaimOfEndedProcessEndsWithItsRuns) {
+  Claim(kOne, 1, 1);
+  registry.OnProcessEnded(kOther, now);
+  registry.OnProcessEnded(kOne, now);
+  now += kRunEndLimit - duration(1);
+  EXPECT_EQ(Verdict(kOther, 2, 1), claim_verdict::kHeld);
+  now += duration(1);
+  EXPECT_EQ(Verdict(kOther, 2, 2), claim_verdict::kGranted);
+}
+
+// Guards against a successor of the holder's process that starts tasks beside those of its predecessor, or that ends
+// its own claims with each message.
+TEST_F(claim_registry_test, SuccessorWaitsForRunsOfItsPredecessor) {
+  registry.OnProcess(kOne, 1, now);
+  Claim(kOne, 1, 9);
+  registry.OnProcess(kOne, 1, now);
+  now += std::chrono::seconds(2);
+  EXPECT_EQ(Verdict(kOther, 3, 1), claim_verdict::kHeld) << "the same process is still running";
+  registry.OnProcess(kOne, 2, now);
+  const claim_answer denied = Claim(kOne, 2, 1);
+  EXPECT_EQ(denied.verdict, claim_verdict::kHeld);
+  EXPECT_EQ(denied.holder, kOne);
+  now += kRunEndLimit;
+  EXPECT_EQ(Verdict(kOne, 2, 2), claim_verdict::kGranted);
+  registry.OnProcess(kOne, 2, now);
+  now += kRunEndLimit;
+  EXPECT_EQ(Verdict(kOther, 3, 2), claim_verdict::kHeld);
+}
+
+// Guards against a bound of the records that removes held ones, whose jobs may have active runs, before ended ones.
+TEST_F(claim_registry_test, HeldRecordsAreKeptLongest) {
+  constexpr std::size_t kHeldRecords = 8;
+  for (std::size_t i = 0; i < kHeldRecords; ++i) {
+    Claim(kOne, 1, i, "held" + std::to_string(i));
+  }
+  for (std::size_t i = kHeldRecords; i < claim_registry::kMaxRecords + 50; ++i) {
+    // Ended records expire after the held ones and go first nevertheless.
+    now += duration(10'000);
+    Release(kOne, 1, i, claim_end::kCompleted, "ended" + std::to_string(i));
+  }
+  EXPECT_EQ(registry.size(), claim_registry::kMaxRecords);
+  now = instant(std::chrono::seconds(1001));
+  for (std::size_t i = 0; i < kHeldRecords; ++i) {
+    EXPECT_EQ(Claim(kOther, 2, 1, "held" + std::to_string(i)).verdict, claim_verdict::kHeld) << i;
+  }
+  EXPECT_EQ(Claim(kOther, 2, 1, "ended" + std::to_string(kHeldRecords)).verdict, claim_verdict::kGranted);
+}
+
+// Guards against records that stay for ever, and against held ones that expire early.
+TEST_F(claim_registry_test, ExpireRemovesRecordsWhoseTimeHasPassed) {
+  Claim(kOne, 1, 1, "held");
+  Release(kOne, 1, 2, claim_end::kCompleted, "ended");
+  now += kRetention;
+  registry.Expire(now);
+  EXPECT_EQ(registry.size(), 1U);
+  EXPECT_EQ(Claim(kOther, 2, 1, "held").verdict, claim_verdict::kHeld);
+  now += kHold;
+  registry.Expire(now);
+  EXPECT_EQ(registry.size(), 0U);
+}
+
+}  // namespace
+}  // namespace bamboowing
