Test the encoding of claims between entries

Guards against fields of claim_request and claim_reply that are lost between entries, and against claim_end and claim_verdict values past the last one that this build knows.

--- a/tests/wire/codec_test.cc
+++ b/tests/wire/codec_test.cc
@@ -245,5 +245,83 @@
   EXPECT_FALSE(Read(reply.asReader()));
 }
 
+// Guards against a field of a claim that is lost between entries: a job would get two holders or none.
+TEST(Codec, ClaimRequestKeepsEveryField) {
+  claim_request request;
+  request.address = "10.0.0.1:7000";
+  request.incarnation = 5;
+  request.releases = {{"ended", 6, claim_end::kCompleted},
+                      {"released", 7, claim_end::kReleased},
+                      {"late", 8, claim_end::kNotRepeatable}};
+  request.claims = {{"job", 9, duration(1000)}, {"other", 10, duration(2000)}};
+  request.fetch_claims = true;
+  const std::optional<claim_request> copy = RoundTrip<rpc::ClaimRequest>(request);
+  ASSERT_TRUE(copy);
+  EXPECT_EQ(copy->address, request.address);
+  EXPECT_EQ(copy->incarnation, 5U);
+  ASSERT_EQ(copy->releases.size(), request.releases.size());
+  for (std::size_t i = 0; i < request.releases.size(); ++i) {
+    EXPECT_EQ(copy->releases[i].job_id, request.releases[i].job_id);
+    EXPECT_EQ(copy->releases[i].number, request.releases[i].number);
+    EXPECT_EQ(copy->releases[i].end, request.releases[i].end);
+  }
+  ASSERT_EQ(copy->claims.size(), request.claims.size());
+  for (std::size_t i = 0; i < request.claims.size(); ++i) {
+    EXPECT_EQ(copy->claims[i].job_id, request.claims[i].job_id);
+    EXPECT_EQ(copy->claims[i].number, request.claims[i].number);
+    EXPECT_EQ(copy->claims[i].hold, request.claims[i].hold);
+  }
+  EXPECT_TRUE(copy->fetch_claims);
+  request.fetch_claims = false;
+  const std::optional<claim_request> without_fetch = RoundTrip<rpc::ClaimRequest>(request);
+  EXPECT_TRUE(without_fetch && !without_fetch->fetch_claims);
+}
+
+// Guards against a verdict or a held claim that is lost or changed on its way to the claimant.
+TEST(Codec, ClaimReplyKeepsEveryField) {
+  claim_reply reply;
+  reply.incarnation = 11;
+  reply.answers = {{"a", 1, claim_verdict::kGranted, ""},
+                   {"b", 2, claim_verdict::kHeld, "10.0.0.2:7000"},
+                   {"c", 3, claim_verdict::kCompleted, ""},
+                   {"d", 4, claim_verdict::kNotRepeatable, ""},
+                   {"e", 5, claim_verdict::kUndecided, ""}};
+  reply.held = {{"job", 12, duration(3000)}};
+  const std::optional<claim_reply> copy = RoundTrip<rpc::ClaimReply>(reply);
+  ASSERT_TRUE(copy);
+  EXPECT_EQ(copy->incarnation, 11U);
+  ASSERT_EQ(copy->answers.size(), reply.answers.size());
+  for (std::size_t i = 0; i < reply.answers.size(); ++i) {
+    EXPECT_EQ(copy->answers[i].job_id, reply.answers[i].job_id);
+    EXPECT_EQ(copy->answers[i].number, reply.answers[i].number);
+    EXPECT_EQ(copy->answers[i].verdict, reply.answers[i].verdict);
+    EXPECT_EQ(copy->answers[i].holder, reply.answers[i].holder);
+  }
+  ASSERT_EQ(copy->held.size(), 1U);
+  EXPECT_EQ(copy->held[0].job_id, "job");
+  EXPECT_EQ(copy->held[0].number, 12U);
+  EXPECT_EQ(copy->held[0].hold, duration(3000));
+}
+
+// Guards against an end or a verdict of a newer or faulty entry that is taken as one that this build knows.
+TEST(Codec, RefusesClaimValuesOutOfRange) {
+  constexpr std::uint8_t kPastLastEnd = static_cast<std::uint8_t>(claim_end::kNotRepeatable) + 1;
+  constexpr std::uint8_t kPastLastVerdict = static_cast<std::uint8_t>(claim_verdict::kUndecided) + 1;
+  capnp::MallocMessageBuilder arena;
+  rpc::ClaimRequest::Builder request = arena.initRoot<rpc::ClaimRequest>();
+  rpc::ClaimRelease::Builder release = request.initReleases(1)[0];
+  for (const std::uint8_t end : {kPastLastEnd, std::uint8_t{255}}) {
+    release.setEnd(end);
+    EXPECT_FALSE(Read(request.asReader())) << static_cast<int>(end);
+  }
+  capnp::MallocMessageBuilder other;
+  rpc::ClaimReply::Builder reply = other.initRoot<rpc::ClaimReply>();
+  rpc::ClaimAnswer::Builder answer = reply.initAnswers(1)[0];
+  for (const std::uint8_t verdict : {kPastLastVerdict, std::uint8_t{255}}) {
+    answer.setVerdict(verdict);
+    EXPECT_FALSE(Read(reply.asReader())) << static_cast<int>(verdict);
+  }
+}
+
 }  // namespace
 }  // namespace bamboowing
