Test jobs whose submissions are copied to several entries

copied_cluster (4 entries, 5 targets) and copied_large_cluster (12 entries, 40 targets in 4 domains) guard against copies of a submission that start tasks which run at another entry, jobs that are refused although they ran, callers without an answer, and claims that are not released. Copies arrive 0 to 3 s late at any entry; entries are killed, frozen, suspended and separated from each other and from agents, and agents are killed. Each check is a test of its own, so that a known failure of one hides no other. The caller and the checks of cluster_test.cc move to retrying_caller.h.

Traced causes: - A copy at the entry that has the job open takes the place of the first call, which gets no answer (OnSubmit). When the copy's connection ends, the job is stopped. A restarted registrar fetches only the claims of the entries that run, not those of a killed holder whose runs are active.

--- a/tests/besteffort/cluster_test.cc
+++ b/tests/besteffort/cluster_test.cc
@@ -2,11 +2,8 @@
 // runs, and each job is answered once. Each seed generates its own sequence of faults.
 #include <gtest/gtest.h>
 
-#include <cstdlib>
-#include <iostream>
-#include <map>
-
 #include "cluster_sim.h"
+#include "retrying_caller.h"
 
 namespace bamboowing {
 namespace {
@@ -16,8 +13,6 @@
 constexpr std::size_t kTargets = 5;
 constexpr std::size_t kManyTargets = 14;
 
-std::string JobId(int number) { return "job" + std::to_string(number); }
-
 void InjectFault(cluster_sim& sim, std::size_t entries, std::size_t targets) {
   seeded_random& random = sim.random();
   const std::size_t entry = random.Below(entries);
@@ -69,11 +64,7 @@
 
 void RunWithRandomFaults(std::size_t entries, std::size_t targets, int seed) {
   cluster_sim sim(entries, targets, static_cast<std::uint64_t>(seed));
-  if (std::getenv("CLUSTER_TRACE") != nullptr) {
-    sim.trace = [&sim](const std::string& line) {
-      std::cout << sim.now().time_since_epoch().count() / 1000 << " " << line << "\n";
-    };
-  }
+  TraceIfWanted(sim);
   sim.faults.late_requests = seed % 3 == 0 ? 0.06 : 0;
   sim.faults.lost_polls = sim.faults.late_requests;
   sim.RunFor(std::chrono::seconds(2));
@@ -105,13 +96,6 @@
   }
 }
 
-/// End of the range of seeds of the fault groups; a longer one is set by CLUSTER_SEEDS.
-int LastSeed() {
-  constexpr int kSeeds = 20;
-  const char* const seeds = std::getenv("CLUSTER_SEEDS");
-  return 1 + (seeds == nullptr ? kSeeds : std::atoi(seeds));
-}
-
 /// Kinds of faults beyond those of InjectFault().
 enum class fault_group : std::uint8_t {
   kRestarts,       ///< targets restart under their id, and requests are slow or executed late
@@ -153,46 +137,6 @@
   }
 }
 
-/// Submits a job and, like a caller, submits it again at any entry after it was not answered.
-class retrying_caller {
- public:
-  retrying_caller(cluster_sim& sim, std::size_t entries) : sim_(sim), entries_(entries) {}
-
-  void Submit(std::size_t entry, const std::string& id, int work_ms, int submissions = kMaxSubmissions) {
-    const std::size_t job = sim_.Submit(entry, id, 3, work_ms);
-    Watch(job, submissions - 1);
-  }
-
- private:
-  static constexpr int kMaxSubmissions = 3;
-  static constexpr duration kCheckInterval = std::chrono::milliseconds(10);
-  static constexpr duration kAnswerTimeout = std::chrono::milliseconds(4000);
-  static constexpr duration kRetransmitDelay = std::chrono::milliseconds(1300);
-
-  void Watch(std::size_t job, int submissions_left) {
-    sim_.After(kCheckInterval, [this, job, submissions_left] {
-      const sim_job watched = sim_.jobs()[job];
-      const bool timed_out = !watched.verdict && !watched.caller_gone && sim_.now() - watched.sent >= kAnswerTimeout;
-      if (timed_out) {
-        sim_.DisconnectCaller(job);
-      }
-      // The platform answers both verdicts with 504, after which callers submit again.
-      const bool abandoned = watched.verdict == job_verdict::kUnknown || watched.verdict == job_verdict::kNotRepeatable;
-      const bool unanswered = abandoned || watched.caller_gone || timed_out;
-      if (unanswered && submissions_left > 0) {
-        sim_.After(kRetransmitDelay, [this, watched, submissions_left] {
-          Submit(sim_.random().Below(entries_), watched.id, watched.work_ms, submissions_left);
-        });
-      } else if (!unanswered && !watched.verdict) {
-        Watch(job, submissions_left);
-      }
-    });
-  }
-
-  cluster_sim& sim_;
-  std::size_t entries_;
-};
-
 void InjectKill(cluster_sim& sim, std::size_t entries, std::size_t agent, duration time) {
   sim.KillEntry(sim.random().Below(entries), time / 4);
   sim.After(duration(sim.random().Below(700'000)), [&sim, agent, time] {
@@ -249,37 +193,9 @@
   }
 }
 
-/// Ids of jobs of which each submission was refused although a task ran.
-std::vector<std::string> RefusedJobsThatRan(const cluster_sim& sim) {
-  std::map<std::string, bool> refused;
-  for (const sim_job& job : sim.jobs()) {
-    const bool now_refused = job.verdict == job_verdict::kRefused;
-    refused[job.id] = now_refused && (refused.count(job.id) == 0 || refused[job.id]);
-  }
-  std::vector<std::string> found;
-  for (const run_record& run : sim.history()) {
-    if (refused[run.key.job_id]) {
-      found.push_back(run.key.job_id);
-    }
-  }
-  return found;
-}
-
-/// Work of a task in milliseconds. Some tasks outlast the time after which a caller submits its job again.
-int WorkOf(int job) {
-  if (job % 40 == 4) {
-    return 2500;
-  }
-  return job % 8 == 0 ? 900 : 60;
-}
-
 void RunWithFaultGroup(fault_group group, int seed) {
   cluster_sim sim(kEntries, kTargets, static_cast<std::uint64_t>(seed));
-  if (std::getenv("CLUSTER_TRACE") != nullptr) {
-    sim.trace = [&sim](const std::string& line) {
-      std::cout << sim.now().time_since_epoch().count() / 1000 << " " << line << "\n";
-    };
-  }
+  TraceIfWanted(sim);
   retrying_caller caller(sim, kEntries);
   // The clocks of the targets show more than a late request takes.
   sim.RunFor(std::chrono::seconds(15));
