--- a/tests/besteffort/cluster_sim.cc
+++ b/tests/besteffort/cluster_sim.cc
@@ -97,7 +97,7 @@
 }
 
 void cluster_sim::SendClaims(std::size_t entry, const send_claim_request& send) {
-  ++claim_requests;
+  Count(send.request);
   entries_[entry]->exchanges.insert(send.exchange);
   const std::size_t to = *EntryAt(send.address);
   const incarnation_id sender = entries_[entry]->entry_incarnation;
@@ -120,6 +120,9 @@
 
 void cluster_sim::ReplyToClaims(std::size_t entry, std::size_t from, std::uint64_t exchange,
                                 std::optional<claim_reply> reply) {
+  if (reply) {
+    Count(*reply);
+  }
   const incarnation_id receiver = entries_[entry]->entry_incarnation;
   After(PeerDelay(from, entry), [this, entry, exchange, receiver, reply = std::move(reply)] {
     entry_node& node = *entries_[entry];
--- a/tests/besteffort/cluster_sim.h
+++ b/tests/besteffort/cluster_sim.h
@@ -76,6 +76,13 @@
   bool caller_gone = false;  ///< the caller disconnected, or its entry was killed
 };
 
+/// Traffic for claims between entries.
+struct claim_counts {
+  std::size_t with_claims = 0;    ///< requests with a claim
+  std::size_t releases_only = 0;  ///< requests with releases and without a claim
+  std::size_t bytes = 0;          ///< rough size of all requests and replies
+};
+
 /// Runs the decision cores of a small deployment in one thread.
 class cluster_sim {
  public:
@@ -132,9 +139,10 @@
   sim_faults faults;
   duration deadly_delay = std::chrono::milliseconds(20);  ///< time from the start of a deadly task to the crash
   duration deadly_down = std::chrono::seconds(3);         ///< how long its target is away
-  std::function<void(std::size_t target)> on_crash;    ///< called when a deadly task crashes its target; may be empty
-  std::size_t reports = 0;                             ///< number of batches sent by agents
-  std::size_t claim_requests = 0;                      ///< number of requests between entries
+  std::function<void(std::size_t target)> on_crash;  ///< called when a deadly task crashes its target; may be empty
+  std::size_t reports = 0;                           ///< number of batches sent by agents
+  std::size_t claim_requests = 0;                    ///< number of requests between entries
+  claim_counts claim_traffic;
   std::function<void(const std::string& line)> trace;  ///< receives decisions, requests and faults; may be empty
 
   /// Number of open sessions of an agent.
@@ -204,6 +212,8 @@
   void SendClaims(std::size_t entry, const send_claim_request& send);
   /// Delivers the reply to a request for claims, unless the entry has given it up.
   void ReplyToClaims(std::size_t entry, std::size_t from, std::uint64_t exchange, std::optional<claim_reply> reply);
+  void Count(const claim_request& request);
+  void Count(const claim_reply& reply);
   duration PeerDelay(std::size_t one, std::size_t other);
   void OpenSession(std::size_t agent, const std::string& address);
   void CloseSession(std::size_t entry, std::size_t agent, bool notify_entry, bool notify_agent);
--- a/tests/besteffort/cluster_sim_inputs.cc
+++ b/tests/besteffort/cluster_sim_inputs.cc
@@ -7,6 +7,10 @@
 namespace bamboowing {
 namespace {
 
+// Rough sizes, in bytes, of a message without its items and of an item without its texts.
+constexpr std::size_t kMessageSize = 80;
+constexpr std::size_t kItemSize = 40;
+
 std::string Describe(const run_record& run) {
   const auto ms = [](instant at) { return std::to_string(at.time_since_epoch().count() / 1000); };
   return "attempt " + std::to_string(run.key.attempt) + " on " + run.target + " from " + ms(run.started_at) + " to " +
@@ -189,6 +193,29 @@
   agents_[target]->target->SetCapacity(capacity, now_);
 }
 
+void cluster_sim::Count(const claim_request& request) {
+  ++claim_requests;
+  claim_traffic.with_claims += request.claims.empty() ? 0 : 1;
+  claim_traffic.releases_only += request.claims.empty() && !request.releases.empty() ? 1 : 0;
+  claim_traffic.bytes += kMessageSize + request.address.size();
+  for (const claim_release& release : request.releases) {
+    claim_traffic.bytes += kItemSize + release.job_id.size();
+  }
+  for (const job_claim& claim : request.claims) {
+    claim_traffic.bytes += kItemSize + claim.job_id.size();
+  }
+}
+
+void cluster_sim::Count(const claim_reply& reply) {
+  claim_traffic.bytes += kMessageSize;
+  for (const claim_answer& answer : reply.answers) {
+    claim_traffic.bytes += kItemSize + answer.job_id.size() + answer.holder.size();
+  }
+  for (const job_claim& claim : reply.held) {
+    claim_traffic.bytes += kItemSize + claim.job_id.size();
+  }
+}
+
 std::vector<std::string> cluster_sim::OvercommittedStarts() const {
   std::vector<std::string> found;
   for (const std::unique_ptr<agent_node>& agent : agents_) {
