--- a/include/bamboowing/besteffort/job_claims.h
+++ b/include/bamboowing/besteffort/job_claims.h
@@ -47,8 +47,8 @@
   std::uint64_t exchange = 0;
 };
 
-/// A claim was decided: granted, or ended by what is known of the job. kHeld or kUndecided follow only after kGranted:
-/// another entry has the job as well, or the claim is to be confirmed before a further task is started.
+/// A claim was decided: granted, or ended by what is known of the job. After kGranted, kUndecided means that the claim
+/// is to be confirmed before a further task is started, and kHeld that another entry has the job meanwhile.
 struct claim_decided {
   std::string job_id;
   claim_verdict verdict = claim_verdict::kUndecided;
--- a/src/besteffort/job_claims.cc
+++ b/src/besteffort/job_claims.cc
@@ -166,10 +166,13 @@
 }
 
 void job_claims::Decide(const std::string& job_id, open_claim& claim, instant now) {
+  if (claim.decided) {
+    return;
+  }
   bool held = false;
   for (const std::pair<const std::string, std::optional<claim_verdict>>& item : claim.registrars) {
     const bool final = item.second == claim_verdict::kCompleted || item.second == claim_verdict::kNotRepeatable;
-    if (final && !claim.decided) {
+    if (final) {
       claim.decided = true;
       actions_.emplace_back(claim_decided{job_id, *item.second});
       return;
@@ -185,7 +188,7 @@
     Withdraw(job_id, claim, now);
     return;
   }
-  if (!claim.decided && HasMajority(job_id, claim)) {
+  if (HasMajority(job_id, claim)) {
     claim.granted = true;
     claim.decided = true;
     actions_.emplace_back(claim_decided{job_id, claim_verdict::kGranted});
