--- a/include/bamboowing/besteffort/dispatch_core.h
+++ b/include/bamboowing/besteffort/dispatch_core.h
@@ -290,7 +290,7 @@
   void RecordRunResult(open_job& job, const job_task& task, const dispatched_run& ended, const run_result& end,
                        fleet_target& from);
   void RecordFailure(open_job& job, fleet_target& on, instant now);
-  void Answer(open_job& job, job_verdict verdict, std::optional<failure> error);
+  void Answer(open_job& job, job_verdict verdict, const std::optional<failure>& error);
   void LogAnswer(const open_job& job, job_verdict verdict, const std::optional<failure>& error);
   void StopRuns(const open_job& job, instant now);
   void SendStop(const run_key& key, dispatched_run& run);
--- a/src/besteffort/dispatch_core.cc
+++ b/src/besteffort/dispatch_core.cc
@@ -294,7 +294,7 @@
       }));
 }
 
-void dispatch_core::Answer(open_job& job, job_verdict verdict, std::optional<failure> error) {
+void dispatch_core::Answer(open_job& job, job_verdict verdict, const std::optional<failure>& error) {
   if (job.answered) {
     return;
   }
