--- a/include/bamboowing/besteffort/dispatch_core.h
+++ b/include/bamboowing/besteffort/dispatch_core.h
@@ -38,7 +38,8 @@
   /// Upper bound of the time from sending a start request to its execution by a later incarnation of the target, as at
   /// the agents.
   duration max_request_delay{15'000'000};
-  /// Time from the end of an entry's process until its agents have ended its runs.
+  /// Time from the end of an entry's process until its agents have ended its runs: the longest lease after their last
+  /// contact with it, 1,150 ms, and a margin.
   duration run_end_limit{1'200'000};
   duration loss_margin{150'000};  ///< added to owner_timeout and lease before the runs of a lost agent count as ended
   /// How long a start may wait at the agent for capacity that was expected to be free. The agent returns it at once if
--- a/include/bamboowing/besteffort/job_claims.h
+++ b/include/bamboowing/besteffort/job_claims.h
@@ -22,12 +22,14 @@
 struct job_claims_settings {
   std::string address;  ///< at which other entries reach this one; empty if there are no others
   incarnation_id own_incarnation = 0;
-  /// Time from the end of an entry's process until none of its runs is active.
+  /// Time from the end of an entry's process until none of its runs is active; see dispatch_core_settings.
   duration run_end_limit{1'200'000};
   /// How long it is known that a job has completed or is not repeatable. A copy of its submission that arrives within
   /// this time starts nothing.
   duration retention{15'000'000};
-  duration answer_limit{500'000};   ///< a registrar that has not answered for this long is replaced by another one
+  /// An entry that has not answered for this long is passed over. It is shorter than the time after which agents end
+  /// the runs of a silent entry, so that callers of the others wait less.
+  duration answer_limit{500'000};
   duration retry_interval{40'000};  ///< until a claim that was denied or not decided is repeated for the first time
   duration max_retry_interval{320'000};
   duration probe_interval{250'000};  ///< between requests to an unreachable entry
@@ -130,8 +132,8 @@
     int failed_exchanges = 0;           ///< successive requests that failed with their connections
     std::uint64_t failed_exchange = 0;  ///< last request sent before the newest of them failed
     int open_exchanges = 0;             ///< requests without a reply
-    bool check = false;                 ///< whether its process runs is to be checked by a request
-    std::vector<std::string> claims;    ///< ids of jobs to be claimed with the next request
+    bool check = false;               ///< a request is due although there is nothing to send, to see whether it answers
+    std::vector<std::string> claims;  ///< ids of jobs to be claimed with the next request
     std::vector<claim_release> releases;
     instant oldest_release;
     instant next_probe;
@@ -157,7 +159,7 @@
   void OnAnswer(const std::string& address, const claim_answer& answer, instant now);
   /// Records which other entry holds a job that this one has claimed.
   void NoteHolder(const std::string& job_id, open_claim& claim, const std::string& holder);
-  /// A registrar has denied a claim of another entry for the sake of this one, whose process may have ended.
+  /// A claim was denied because of this holder, whose process may have ended. Sends it a request to find out.
   void CheckHolder(const std::string& holder);
   /// Decides the claim if the answers suffice.
   void Decide(const std::string& job_id, open_claim& claim, instant now);
