--- a/review/deployment_2.py
+++ b/review/deployment_2.py
@@ -38,13 +38,27 @@
     """The case could not be carried out, so that it says nothing about the rule."""
 
 
+# The machines of a deployment, also those that a case adds.
+ADDRESSES = [f"127.0.0.{i}" for i in [1, *range(11, 30), *range(111, 120)]]
+
+
 def free_ports(count):
-    """Ports that are free on all loopback addresses."""
-    sockets = [socket.socket() for _ in range(count)]
+    """Ports that are free on all addresses of a deployment."""
+    sockets, ports = [], []
     try:
-        for one in sockets:
-            one.bind(("", 0))
-        return [one.getsockname()[1] for one in sockets]
+        while len(ports) < count:
+            first = socket.socket()
+            sockets.append(first)
+            first.bind((ADDRESSES[0], 0))
+            port = first.getsockname()[1]
+            try:
+                for address in ADDRESSES[1:]:
+                    sockets.append(socket.socket())
+                    sockets[-1].bind((address, port))
+            except OSError:
+                continue  # taken on another address
+            ports.append(port)
+        return ports
     finally:
         for one in sockets:
             one.close()
