--- a/review/10/case.py
+++ b/review/7/case.py
@@ -39,7 +39,7 @@
             nodes = sorted(self.deployment.fronts)
             entry = [time.monotonic(), False]
             self.answers.append(entry)
-            threading.Thread(target=self.one, args=(nodes[number % len(nodes)], f"aa{number:014x}", entry),
+            threading.Thread(target=self.one, args=(nodes[number % len(nodes)], f"7a{number:014x}", entry),
                              daemon=True).start()
             time.sleep(REQUEST_INTERVAL_S)
 
