Send restarted registrars the jobs that must not be repeated

What callers saw: a job could be granted at a second entry although an earlier request might still start one of its tasks. Cause: entries that fetch the claims of others got those that are held, not what is known of jobs that must not be repeated, so two registrars that restart one after the other within 15 s forgot it. The reply to a fetch now has these jobs with the time for which they are known. Completed jobs are still not sent: a copy of a completed job may run again, never beside a run.

Both messages also get the sender's status (complete, leaving, known_view) for the changes of the view that follow.

--- a/include/bamboowing/besteffort/claim_registry.h
+++ b/include/bamboowing/besteffort/claim_registry.h
@@ -42,6 +42,9 @@
   /// The claims that are recorded.
   std::vector<held_claim> HeldClaims(instant now) const;
 
+  /// The jobs that are known not to be repeatable, each with the time for which that is known.
+  std::vector<claim_release> NotRepeatableJobs(instant now) const;
+
   /// Removes the records whose time has passed.
   void Expire(instant now);
 
--- a/include/bamboowing/message/job_claim.h
+++ b/include/bamboowing/message/job_claim.h
@@ -42,6 +42,13 @@
   duration retention{0};  ///< how long the end is to be remembered
 };
 
+/// What an entry tells the others of itself with each request and reply.
+struct entry_status {
+  bool complete = false;         ///< whether it knows all claims that were made before its process started
+  bool leaving = false;          ///< its process drains and exits soon
+  std::uint64_t known_view = 0;  ///< newest view of which it knows all claims that rest on the previous members alone
+};
+
 /// From an entry to a registrar of the jobs. It may be repeated.
 struct claim_request {
   std::string address;  ///< "ip:port" at which the other entries reach the sender
@@ -50,6 +57,7 @@
   std::vector<job_claim> claims;
   bool fetch_claims = false;  ///< asks for the claims that the receiver holds or has recorded
   registrar_view view;        ///< newest known to the sender; without members if the receiver knows it
+  entry_status status;        ///< of the sender
 };
 
 enum class claim_verdict : std::uint8_t {
@@ -86,10 +94,12 @@
       new_processes;  ///< that the answering entry has heard of for a short time, if claims were sent
   /// Whether the answering entry may decide about claims. If not, the reply confirms none of those that it has granted.
   bool decides = false;
-  bool complete = false;                ///< whether it knows all claims that were made before its process started
+  entry_status status;                  ///< of the answering entry
   registrar_view view;                  ///< newest known to it; without members unless newer than the sender's
   std::optional<duration> process_age;  ///< time since the start of the answering process, if it knows the sender's
   std::optional<duration> view_age;     ///< time since the key-value service held no newer view, if that is known
+  /// What the answering entry has recorded of jobs that are not repeatable, if its claims were asked for.
+  std::vector<claim_release> not_repeatable;
 };
 
 }  // namespace bamboowing
--- a/schema/wire.capnp
+++ b/schema/wire.capnp
@@ -250,6 +250,9 @@
   claims @3 :List(JobClaim);
   fetchClaims @4 :Bool;
   view @5 :RegistrarView;
+  complete @6 :Bool;
+  leaving @7 :Bool;
+  knownView @8 :UInt64;
 }
 
 struct ClaimReply {
@@ -263,6 +266,9 @@
   viewAgeUs @7 :Int64 = -1;
   newProcesses @8 :List(EntryProcess);
   processAgeUs @9 :Int64 = -1;
+  leaving @10 :Bool;
+  knownView @11 :UInt64;
+  notRepeatable @12 :List(ClaimRelease);
 }
 
 struct EntryProcess {
--- a/src/besteffort/claim_registry.cc
+++ b/src/besteffort/claim_registry.cc
@@ -139,6 +139,19 @@
   return held;
 }
 
+std::vector<claim_release> claim_registry::NotRepeatableJobs(instant now) const {
+  std::vector<claim_release> found;
+  for (const std::pair<const std::string, record>& item : records_) {
+    const record& known = item.second;
+    const bool ended = known.end == claim_end::kNotRepeatable;
+    const instant until = ended ? known.until : known.reported_until;
+    if ((ended || known.reported == claim_end::kNotRepeatable) && now < until) {
+      found.push_back({item.first, known.number, claim_end::kNotRepeatable, until - now});
+    }
+  }
+  return found;
+}
+
 void claim_registry::Expire(instant now) {
   for (std::unordered_map<std::string, record>::iterator item = records_.begin(); item != records_.end();) {
     item = EndOf(item->second) <= now ? records_.erase(item) : std::next(item);
--- a/src/besteffort/job_claims_peers.cc
+++ b/src/besteffort/job_claims_peers.cc
@@ -111,7 +111,7 @@
   }
   reply.process_age = now - started_at_;
   reply.decides = IsFresh(now);
-  reply.complete = complete_;
+  reply.status.complete = complete_;
   reply.view.number = view_.number;
   if (request.view.number < view_.number) {
     reply.view = view_;
@@ -146,6 +146,7 @@
       reply.held.push_back(std::move(recorded));
     }
   }
+  reply.not_repeatable = registry_.NotRepeatableJobs(now);
   for (const std::pair<const std::string, peer>& item : peers_) {
     if (item.second.reachable) {
       reply.peers.push_back(item.first);
@@ -172,6 +173,9 @@
   for (const held_claim& held : reply->held) {
     registry_.Claim(held.holder, held.incarnation, held.claim, now);
   }
+  for (const claim_release& ended_job : reply->not_repeatable) {
+    registry_.Release(ended.address, reply->incarnation, ended_job, now);
+  }
   for (const std::string& address : reply->peers) {
     AddPeer(address);
   }
@@ -208,7 +212,7 @@
     }
     from.confirmed_at = std::max(from.confirmed_at.value_or(ended.sent_at), ended.sent_at);
   }
-  from.transferred = from.transferred || (ended.fetches_claims && reply.complete);
+  from.transferred = from.transferred || (ended.fetches_claims && reply.status.complete);
   if (ended.fetches_claims && reply.process_age) {
     from.started_at = now - *reply.process_age;
   }
--- a/src/wire/claim_codec.cc
+++ b/src/wire/claim_codec.cc
@@ -26,12 +26,44 @@
   return {in.getNumber(), ReadTexts(in.getMembers()), ReadTexts(in.getPrevious())};
 }
 
+template <typename Builder>
+void WriteStatus(const entry_status& status, Builder out) {
+  out.setComplete(status.complete);
+  out.setLeaving(status.leaving);
+  out.setKnownView(status.known_view);
+}
+
+template <typename Reader>
+entry_status ReadStatus(Reader in) {
+  return {in.getComplete(), in.getLeaving(), in.getKnownView()};
+}
+
+void WriteRelease(const claim_release& release, rpc::ClaimRelease::Builder out) {
+  out.setJobId(release.job_id);
+  out.setNumber(release.number);
+  out.setEnd(static_cast<std::uint8_t>(release.end));
+  out.setRetentionUs(release.retention.count());
+}
+
+/// Returns false if a release has an unknown kind of end.
+bool ReadReleases(capnp::List<rpc::ClaimRelease>::Reader in, std::vector<claim_release>& releases) {
+  for (rpc::ClaimRelease::Reader item : in) {
+    const std::optional<claim_end> end = ToEnum(item.getEnd(), claim_end::kNotRepeatable);
+    if (!end) {
+      return false;
+    }
+    releases.push_back({ToString(item.getJobId()), item.getNumber(), *end, duration(item.getRetentionUs())});
+  }
+  return true;
+}
+
 }  // namespace
 }  // namespace detail
 
 void Write(const claim_request& request, rpc::ClaimRequest::Builder out) {
   out.setAddress(request.address);
   out.setLife(request.incarnation);
+  detail::WriteStatus(request.status, out);
   out.setFetchClaims(request.fetch_claims);
   detail::WriteView(request.view, out.initView());
   capnp::List<rpc::JobClaim>::Builder claims = out.initClaims(request.claims.size());
@@ -42,18 +74,14 @@
   capnp::List<rpc::ClaimRelease>::Builder releases = out.initReleases(request.releases.size());
   i = 0;
   for (const claim_release& release : request.releases) {
-    rpc::ClaimRelease::Builder item = releases[i++];
-    item.setJobId(release.job_id);
-    item.setNumber(release.number);
-    item.setEnd(static_cast<std::uint8_t>(release.end));
-    item.setRetentionUs(release.retention.count());
+    detail::WriteRelease(release, releases[i++]);
   }
 }
 
 void Write(const claim_reply& reply, rpc::ClaimReply::Builder out) {
   out.setLife(reply.incarnation);
   out.setDecides(reply.decides);
-  out.setComplete(reply.complete);
+  detail::WriteStatus(reply.status, out);
   detail::WriteView(reply.view, out.initView());
   if (reply.process_age) {
     out.setProcessAgeUs(reply.process_age->count());
@@ -75,6 +103,11 @@
     item.setLife(claim.incarnation);
     detail::WriteClaim(claim.claim, item.initClaim());
   }
+  capnp::List<rpc::ClaimRelease>::Builder not_repeatable = out.initNotRepeatable(reply.not_repeatable.size());
+  i = 0;
+  for (const claim_release& release : reply.not_repeatable) {
+    detail::WriteRelease(release, not_repeatable[i++]);
+  }
   detail::WriteTexts(reply.peers, out.initPeers(reply.peers.size()));
   capnp::List<rpc::ClaimAnswer>::Builder answers = out.initAnswers(reply.answers.size());
   i = 0;
@@ -91,18 +124,14 @@
   claim_request request;
   request.address = detail::ToString(in.getAddress());
   request.incarnation = in.getLife();
+  request.status = detail::ReadStatus(in);
   request.fetch_claims = in.getFetchClaims();
   request.view = detail::ReadView(in.getView());
   for (rpc::JobClaim::Reader item : in.getClaims()) {
     request.claims.push_back(detail::ReadClaim(item));
   }
-  for (rpc::ClaimRelease::Reader item : in.getReleases()) {
-    const std::optional<claim_end> end = detail::ToEnum(item.getEnd(), claim_end::kNotRepeatable);
-    if (!end) {
-      return std::nullopt;
-    }
-    request.releases.push_back(
-        {detail::ToString(item.getJobId()), item.getNumber(), *end, duration(item.getRetentionUs())});
+  if (!detail::ReadReleases(in.getReleases(), request.releases)) {
+    return std::nullopt;
   }
   return request;
 }
@@ -111,7 +140,7 @@
   claim_reply reply;
   reply.incarnation = in.getLife();
   reply.decides = in.getDecides();
-  reply.complete = in.getComplete();
+  reply.status = detail::ReadStatus(in);
   reply.view = detail::ReadView(in.getView());
   if (in.getProcessAgeUs() >= 0) {
     reply.process_age = duration(in.getProcessAgeUs());
@@ -125,6 +154,9 @@
   for (rpc::HeldClaim::Reader item : in.getHeld()) {
     reply.held.push_back({detail::ToString(item.getHolder()), item.getLife(), detail::ReadClaim(item.getClaim())});
   }
+  if (!detail::ReadReleases(in.getNotRepeatable(), reply.not_repeatable)) {
+    return std::nullopt;
+  }
   reply.peers = detail::ReadTexts(in.getPeers());
   for (rpc::ClaimAnswer::Reader item : in.getAnswers()) {
     const std::optional<claim_verdict> verdict = detail::ToEnum(item.getVerdict(), claim_verdict::kUndecided);
--- a/tests/besteffort/job_claims_test.cc
+++ b/tests/besteffort/job_claims_test.cc
@@ -181,7 +181,7 @@
 
   /// A claim by the process of entry @p from that arrives at entry @p to alone.
   claim_answer ClaimAtOnly(std::size_t from, std::size_t to, std::uint64_t number = 1000) {
-    claim_request single{Address(from), nodes[from].process, {}, {{"job", number, kHold}}, false, {}};
+    claim_request single{Address(from), nodes[from].process, {}, {{"job", number, kHold}}, false, {}, {}};
     return nodes[to].core->OnRequest(single, now).answers.at(0);
   }
 
--- a/tests/besteffort/review_claims_test.cc
+++ b/tests/besteffort/review_claims_test.cc
@@ -237,7 +237,7 @@
   Cut(second, registrars[2]);  // the second entry has the registrar and itself
   Deliver(late);
   const instant heard_at = now;
-  while (!nodes[registrar].core->OnRequest({Address(second), nodes[second].process, {}, {}, false, {}}, now).decides) {
+  while (!nodes[registrar].core->OnRequest({Address(second), nodes[second].process, {}, {}, false, {}, {}}, now).decides) {
     RunFor(kTick);
   }
   Claim(second);
@@ -252,7 +252,7 @@
 TEST_F(late_successor_test, LateMessageDoesNotSilenceRunningProcess) {
   Deliver(late);
   RunFor(std::chrono::seconds(5));
-  const claim_request own{Address(holder), nodes[holder].process, {}, {{kJob, 1000, kHold}}, false, {}};
+  const claim_request own{Address(holder), nodes[holder].process, {}, {{kJob, 1000, kHold}}, false, {}, {}};
   EXPECT_EQ(nodes[registrar].core->OnRequest(own, now).answers.size(), 1U) << "the claim is not answered";
 }
 
@@ -337,8 +337,8 @@
   EXPECT_EQ(nodes[entry].unavailable.count(kJob), 1U) << "neither granted nor refused";
 }
 
-// Guards against a job that is started although an earlier request may still start a task: registrars that restart one
-// after the other within 15 s send each other the claims that are held, but not the jobs that must not be repeated.
+// Guards against a job that is started although an earlier request may still start a task, by registrars that restart one
+// after the other within 15 s and send each other only the claims that are held.
 TEST_F(review_claims_test, RestartedRegistrarsKnowThatJobIsNotRepeatable) {
   StartEntries(5);
   Claim(others[0]);
--- a/tests/wire/codec_test.cc
+++ b/tests/wire/codec_test.cc
@@ -255,6 +255,7 @@
                       {"late", 8, claim_end::kNotRepeatable, duration(70)}};
   request.claims = {{"job", 9, duration(1000), true}, {"other", 10, duration(2000), false}};
   request.fetch_claims = true;
+  request.status = {true, true, 19};
   request.view = {14, {"10.0.0.1:7000", "10.0.0.2:7000"}, {"10.0.0.3:7000"}};
   const std::optional<claim_request> copy = RoundTrip<rpc::ClaimRequest>(request);
   ASSERT_TRUE(copy);
@@ -275,6 +276,8 @@
     EXPECT_EQ(copy->claims[i].held, request.claims[i].held);
   }
   EXPECT_TRUE(copy->fetch_claims);
+  EXPECT_TRUE(copy->status.complete && copy->status.leaving);
+  EXPECT_EQ(copy->status.known_view, 19U);
   EXPECT_EQ(copy->view.number, request.view.number);
   EXPECT_EQ(copy->view.members, request.view.members);
   EXPECT_EQ(copy->view.previous, request.view.previous);
@@ -296,6 +299,8 @@
   reply.peers = {"10.0.0.4:7000", "10.0.0.5:7000"};
   reply.new_processes = {{"10.0.0.6:7000", 16}, {"10.0.0.7:7000", 17}};
   reply.decides = true;
+  reply.status = {false, true, 14};
+  reply.not_repeatable = {{"late", 18, claim_end::kNotRepeatable, duration(900)}};
   reply.view = {15, {"10.0.0.1:7000"}, {"10.0.0.3:7000", "10.0.0.4:7000"}};
   reply.process_age = duration(0);
   reply.view_age = duration(0);
@@ -321,15 +326,24 @@
   EXPECT_EQ(copy->new_processes[1].address, "10.0.0.7:7000");
   EXPECT_EQ(copy->new_processes[1].incarnation, 17U);
   EXPECT_TRUE(copy->decides);
-  EXPECT_FALSE(copy->complete);
+  EXPECT_FALSE(copy->status.complete);
+  EXPECT_TRUE(copy->status.leaving);
+  EXPECT_EQ(copy->status.known_view, 14U);
+  ASSERT_EQ(copy->not_repeatable.size(), 1U);
+  EXPECT_EQ(copy->not_repeatable[0].job_id, "late");
+  EXPECT_EQ(copy->not_repeatable[0].number, 18U);
+  EXPECT_EQ(copy->not_repeatable[0].end, claim_end::kNotRepeatable);
+  EXPECT_EQ(copy->not_repeatable[0].retention, duration(900));
   EXPECT_EQ(copy->view.number, reply.view.number);
   EXPECT_EQ(copy->view.members, reply.view.members);
   EXPECT_EQ(copy->view.previous, reply.view.previous);
   EXPECT_EQ(copy->process_age, reply.process_age);
   EXPECT_EQ(copy->view_age, reply.view_age);
-  const std::optional<claim_reply> other =
-      RoundTrip<rpc::ClaimReply>(claim_reply{0, {}, {}, {}, {}, false, true, {}, {}, {}});
-  EXPECT_TRUE(other && other->complete && !other->decides && !other->process_age && !other->view_age);
+  reply = claim_reply();
+  reply.status.complete = true;
+  const std::optional<claim_reply> other = RoundTrip<rpc::ClaimReply>(reply);
+  EXPECT_TRUE(other && other->status.complete && !other->decides && !other->process_age && !other->view_age);
+  EXPECT_TRUE(other && !other->status.leaving && other->not_repeatable.empty());
 }
 
 // Guards against an end or a verdict of a newer or faulty entry that is taken as one that this build knows.
