--- a/include/bamboowing/besteffort/claim_registry.h
+++ b/include/bamboowing/besteffort/claim_registry.h
@@ -39,7 +39,12 @@
   /// are kept. Returns false if it is a late message of a predecessor, which must have no effect.
   bool OnProcess(const std::string& holder, incarnation_id incarnation, instant now);
 
-  /// The claims that are recorded.
+  /// Another registrar has handed this claim over, since this one becomes a registrar of the job. It is kept for
+  /// @p time without a further message, beside what is recorded of the job: a claimant of which this registrar has
+  /// recorded a claim before keeps it. Returns false if it can't be kept.
+  bool TakeOver(const held_claim& claim, duration time, instant now);
+
+  /// The claims that are recorded or were handed over.
   std::vector<held_claim> HeldClaims(instant now) const;
 
   /// The jobs that are known not to be repeatable, each with the time for which that is known.
@@ -62,6 +67,14 @@
     instant reported_until;
   };
 
+  /// A claim that another registrar has handed over.
+  struct handed_over_claim {
+    std::string holder;
+    incarnation_id incarnation = 0;
+    std::uint64_t number = 0;
+    instant until;
+  };
+
   /// Processes of one entry. Their incarnations have no order, so those that were replaced are remembered.
   struct entry_processes {
     incarnation_id newest = 0;
@@ -69,12 +82,16 @@
     std::deque<incarnation_id> replaced;
   };
 
+  /// The holder of a handed-over claim of the job that denies one of this process; empty if there is none.
+  std::string DeniedBy(const std::string& job_id, incarnation_id incarnation, instant now) const;
   /// When the claim ends, if nothing further is heard of its holder.
   instant HoldEnd(const record& known) const;
   /// When the record ceases to have effect, if nothing further is heard of its holder.
   instant EndOf(const record& known) const;
   /// The processes of the entry but one have ended: so do their claims, once their runs have ended.
   void LimitClaims(const std::string& holder, incarnation_id except, instant now);
+  /// Removes the handed-over claim that this release ends.
+  void DropHandedOver(incarnation_id incarnation, const claim_release& release);
   /// Returns false if the record can't be kept.
   bool Store(const std::string& job_id, record added);
   /// Drops the record of a claim that has ended, the one that expires first. Returns false if there is none.
@@ -83,7 +100,9 @@
   duration run_end_limit_;
   duration silence_limit_;
   duration max_retention_;
-  std::unordered_map<std::string, record> records_;             ///< by job id
+  std::unordered_map<std::string, record> records_;  ///< by job id
+  /// By job id. Registrars may name different holders of a job, one of which has no majority.
+  std::unordered_map<std::string, std::vector<handed_over_claim>> handed_over_;
   std::unordered_map<std::string, entry_processes> processes_;  ///< by address
 };
 
--- a/include/bamboowing/besteffort/dispatch_core.h
+++ b/include/bamboowing/besteffort/dispatch_core.h
@@ -135,6 +135,10 @@
   void OnPeers(const std::vector<std::string>& addresses, instant now);
   /// The key-value service holds this view of the registrars; see job_claims::OnView().
   void OnRegistrarView(const registrar_view& view, std::optional<instant> confirmed_at, instant now);
+  /// See job_claims::OnListedView().
+  void OnListedView(std::uint64_t number) { claims_.OnListedView(number); }
+  /// See job_claims::OnRegistered().
+  void OnRegistered(instant since, instant until) { claims_.OnRegistered(since, until); }
   /// See job_claims::OnNoView().
   void OnNoRegistrarView() { claims_.OnNoView(); }
   /// Answers another entry's claims of jobs.
--- a/include/bamboowing/besteffort/job_claims.h
+++ b/include/bamboowing/besteffort/job_claims.h
@@ -3,6 +3,7 @@
 /// after its caller has gone; only one entry at a time may start tasks of the job.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -30,9 +31,12 @@
   /// Time for which the confirmation of a claim by a registrar counts, from the time the request for it was sent. A
   /// holder that a majority has not confirmed for this long stops its runs.
   duration lease{1'000'000};
-  /// A registrar decides for this long after it has learned that its view is the one in the key-value service, or that
-  /// no member has a newer one.
+  /// A registered registrar decides for this long after it has learned that its view is the one in the key-value
+  /// service.
   duration view_freshness{6'000'000};
+  /// A registrar also decides while it has heard within this time from all members that none has a newer view, which
+  /// each request to a member shows.
+  duration member_freshness{4'000'000};
   /// Time that a holder has for obtaining the grants of a new view's registrars.
   duration view_grace{1'000'000};
   /// How long it is known that a job has completed or is not repeatable. A copy of its submission that arrives within
@@ -45,6 +49,9 @@
   duration probe_interval{250'000};      ///< between requests to an unreachable entry
   duration contact_interval{2'000'000};  ///< longest time between two requests to a member of the view
   duration release_delay{100'000};       ///< releases wait this long for a request that also has claims
+  /// By which members collect the claims of the others one after the other, in the order of their addresses, until one
+  /// of them has all.
+  duration collection_delay{200'000};
 
   /// Time from the last message of a holder to a registrar until none of the holder's runs is active, if it loses its
   /// registrars then.
@@ -112,6 +119,11 @@
 
   /// The key-value service holds this view, as is known since @p confirmed_at; nullopt if it may be outdated.
   void OnView(const registrar_view& view, std::optional<instant> confirmed_at, instant now);
+  /// The newest list of entries is that of a time at which the key-value service held the view with this number.
+  void OnListedView(std::uint64_t number) { listed_view_ = std::max(listed_view_, number); }
+  /// The key-value service has listed this process without a break since @p since, and does so until @p until. While an
+  /// entry is not listed, the others may change the view without it.
+  void OnRegistered(instant since, instant until);
   /// The key-value service has never held a view, so that no job can have been claimed before.
   void OnNoView() { complete_ = true; }
 
@@ -136,8 +148,8 @@
 
   std::vector<claim_action> TakeActions();
 
-  /// Releases are sent without delay from now on, since the process exits soon.
-  void OnDrain() { settings_.release_delay = duration(0); }
+  /// The process exits soon: it is not listed any more, the others are told, and releases are sent without delay.
+  void OnDrain();
   /// Whether a release has not reached a reachable entry.
   bool has_open_releases() const;
 
@@ -152,6 +164,17 @@
   bool IsServing(instant now) const;
   /// Whether the entry at @p address answers; this entry does.
   bool IsReachable(const std::string& address) const;
+  /// Whether the entry at @p address may become a member: it answers and does not exit soon.
+  bool CanJoin(const std::string& address) const;
+  /// Whether the entry at @p address has said that its process exits soon.
+  bool IsLeaving(const std::string& address) const;
+  /// Whether this entry is a member of the view or one of its previous members.
+  bool IsInView() const { return IsMember(settings_.address); }
+  /// Whether the change of the view in progress can end, since all members know the claims that rest on the previous
+  /// members alone, and this entry is the one that ends it.
+  bool CanEndChange(instant now) const;
+  /// Whether the view must be read again for this registration.
+  bool NeedsConfirmation() const;
   std::size_t open_claims() const { return claims_.size(); }
   /// Number of entries that answer, including this one.
   std::size_t reachable_entries() const;
@@ -176,8 +199,14 @@
 
   struct peer {
     bool listed = true;
-    bool member = false;  ///< of the view or its previous members
+    bool member = false;    ///< of the view or its previous members
+    bool previous = false;  ///< one of the previous members
     bool reachable = true;
+    entry_status status;                  ///< of its process, as far as it is known
+    std::uint64_t handed_over_view = 0;   ///< newest view by which its process has handed its claims over
+    std::optional<instant> contacted_at;  ///< when this entry has last answered a request of it
+    /// Since when it has not been listed, by lists that are as new as the view.
+    std::optional<instant> unlisted_since;
     incarnation_id process = 0;  ///< 0 before its first message
     instant process_since;       ///< when this process was heard of first
     // As of the newest reply of this process:
@@ -209,12 +238,39 @@
 
   void LogEvent(std::string event, std::string job_id, std::string detail);
   bool IsMember(const std::string& address) const;
+  /// Updates what the view says of the entry at @p address.
+  void SetRole(const std::string& address, peer& entry) const;
   /// Adopts a newer view.
   void AdoptView(const registrar_view& view, instant now);
   /// At this time, the key-value service held no view newer than view_.
   void ConfirmView(instant confirmed_at);
   /// Whether this entry may decide about claims: no newer view can have been in force for long.
   bool IsFresh(instant now) const;
+  bool IsRegistered(instant now) const;
+  bool HasHeardAllMembers(instant now) const;
+
+  bool IsChanging() const { return !view_.previous.empty(); }
+  /// Whether this entry knows all claims that rest on the previous members alone.
+  bool KnowsChange() const { return known_view_ >= view_.number; }
+  /// Whether this entry collects the claims of the previous members, as one of them.
+  bool CollectsClaims(instant now) const;
+  /// Whether the entry has yet to hand its claims over to this one for the change in progress.
+  bool AwaitsHandOver(const peer& from, instant now) const;
+  /// Whether the previous member at @p address does not decide by an earlier view any more, and no claim rests on what
+  /// it has confirmed by one.
+  bool HasCeased(const std::string& address, instant now) const;
+  /// Takes over the claims of an entry that has adopted the view. Those in progress may outlast what its reply says.
+  void TakeHandOver(const exchange_state& ended, const claim_reply& reply, instant now);
+  void UpdateKnownView(instant now);
+  void SetKnownView(std::string detail, instant now);
+  /// Notes which previous members are not listed.
+  void TrackUnlisted(instant now);
+  /// Advances the change of the view in progress.
+  void MaintainChange(instant now);
+  entry_status OwnStatus() const;
+  /// Takes what an entry says of itself.
+  void TakeStatus(peer& from, const entry_status& status);
+
   /// Whether this entry knows the claims of a job that were made before its process started.
   bool KnowsClaimsOf(const std::string& job_id) const;
   bool CanDecide(const std::string& job_id, instant now) const;
@@ -285,7 +341,7 @@
   void ExpireExchanges(instant now);
   void SendRequests(instant now);
   /// Whether the entry has yet to send the claims that it knows.
-  bool AwaitsClaims(const peer& from) const;
+  bool AwaitsClaims(const peer& from, instant now) const;
   /// Whether a request to the entry is due.
   bool IsRequestDue(const peer& to, instant now) const;
   void SendRequest(const std::string& address, peer& to, instant now);
@@ -300,6 +356,18 @@
   std::map<std::uint64_t, exchange_state> exchanges_;
   std::uint64_t last_number_ = 0;
   std::uint64_t last_exchange_ = 0;
+  instant view_adopted_at_;
+  std::uint64_t listed_view_ = 0;  ///< number of the view as of the newest list of entries
+  /// Newest view of which this entry knows all claims that rest on the previous members alone.
+  std::uint64_t known_view_ = 0;
+  instant known_at_;  ///< when known_view_ was set
+  std::optional<instant> registered_since_;
+  instant registered_until_;
+  std::uint64_t first_view_ = 0;  ///< that this process has read
+  /// Whether this process has become a member by a change that began after its start, so that it was told of all claims
+  /// that were made before.
+  bool joined_ = false;
+  bool leaving_ = false;  ///< this process exits soon
   bool complete_ = false;
   bool listed_ = false;  ///< whether the list of entries is known
   instant started_at_;
--- a/include/bamboowing/besteffort/view_maintainer.h
+++ b/include/bamboowing/besteffort/view_maintainer.h
@@ -21,12 +21,14 @@
   /// Age of the newest confirmation of the view, by a read of this entry or of another one that has told it, after
   /// which the view is read.
   duration read_interval{2'000'000};
-  duration retry_interval{300'000};  ///< shortest time between two calls
+  duration retry_interval{300'000};  ///< shortest time between two reads, and after a call that failed
   /// Time from the first list of entries until the first view is written, so that all entries of a new deployment
   /// are members.
   duration settle_time{700'000};
   duration join_delay{2'000'000};     ///< a new entry becomes a member when it has been listed for this long
   duration removal_delay{3'000'000};  ///< a member is removed when it was neither listed nor reachable for this long
+  /// The same if jobs are refused meanwhile, since more than one member is missing or each job has one registrar.
+  duration urgent_removal_delay{500'000};
   /// See job_claims_settings::view_change_limit(). An entry that is no member replaces the view when no member was
   /// listed or reachable for this long, since lost members decide about no job then.
   duration change_limit{9'600'000};
@@ -50,7 +52,8 @@
 };
 
 /// Reads the view regularly and changes it with compare-and-swap: first to a view that also names the previous members,
-/// and when no claim can rest on those alone, to one without them. Does no I/O and reads no clock.
+/// and when no claim can rest on those alone, to one without them. While a change is in progress, members that are lost
+/// are removed from the new ones. Does no I/O and reads no clock.
 class view_maintainer {
  public:
   explicit view_maintainer(const view_maintainer_settings& settings) : settings_(settings) {}
@@ -76,7 +79,15 @@
   /// The view that should follow; nullopt if the current one is right.
   std::optional<registrar_view> Proposal(const job_claims& claims, instant now) const;
   std::optional<registrar_view> FirstView(instant now) const;
+  /// Ends the change in progress, or removes members from it that are lost.
+  std::optional<registrar_view> ContinuedChange(const job_claims& claims, instant now) const;
   std::optional<registrar_view> ChangedMembers(const job_claims& claims, instant now) const;
+  /// Whether the member is to be removed because it is lost.
+  bool IsLost(const std::string& address, instant now) const;
+  /// The members without those that are lost or leave.
+  std::vector<std::string> RemainingMembers(const job_claims& claims, std::size_t joining, instant now) const;
+  /// Entries that are to become members.
+  std::vector<std::string> JoiningEntries(const job_claims& claims, instant now) const;
   /// Whether this entry may write the view that follows: it is one of @p members, or these are all gone. So an entry
   /// that hears all members hears one that knows of the change.
   bool MayWrite(const std::vector<std::string>& members, instant now) const;
@@ -98,7 +109,8 @@
   instant view_seen_at_;  ///< when view_ was first received
   bool malformed_ = false;
   std::optional<pending_call> pending_;
-  instant not_before_;  ///< of the next call
+  instant not_before_;       ///< of the next call, after one that failed
+  instant read_not_before_;  ///< of the next read, after a call that did not
 };
 
 }  // namespace bamboowing
--- a/include/bamboowing/entry/registration.h
+++ b/include/bamboowing/entry/registration.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,13 @@
   void OnTick(instant now, std::uint64_t& next_id, std::vector<entry_action>& out);
   instant next_wakeup() const { return due_; }
 
+  /// When the service is known to list this process without a break; nullopt if it does not.
+  struct listed_time {
+    instant since;  ///< the answer to the first write
+    instant until;  ///< earliest end of the lease, by a clock that may run slower than that of the service
+  };
+  std::optional<listed_time> Listed() const;
+
   /// Sets whether more agents should attach, and updates the registration; see entry_identity::wants_agents.
   void SetWantsAgents(bool wanted, instant now);
 
@@ -40,6 +48,8 @@
   instant sent_at_;
   instant due_;
   lease_id lease_ = 0;
+  std::optional<instant> listed_since_;  ///< with the current lease
+  instant lease_until_;                  ///< earliest end of the lease
   store_version version_ = 0;
   bool changed_ = false;  ///< the registration differs from what was written
 };
--- a/src/besteffort/claim_registry.cc
+++ b/src/besteffort/claim_registry.cc
@@ -45,6 +45,12 @@
       answer.verdict = claim_verdict::kUndecided;
     }
   }
+  const bool recorded = found != records_.end() && !found->second.end && now < HoldEnd(found->second);
+  const std::string other = recorded ? std::string() : DeniedBy(claim.job_id, incarnation, now);
+  if (answer.verdict == claim_verdict::kGranted && !other.empty()) {
+    answer.verdict = claim_verdict::kHeld;
+    answer.holder = other;
+  }
   if (answer.verdict != claim_verdict::kGranted) {
     return answer;
   }
@@ -62,6 +68,7 @@
 void claim_registry::Release(const std::string& holder, incarnation_id incarnation, const claim_release& release,
                              instant now) {
   const instant until = now + std::min(release.retention, max_retention_);
+  DropHandedOver(incarnation, release);
   const std::unordered_map<std::string, record>::iterator found = records_.find(release.job_id);
   if (found == records_.end() || now >= EndOf(found->second)) {
     Store(release.job_id, {release.end, holder, incarnation, release.number, until, now, std::nullopt, {}});
@@ -127,8 +134,64 @@
   }
 }
 
+bool claim_registry::TakeOver(const held_claim& claim, duration time, instant now) {
+  const std::string& job_id = claim.claim.job_id;
+  const std::unordered_map<std::string, record>::const_iterator known = records_.find(job_id);
+  if (known != records_.end() && known->second.end && known->second.incarnation == claim.incarnation &&
+      known->second.number >= claim.claim.number) {
+    return true;  // the claim has been released meanwhile
+  }
+  if (handed_over_.size() >= kMaxRecords && handed_over_.count(job_id) == 0) {
+    return false;
+  }
+  std::vector<handed_over_claim>& claims = handed_over_[job_id];
+  std::vector<handed_over_claim>::iterator same =
+      std::find_if(claims.begin(), claims.end(),
+                   [&claim](const handed_over_claim& other) { return other.incarnation == claim.incarnation; });
+  if (same == claims.end()) {
+    same = claims.insert(same, {claim.holder, claim.incarnation, 0, {}});
+  }
+  same->number = std::max(same->number, claim.claim.number);
+  same->until = std::max(same->until, now + time);
+  return true;
+}
+
+void claim_registry::DropHandedOver(incarnation_id incarnation, const claim_release& release) {
+  const std::unordered_map<std::string, std::vector<handed_over_claim>>::iterator found =
+      handed_over_.find(release.job_id);
+  if (found == handed_over_.end()) {
+    return;
+  }
+  std::vector<handed_over_claim>& claims = found->second;
+  claims.erase(std::remove_if(claims.begin(), claims.end(),
+                              [incarnation, &release](const handed_over_claim& claim) {
+                                return claim.incarnation == incarnation && claim.number <= release.number;
+                              }),
+               claims.end());
+}
+
+std::string claim_registry::DeniedBy(const std::string& job_id, incarnation_id incarnation, instant now) const {
+  const std::unordered_map<std::string, std::vector<handed_over_claim>>::const_iterator found =
+      handed_over_.find(job_id);
+  if (found != handed_over_.end()) {
+    for (const handed_over_claim& claim : found->second) {
+      if (now < claim.until && claim.incarnation != incarnation) {
+        return claim.holder;
+      }
+    }
+  }
+  return "";
+}
+
 std::vector<held_claim> claim_registry::HeldClaims(instant now) const {
   std::vector<held_claim> held;
+  for (const std::pair<const std::string, std::vector<handed_over_claim>>& item : handed_over_) {
+    for (const handed_over_claim& claim : item.second) {
+      if (now < claim.until) {
+        held.push_back({claim.holder, claim.incarnation, {item.first, claim.number, claim.until - now, true}});
+      }
+    }
+  }
   for (const std::pair<const std::string, record>& item : records_) {
     const record& known = item.second;
     const instant end = HoldEnd(known);
@@ -156,6 +219,12 @@
   for (std::unordered_map<std::string, record>::iterator item = records_.begin(); item != records_.end();) {
     item = EndOf(item->second) <= now ? records_.erase(item) : std::next(item);
   }
+  const auto ended = [now](const handed_over_claim& claim) { return claim.until <= now; };
+  for (std::unordered_map<std::string, std::vector<handed_over_claim>>::iterator item = handed_over_.begin();
+       item != handed_over_.end();) {
+    const bool all_ended = std::all_of(item->second.begin(), item->second.end(), ended);
+    item = all_ended ? handed_over_.erase(item) : std::next(item);
+  }
 }
 
 bool claim_registry::Store(const std::string& job_id, record added) {
--- a/src/besteffort/job_claims.cc
+++ b/src/besteffort/job_claims.cc
@@ -246,6 +246,7 @@
   ExpireExchanges(now);
   RepeatClaims(now);
   UpdateComplete(now);
+  MaintainChange(now);
   SendRequests(now);
   if (now - expired_at_ >= kExpiryInterval) {
     expired_at_ = now;
--- a/src/besteffort/job_claims_peers.cc
+++ b/src/besteffort/job_claims_peers.cc
@@ -95,6 +95,8 @@
   AdoptView(request.view, now);
   peer& from = peers_[request.address];
   from.view_number = std::max(from.view_number, request.view.number);
+  from.contacted_at = now;
+  TakeStatus(from, request.status);
   // A request proves that the sender runs, not that it can be reached.
   from.check = from.check || !from.reachable;
   for (const claim_release& release : request.releases) {
@@ -111,7 +113,7 @@
   }
   reply.process_age = now - started_at_;
   reply.decides = IsFresh(now);
-  reply.status.complete = complete_;
+  reply.status = OwnStatus();
   reply.view.number = view_.number;
   if (request.view.number < view_.number) {
     reply.view = view_;
@@ -181,6 +183,7 @@
   }
   OnNewProcesses(reply->new_processes, now);
   OnStatus(ended, *reply, now);
+  TakeHandOver(ended, *reply, now);
   SetReachable(ended.address, now);
   for (const claim_answer& answer : reply->answers) {
     OnAnswer(ended.address, answer, now);
@@ -204,6 +207,7 @@
   peer& from = peers_[ended.address];
   from.decides = reply.decides;
   from.view_number = reply.view.number;
+  TakeStatus(from, reply.status);
   from.heard_at = std::max(from.heard_at.value_or(ended.sent_at), ended.sent_at);
   if (reply.decides) {
     // A registrar forgets the claims of an entry that it has not heard of for long.
@@ -232,7 +236,7 @@
   }
   peer& added = peers_[address];
   added.listed = false;
-  added.member = IsMember(address);
+  SetRole(address, added);
 }
 
 bool job_claims::OnContact(const std::string& address, incarnation_id process, std::optional<instant> alive_at,
@@ -259,6 +263,8 @@
   }
   // The new process does not know the claims of its predecessor.
   from.decides = true;
+  from.status = entry_status();
+  from.handed_over_view = 0;
   from.view_number = 0;
   from.heard_at.reset();
   from.confirmed_at.reset();
@@ -364,7 +370,10 @@
   }
 }
 
-bool job_claims::AwaitsClaims(const peer& from) const { return !complete_ && !(from.transferred && from.started_at); }
+bool job_claims::AwaitsClaims(const peer& from, instant now) const {
+  const bool since_start = !complete_ && !(from.transferred && from.started_at);
+  return since_start || AwaitsHandOver(from, now);
+}
 
 bool job_claims::IsRequestDue(const peer& to, instant now) const {
   const bool idle = to.open_exchanges == 0;
@@ -375,7 +384,7 @@
     return true;
   }
   const bool releases_due = !to.releases.empty() && now - to.oldest_release >= settings_.release_delay;
-  const bool fetch_due = AwaitsClaims(to) && now >= to.next_probe;
+  const bool fetch_due = AwaitsClaims(to, now) && now >= to.next_probe;
   // An entry that does not decide is asked often, since jobs are refused until it does.
   const duration contact_interval = to.decides ? settings_.contact_interval : settings_.probe_interval;
   const bool contact_due = to.member && now - to.sent_at >= contact_interval;
@@ -388,7 +397,8 @@
   send.address = address;
   send.request.address = settings_.address;
   send.request.incarnation = settings_.own_incarnation;
-  send.request.fetch_claims = AwaitsClaims(to);
+  send.request.status = OwnStatus();
+  send.request.fetch_claims = AwaitsClaims(to, now);
   send.request.view.number = view_.number;
   if (to.view_number < view_.number) {
     send.request.view = view_;
--- a/src/besteffort/job_claims_view.cc
+++ b/src/besteffort/job_claims_view.cc
@@ -26,6 +26,7 @@
 void job_claims::OnView(const registrar_view& view, std::optional<instant> confirmed_at, instant now) {
   AdoptView(view, now);
   if (confirmed_at) {
+    first_view_ = first_view_ == 0 ? view.number : first_view_;
     ConfirmView(*confirmed_at);
   }
 }
@@ -37,11 +38,13 @@
   // The previous members must still confirm a claim meanwhile.
   const bool change_begins = !view.previous.empty();
   view_ = view;
+  view_adopted_at_ = now;
   LogEvent("registrar_view", "",
            "number " + std::to_string(view.number) + ", members " + std::to_string(view.members.size()) +
                ", previous members " + std::to_string(view.previous.size()));
   for (std::pair<const std::string, peer>& item : peers_) {
-    item.second.member = IsMember(item.first);
+    SetRole(item.first, item.second);
+    item.second.unlisted_since.reset();
   }
   for (const std::vector<std::string>* addresses : {&view_.members, &view_.previous}) {
     for (const std::string& address : *addresses) {
@@ -60,36 +63,50 @@
   view_confirmed_at_ = std::max(view_confirmed_at_.value_or(confirmed_at), confirmed_at);
 }
 
+void job_claims::OnRegistered(instant since, instant until) {
+  registered_since_ = since;
+  registered_until_ = until;
+}
+
+bool job_claims::IsRegistered(instant now) const { return registered_since_ && now < registered_until_; }
+
+bool job_claims::NeedsConfirmation() const {
+  return registered_since_ && (!view_confirmed_at_ || *view_confirmed_at_ < *registered_since_);
+}
+
+bool job_claims::HasHeardAllMembers(instant now) const {
+  const auto heard = [this, now](const std::string& address) {
+    const std::map<std::string, peer>::const_iterator found = peers_.find(address);
+    return address == settings_.address || (found != peers_.end() && found->second.heard_at &&
+                                            now - *found->second.heard_at < settings_.member_freshness);
+  };
+  return std::all_of(view_.members.begin(), view_.members.end(), heard) &&
+         std::all_of(view_.previous.begin(), view_.previous.end(), heard);
+}
+
 bool job_claims::IsFresh(instant now) const {
   if (view_.number == 0) {
     return false;
   }
-  if (view_confirmed_at_ && now - *view_confirmed_at_ < settings_.view_freshness) {
-    return true;
-  }
-  return std::all_of(view_.members.begin(), view_.members.end(), [this, now](const std::string& address) {
-    const std::map<std::string, peer>::const_iterator found = peers_.find(address);
-    const bool heard =
-        found != peers_.end() && found->second.heard_at && now - *found->second.heard_at < settings_.view_freshness;
-    return address == settings_.address || heard;
-  });
+  const bool confirmed =
+      IsRegistered(now) && !NeedsConfirmation() && now - *view_confirmed_at_ < settings_.view_freshness;
+  return confirmed || HasHeardAllMembers(now);
 }
 
 bool job_claims::KnowsClaimsOf(const std::string& job_id) const {
   if (complete_) {
     return true;
   }
-  const std::vector<std::vector<std::string>> sets = RegistrarSets(job_id, view_);
-  return std::all_of(sets.begin(), sets.end(), [this](const std::vector<std::string>& set) {
-    if (!Contains(set, settings_.address)) {
-      return true;
-    }
-    // Each majority of several registrars has one other than the predecessor of this process.
-    return set.size() > 1 && std::all_of(set.begin(), set.end(), [this](const std::string& address) {
-             const std::map<std::string, peer>::const_iterator found = peers_.find(address);
-             return address == settings_.address || (found != peers_.end() && found->second.transferred);
-           });
-  });
+  // During a change, the previous members know the claims, and the new ones have only to record theirs.
+  const std::vector<std::string> set = RegistrarSets(job_id, view_).back();
+  if (!Contains(set, settings_.address)) {
+    return true;
+  }
+  // Each majority of several registrars has one other than the predecessor of this process.
+  return set.size() > 1 && std::all_of(set.begin(), set.end(), [this](const std::string& address) {
+           const std::map<std::string, peer>::const_iterator found = peers_.find(address);
+           return address == settings_.address || (found != peers_.end() && found->second.transferred);
+         });
 }
 
 bool job_claims::CanDecide(const std::string& job_id, instant now) const {
@@ -105,8 +122,12 @@
       [](const std::pair<const std::string, peer>& item) { return !item.second.member || item.second.transferred; });
   const bool several =
       view_.members.size() >= kRegistrars && (view_.previous.empty() || view_.previous.size() >= kRegistrars);
-  if (now - started_at_ >= settings_.claim_end_limit() || (several && all_transferred) || HasHeardAllEntries(now)) {
+  if (now - started_at_ >= settings_.claim_end_limit() || (several && all_transferred) || HasHeardAllEntries(now) ||
+      joined_) {
     complete_ = true;
+    for (std::pair<const std::string, peer>& item : peers_) {
+      item.second.check = item.second.check || item.second.reachable;  // this entry can join the members
+    }
     LogEvent("claims_complete", "",
              "after " + std::to_string((now - started_at_).count() / 1000) + " ms, entries " +
                  std::to_string(reachable_entries()) + ", claims " + std::to_string(registry_.size()));
--- a/src/besteffort/view_maintainer.cc
+++ b/src/besteffort/view_maintainer.cc
@@ -47,7 +47,7 @@
     pending_ = pending_call{call_kind::kWrite, now, *proposed};
     return store_swap{0, key, version_, FormatRegistrarView(*proposed), 0};
   }
-  if (!IsReadDue(claims, now)) {
+  if (now < read_not_before_ || !IsReadDue(claims, now)) {
     return std::nullopt;
   }
   pending_ = pending_call{call_kind::kRead, now, {}};
@@ -59,7 +59,7 @@
     return true;
   }
   const std::optional<instant> confirmed_at = claims.view_confirmed_at();
-  return !confirmed_at || now - *confirmed_at >= settings_.read_interval + RankDelay();
+  return !confirmed_at || claims.NeedsConfirmation() || now - *confirmed_at >= settings_.read_interval + RankDelay();
 }
 
 view_result view_maintainer::OnResult(const store_result& result, instant now) {
@@ -76,7 +76,7 @@
   }
   read_ = true;
   version_ = result.version;
-  not_before_ = now + settings_.retry_interval;
+  read_not_before_ = now + settings_.retry_interval;
   if (call.kind == call_kind::kWrite) {
     return Take(call.proposed, call.sent_at, now);
   }
@@ -97,7 +97,6 @@
 view_result view_maintainer::Take(const registrar_view& view, instant confirmed_at, instant now) {
   if (!view_ || view_->number != view.number) {
     view_seen_at_ = now;
-    missing_since_.clear();
   }
   view_ = view;
   view_result taken;
@@ -106,7 +105,7 @@
 }
 
 void view_maintainer::TrackMissing(const job_claims& claims, instant now) {
-  if (!view_) {
+  if (!view_ || !first_listed_at_) {
     return;
   }
   for (const std::vector<std::string>* members : {&view_->members, &view_->previous}) {
@@ -131,7 +130,8 @@
 }
 
 std::optional<registrar_view> view_maintainer::Proposal(const job_claims& claims, instant now) const {
-  if (!read_ || malformed_ || listed_since_.count(settings_.address) == 0) {
+  const bool listed = listed_since_.count(settings_.address) != 0;
+  if (!read_ || malformed_ || !(listed || claims.IsLeaving(settings_.address))) {
     return std::nullopt;
   }
   if (!view_) {
@@ -140,10 +140,18 @@
   if (view_->previous.empty()) {
     return ChangedMembers(claims, now);
   }
-  if (!MayWrite(view_->previous, now) || now - view_seen_at_ < settings_.change_limit + RankDelay()) {
-    return std::nullopt;
+  return ContinuedChange(claims, now);
+}
+
+std::optional<registrar_view> view_maintainer::ContinuedChange(const job_claims& claims, instant now) const {
+  const bool handed_over = claims.view().number == view_->number && claims.CanEndChange(now);
+  const bool time_passed = now - view_seen_at_ >= settings_.change_limit + RankDelay();
+  if (handed_over || (time_passed && MayWrite(view_->previous, now))) {
+    return registrar_view{view_->number + 1, view_->members, {}};
   }
-  return registrar_view{view_->number + 1, view_->members, {}};
+  const bool any_lost = std::any_of(view_->members.begin(), view_->members.end(),
+                                    [this, now](const std::string& address) { return IsLost(address, now); });
+  return any_lost ? ChangedMembers(claims, now) : std::nullopt;
 }
 
 std::optional<registrar_view> view_maintainer::FirstView(instant now) const {
@@ -164,27 +172,63 @@
          });
 }
 
-std::optional<registrar_view> view_maintainer::ChangedMembers(const job_claims& claims, instant now) const {
-  if (!MayWrite(view_->members, now)) {
-    return std::nullopt;
-  }
-  registrar_view changed{view_->number + 1, {}, view_->members};
+bool view_maintainer::IsLost(const std::string& address, instant now) const {
+  const std::size_t missing = static_cast<std::size_t>(
+      std::count_if(view_->members.begin(), view_->members.end(),
+                    [this, now](const std::string& member) { return IsMissing(member, duration(0), now); }));
+  const bool refused = missing > 1 || view_->members.size() < kRegistrars;
+  const duration delay = refused ? settings_.urgent_removal_delay : settings_.removal_delay;
+  return IsMissing(address, delay + RankDelay(), now);
+}
+
+std::vector<std::string> view_maintainer::RemainingMembers(const job_claims& claims, std::size_t joining,
+                                                           instant now) const {
+  std::vector<std::string> present;
+  std::vector<std::string> staying;
   for (const std::string& address : view_->members) {
-    if (!IsMissing(address, settings_.removal_delay + RankDelay(), now)) {
-      changed.members.push_back(address);
+    if (IsLost(address, now)) {
+      continue;
+    }
+    present.push_back(address);
+    if (!claims.IsLeaving(address)) {
+      staying.push_back(address);
     }
   }
+  // Of three members, one that restarts is no loss; two would be too few for several registrars of each job.
+  const bool several = staying.size() + joining >= kRegistrars || view_->members.size() < kRegistrars;
+  return several && staying.size() + joining > 0 ? staying : present;
+}
+
+std::vector<std::string> view_maintainer::JoiningEntries(const job_claims& claims, instant now) const {
+  // A change that replaces members has not to be followed by another one.
+  const bool replaces = std::any_of(
+      view_->members.begin(), view_->members.end(),
+      [this, &claims, now](const std::string& address) { return claims.IsLeaving(address) || IsLost(address, now); });
+  std::vector<std::string> joining;
   for (const std::pair<const std::string, instant>& item : listed_since_) {
-    const bool joins = now - item.second >= settings_.join_delay + RankDelay() && claims.IsReachable(item.first);
-    if (joins && !Contains(view_->members, item.first)) {
-      changed.members.push_back(item.first);
+    const bool listed_for_long = now - item.second >= settings_.join_delay + RankDelay();
+    if ((listed_for_long || replaces) && claims.CanJoin(item.first) && !Contains(view_->members, item.first)) {
+      joining.push_back(item.first);
     }
   }
-  if (changed.members.empty() || changed.members == view_->members) {
+  return joining;
+}
+
+std::optional<registrar_view> view_maintainer::ChangedMembers(const job_claims& claims, instant now) const {
+  const bool is_previous = Contains(view_->previous, settings_.address);
+  if (!is_previous && !MayWrite(view_->members, now)) {
     return std::nullopt;
   }
+  // The new members of a change in progress decide about nothing alone yet, so they can be replaced.
+  registrar_view changed{view_->number + 1, {}, view_->previous.empty() ? view_->members : view_->previous};
+  const std::vector<std::string> joining = JoiningEntries(claims, now);
+  changed.members = RemainingMembers(claims, joining.size(), now);
+  changed.members.insert(changed.members.end(), joining.begin(), joining.end());
   std::sort(changed.members.begin(), changed.members.end());
-  if (!Contains(view_->members, settings_.address)) {
+  if (changed.members.empty() || changed.members == view_->members) {
+    return std::nullopt;
+  }
+  if (!is_previous && !Contains(view_->members, settings_.address) && MayWrite(changed.previous, now)) {
     // All members were lost for longer than a change takes, so that no claim rests on them.
     changed.previous.clear();
   }
--- a/src/entry/registration.cc
+++ b/src/entry/registration.cc
@@ -1,8 +1,15 @@
 #include "bamboowing/entry/registration.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace bamboowing {
+namespace {
+
+// Share of the lease time by which the clocks of this process and of the service may differ.
+constexpr int kClockMargin = 10;
+
+}  // namespace
 
 bool registration::OnResult(std::uint64_t call, const store_result& result, instant now) {
   if (call == 0 || call != call_) {
@@ -17,6 +24,8 @@
   switch (step_) {
     case step::kGrant:
       lease_ = result.lease;
+      listed_since_.reset();
+      lease_until_ = sent_at_ + settings_.lease_time;
       step_ = step::kRead;
       break;
     case step::kRead:
@@ -25,6 +34,9 @@
       break;
     case step::kWrite:
       step_ = result.outcome == store_outcome::kOk ? step::kRenew : step::kRead;
+      if (step_ == step::kRenew && !listed_since_) {
+        listed_since_ = now;
+      }
       due_ = step_ == step::kRenew ? now + settings_.renew_interval : now;
       if (result.outcome == store_outcome::kLeaseGone) {
         step_ = step::kGrant;
@@ -32,6 +44,7 @@
       break;
     case step::kRenew:
       step_ = result.outcome == store_outcome::kLeaseGone ? step::kGrant : step::kRenew;
+      lease_until_ = step_ == step::kRenew ? std::max(lease_until_, sent_at_ + settings_.lease_time) : now;
       due_ = step_ == step::kRenew ? sent_at_ + settings_.renew_interval : now;
       break;
     case step::kEnded:
@@ -78,6 +91,13 @@
   out.emplace_back(std::move(call));
 }
 
+std::optional<registration::listed_time> registration::Listed() const {
+  if (!listed_since_) {
+    return std::nullopt;
+  }
+  return listed_time{*listed_since_, lease_until_ - settings_.lease_time / kClockMargin};
+}
+
 void registration::SetWantsAgents(bool wanted, instant now) {
   if (settings_.self.wants_agents == wanted || step_ == step::kEnded) {
     return;
@@ -94,6 +114,7 @@
     out.emplace_back(call_store{++next_id, lease_revoke{0, lease_}});
   }
   step_ = step::kEnded;
+  listed_since_.reset();
   call_ = 0;
   due_ = instant::max();
 }
--- a/src/service/best_effort_entry.cc
+++ b/src/service/best_effort_entry.cc
@@ -33,6 +33,8 @@
 // Part of the grace period after the last answer: it is transmitted, the remaining runs are stopped, and the process
 // exits.
 constexpr duration kExitReserve = std::chrono::seconds(1);
+// Time for the other members to remove a draining entry from the view, before they have to find out that it is gone.
+constexpr duration kLeaveLimit = std::chrono::milliseconds(500);
 // Time for agents to report the runs that were stopped with the last answer.
 constexpr duration kStopWait = std::chrono::milliseconds(300);
 // Agents take the reply to a report as contact. If the decision thread has not made a round for this long, they get
@@ -284,7 +286,8 @@
 
   /// Whether the process may exit. Runs that an agent has not reported as stopped by then end with their lease.
   bool Drained(instant now) const {
-    const bool released = core_.jobs() == 0 && !core_.claims().has_open_releases();
+    const bool left = !core_.claims().IsInView() || now >= leave_by_;
+    const bool released = core_.jobs() == 0 && !core_.claims().has_open_releases() && left;
     return released || (core_.unanswered_jobs() == 0 && now >= answer_by_ + kStopWait);
   }
 
@@ -320,12 +323,16 @@
           item.key == kRegistrarViewKey ? ParseRegistrarView(item.value) : std::nullopt;
       if (changed) {
         core_.OnRegistrarView(*changed, std::nullopt, now);
+        core_.OnListedView(changed->number);
       }
     }
   }
   void Handle(store_result_received& input, instant now) {
     if (input.call != view_call_) {
       registration_.OnResult(input.call, input.result, now);
+      if (const std::optional<registration::listed_time> listed = registration_.Listed(); listed) {
+        core_.OnRegistered(listed->since, listed->until);
+      }
       return;
     }
     const view_result shown = view_.OnResult(input.result, now);
@@ -345,6 +352,7 @@
     draining_ = true;
     const duration grace = settings_.best_effort.grace;
     answer_by_ = now + std::max(grace - kExitReserve, grace / 2);
+    leave_by_ = now + kLeaveLimit;
     core_.OnDrain(answer_by_);
     std::vector<entry_action> calls;
     registration_.Revoke(last_store_call_, calls);
@@ -391,7 +399,7 @@
 
   /// Reads or changes the view of the registrars.
   void MaintainView(instant now) {
-    const std::optional<view_call> due = draining_ ? std::nullopt : view_.NextCall(core_.claims(), now);
+    const std::optional<view_call> due = view_.NextCall(core_.claims(), now);
     if (!due) {
       return;
     }
@@ -451,6 +459,7 @@
   std::uint64_t last_store_call_ = 0;
   bool draining_ = false;
   instant answer_by_;       ///< while draining: when the last job is answered
+  instant leave_by_;        ///< while draining: until when the other members may remove this entry from the view
   bool finishing_ = false;  ///< WaitDrained() was called: no further jobs are submitted
   pause_log pause_log_;
   detail::drain_latch drained_;
--- a/tests/besteffort/changing_cluster_test.cc
+++ b/tests/besteffort/changing_cluster_test.cc
@@ -1,6 +1,6 @@
 // Checks the guarantees for jobs whose submissions arrive several times, at several entries and late, while the set of
-// entries changes: entries are added, lost for good, frozen and killed together, and the store does not answer. Each
-// seed generates its own sequence of copies and faults.
+// entries changes: entries are added, lost for good, restarted, replaced, frozen and killed together, and the store
+// does not answer. Each seed generates its own sequence of copies and faults.
 #include <gtest/gtest.h>
 
 #include <set>
@@ -96,6 +96,24 @@
   changing.sim.After(Below(changing.sim, kMaxListDelay), [&changing] { changing.sim.ListEntriesToAgents(); });
 }
 
+/// An entry drains and is restarted, or is replaced by a new one.
+void DrainEntry(changing_entries& changing, std::size_t entry) {
+  constexpr duration kMaxDown = std::chrono::milliseconds(1500);
+  if (changing.IsLost(entry)) {
+    return;
+  }
+  const bool replaced = entry != 0 && changing.sim.random().Below(2) == 0 &&
+                        changing.entries < changing.size.entries + changing.size.max_added &&
+                        changing.sim.entry(entry) != nullptr;
+  if (!replaced) {
+    changing.sim.DrainEntry(entry, Below(changing.sim, kMaxDown));
+    return;
+  }
+  AddEntry(changing);
+  changing.lost.insert(entry);
+  changing.sim.After(Below(changing.sim, kMaxDown), [&changing, entry] { changing.sim.RemoveEntry(entry); });
+}
+
 /// Entry 0 is kept for the check that new jobs are served.
 void LoseEntry(changing_entries& changing, std::size_t entry) {
   const bool running = changing.sim.entry(entry) != nullptr;  // otherwise it is restarted soon
@@ -140,7 +158,11 @@
   const std::size_t entry = changing.Any();
   const std::size_t agent = sim.random().Below(changing.size.targets);
   const duration time = std::chrono::milliseconds(200) + Below(sim, std::chrono::milliseconds(3500));
-  switch (sim.random().Below(12)) {
+  switch (sim.random().Below(14)) {
+    case 12:
+    case 13:
+      DrainEntry(changing, entry);
+      break;
     case 0:
       AddEntry(changing);
       break;
--- a/tests/besteffort/claim_registry_test.cc
+++ b/tests/besteffort/claim_registry_test.cc
@@ -227,5 +227,50 @@
   EXPECT_EQ(registry.size(), 0U);
 }
 
+// Guards against a registrar that grants a job whose claim another registrar has handed over, and against one that
+// denies it to the holder or for ever.
+TEST_F(claim_registry_test, HandedOverClaimIsKeptForItsTime) {
+  const duration time = std::chrono::seconds(3);
+  EXPECT_TRUE(registry.TakeOver({kOne, 1, {"job", 7, kHold, true}}, time, now));
+  const claim_answer denied = Claim(kOther, 2, 9);
+  EXPECT_EQ(denied.verdict, claim_verdict::kHeld);
+  EXPECT_EQ(denied.holder, kOne);
+  ASSERT_EQ(registry.HeldClaims(now).size(), 1U);
+  EXPECT_EQ(registry.HeldClaims(now)[0].holder, kOne);
+  now += time - std::chrono::milliseconds(1);
+  EXPECT_EQ(Verdict(kOther, 2, 10), claim_verdict::kHeld);
+  now += std::chrono::milliseconds(1);
+  EXPECT_EQ(Verdict(kOther, 2, 11), claim_verdict::kGranted);
+  registry.TakeOver({kOne, 1, {"next", 8, kHold, true}}, time, now);
+  EXPECT_EQ(Claim(kOne, 1, 8, "next").verdict, claim_verdict::kGranted) << "the holder itself";
+}
+
+// Guards against claims of two entries that are handed over, of which the registrar forgets the one that was granted.
+TEST_F(claim_registry_test, EachHandedOverClaimOfJobIsKept) {
+  const duration time = std::chrono::seconds(3);
+  registry.TakeOver({kOne, 1, {"job", 7, kHold, true}}, time, now);
+  registry.TakeOver({kOther, 2, {"job", 9, kHold, true}}, time, now);
+  EXPECT_EQ(Verdict(kOther, 2, 9), claim_verdict::kHeld);
+  EXPECT_EQ(Verdict(kOne, 1, 7), claim_verdict::kHeld);
+  Release(kOther, 2, 9, claim_end::kReleased);
+  EXPECT_EQ(Verdict(kOne, 1, 8), claim_verdict::kGranted);
+}
+
+// Guards against a claim that this registrar has granted and then gives to the holder of an older one that is handed
+// over, and against one that was released before it is handed over.
+TEST_F(claim_registry_test, HandedOverClaimDoesNotReplaceWhatIsRecorded) {
+  const duration time = std::chrono::seconds(3);
+  EXPECT_EQ(Verdict(kOther, 2, 9), claim_verdict::kGranted);
+  registry.TakeOver({kOne, 1, {"job", 7, kHold, true}}, time, now);
+  EXPECT_EQ(Verdict(kOther, 2, 9), claim_verdict::kGranted);
+  EXPECT_EQ(Verdict(kOne, 1, 7), claim_verdict::kHeld);
+  Release(kOther, 2, 9, claim_end::kReleased);
+  EXPECT_EQ(Verdict(kOther, 2, 10), claim_verdict::kHeld) << "by the handed-over claim";
+  EXPECT_EQ(Claim(kOne, 1, 20, "ended").verdict, claim_verdict::kGranted);
+  Release(kOne, 1, 20, claim_end::kReleased, "ended");
+  registry.TakeOver({kOne, 1, {"ended", 20, kHold, true}}, time, now);
+  EXPECT_EQ(Claim(kOther, 2, 21, "ended").verdict, claim_verdict::kGranted);
+}
+
 }  // namespace
 }  // namespace bamboowing
--- a/tests/besteffort/cluster_sim.cc
+++ b/tests/besteffort/cluster_sim.cc
@@ -44,8 +44,11 @@
   stored_version_ = 1;
   for (std::size_t i = 0; i < entries; ++i) {
     StartEntry(i);
-    // No job was claimed before the first processes of a deployment.
+    // No job was claimed before the first processes of a deployment, which have registered before they read the view.
     entries_[i]->core->OnNoRegistrarView();
+    entries_[i]->listed_since = now_;
+    entries_[i]->alive_at = now_;
+    entries_[i]->core->OnRegistered(now_, now_ + kRegistrationLease * 9 / 10);
     entries_[i]->core->OnRegistrarView(first, now_, now_);
   }
   UpdateDirectory();
@@ -84,7 +87,7 @@
 }
 
 void cluster_sim::StartEntry(std::size_t entry) {
-  if (entries_[entry]->core) {
+  if (entries_[entry]->core || entries_[entry]->removed) {
     return;  // an overlapping restart has already started it
   }
   dispatch_core_settings settings;
@@ -101,7 +104,8 @@
   entries_[entry]->view = std::make_unique<view_maintainer>(view);
   entries_[entry]->store_call = 0;
   entries_[entry]->has_list = false;
-  entries_[entry]->alive_at = now_;
+  entries_[entry]->listed_since.reset();
+  entries_[entry]->drained_at.reset();
   // The store lists the entries to a restarted process some time after others may have reached it.
   const bool restarted = settings.own_incarnation > entry_count_;
   const duration delay =
--- a/tests/besteffort/cluster_sim.h
+++ b/tests/besteffort/cluster_sim.h
@@ -26,6 +26,9 @@
 /// Whether the clock that the daemons use counts the time for which their machine is suspended.
 constexpr bool kDaemonClockCountsSuspension = true;
 
+/// Lease of the entries' registrations in the store.
+constexpr duration kRegistrationLease = std::chrono::seconds(5);
+
 /// Fault rates, as fractions from 0 to 1.
 struct sim_faults {
   double late_requests = 0;  ///< requests without a response; starts and stops among them are executed seconds later
@@ -110,6 +113,11 @@
   void DisconnectCaller(std::size_t job);
 
   void KillEntry(std::size_t entry, duration down);
+  /// Asks the entry's process to exit. It exits when its jobs have ended and the other members have removed it from the
+  /// view, after kMaxDrain at the latest; after @p down, a new process starts.
+  void DrainEntry(std::size_t entry, duration down);
+  /// As above, and no process starts again.
+  void RemoveEntry(std::size_t entry);
   void FreezeEntry(std::size_t entry, duration time);
   void KillAgent(std::size_t agent, duration down);
   void FreezeAgent(std::size_t agent, duration time);
@@ -120,7 +128,7 @@
   void Partition(std::size_t entry, std::size_t agent, duration time);
   /// Delays all messages between two entries for @p time; none is lost.
   void PartitionEntries(std::size_t one, std::size_t other, duration time);
-  /// The store answers no call for @p time. Registrations do not expire meanwhile.
+  /// The store answers no call for @p time. Registrations expire meanwhile in some of the outages.
   void StopStore(duration time);
   /// An entry that the store lists from now on; it is not a member of the view yet. Agents are not told of it.
   std::size_t AddEntry();
@@ -174,9 +182,12 @@
   struct entry_node {
     std::unique_ptr<dispatch_core> core;
     std::unique_ptr<view_maintainer> view;
-    std::uint64_t store_call = 0;  ///< newest call of `view`
-    bool has_list = false;         ///< the store has listed the entries to this process
-    instant alive_at;              ///< when the process last ran
+    std::uint64_t store_call = 0;         ///< newest call of `view`
+    bool has_list = false;                ///< the store has listed the entries to this process
+    bool removed = false;                 ///< no process is started again
+    instant alive_at;                     ///< when a process has last renewed the registration
+    std::optional<instant> drained_at;    ///< when the process was asked to exit
+    std::optional<instant> listed_since;  ///< since when the process is listed without a break
     incarnation_id entry_incarnation = 0;
     std::set<std::uint64_t> exchanges;  ///< requests for claims without a reply
     instant frozen_until;
@@ -236,6 +247,10 @@
   /// Gives the entries a changed list, and lets registrations expire.
   void UpdateDirectory();
   void ListEntriesTo(std::size_t entry);
+  /// Ends the entry's process when it has drained.
+  void CheckDrained(std::size_t entry, incarnation_id process, duration down);
+  /// Registers the entry's process, or renews its registration.
+  void Register(std::size_t entry);
   /// Sends the call that keeps the view of the registrars up to date, if it is due.
   void MaintainView(std::size_t entry);
   store_result CallStore(const view_call& call);
@@ -275,6 +290,9 @@
   store_version stored_version_ = 0;
   instant store_down_until_;
   std::vector<std::string> listed_;
+  std::uint64_t listed_view_ = 0;      ///< number of the view when the entries were told of listed_
+  bool leases_end_in_outage_ = false;  ///< whether registrations expire while the store is down
+  instant directory_updated_at_{std::chrono::seconds(1000)};
   std::vector<run_record> history_;
   std::vector<sim_job> jobs_;
   std::map<std::string, std::vector<instant>> crashes_;
--- a/tests/besteffort/cluster_sim_inputs.cc
+++ b/tests/besteffort/cluster_sim_inputs.cc
@@ -16,6 +16,9 @@
   return "attempt " + std::to_string(run.key.attempt) + " on " + run.target + " from " + ms(run.started_at) + " to " +
          ms(run.ended_at);
 }
+constexpr duration kDrainCheckInterval = std::chrono::milliseconds(5);
+// Time that a draining entry has for answering its jobs.
+constexpr duration kAnswerLimit = std::chrono::seconds(5);
 
 }  // namespace
 
@@ -121,6 +124,44 @@
   After(down, [this, entry] { StartEntry(entry); });
 }
 
+void cluster_sim::DrainEntry(std::size_t entry, duration down) {
+  if (!entries_[entry]->core || entries_[entry]->drained_at) {
+    return;
+  }
+  TraceFault("drain entry", entry, down);
+  const incarnation_id process = entries_[entry]->entry_incarnation;
+  DeliverToEntry(entry, [this, entry, process, down](dispatch_core& core, instant now) {
+    entries_[entry]->drained_at = now_;
+    if (store_down_until_ <= now_) {
+      entries_[entry]->alive_at = now_ - kRegistrationLease;  // the registration is revoked
+    }
+    core.OnDrain(now + kAnswerLimit);
+    After(kDrainCheckInterval, [this, entry, process, down] { CheckDrained(entry, process, down); });
+  });
+}
+
+void cluster_sim::RemoveEntry(std::size_t entry) {
+  DrainEntry(entry, duration(0));
+  entries_[entry]->removed = true;
+}
+
+void cluster_sim::CheckDrained(std::size_t entry, incarnation_id process, duration down) {
+  constexpr duration kLeaveLimit = std::chrono::milliseconds(500);
+  constexpr duration kMaxDrain = std::chrono::seconds(6);
+  const entry_node& node = *entries_[entry];
+  if (!node.core || node.entry_incarnation != process) {
+    return;
+  }
+  const duration drained_for = now_ - *node.drained_at;
+  const bool left = !node.core->claims().IsInView() || drained_for >= kLeaveLimit;
+  const bool released = node.core->jobs() == 0 && !node.core->claims().has_open_releases();
+  if ((left && released) || drained_for >= kMaxDrain) {
+    KillEntry(entry, down);
+    return;
+  }
+  After(kDrainCheckInterval, [this, entry, process, down] { CheckDrained(entry, process, down); });
+}
+
 void cluster_sim::FreezeEntry(std::size_t entry, duration time) {
   TraceFault("freeze entry", entry, time);
   entries_[entry]->frozen_until = now_ + time;
--- a/tests/besteffort/cluster_sim_store.cc
+++ b/tests/besteffort/cluster_sim_store.cc
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr duration kUpdateInterval = std::chrono::milliseconds(250);
-constexpr duration kRegistrationLease = std::chrono::seconds(5);
+constexpr duration kRenewInterval = std::chrono::milliseconds(1500);
 constexpr duration kStoreDelay = std::chrono::milliseconds(2);
 constexpr duration kCallTimeout = std::chrono::seconds(1);
 
@@ -28,15 +28,22 @@
 }
 
 void cluster_sim::UpdateDirectory() {
-  for (const std::unique_ptr<entry_node>& node : entries_) {
-    // The lease does not end while the store is down.
-    if ((node->core && !Stopped(*node)) || store_down_until_ > now_) {
-      node->alive_at = now_;
+  const bool down = store_down_until_ > now_;
+  for (std::size_t i = 0; i < entries_.size(); ++i) {
+    entry_node& node = *entries_[i];
+    if (down && !leases_end_in_outage_) {
+      node.alive_at += now_ - directory_updated_at_;
+    } else if (!down && node.core && !Stopped(node) && !node.drained_at &&
+               (!node.listed_since || now_ - node.alive_at >= kRenewInterval)) {
+      Register(i);
     }
   }
+  directory_updated_at_ = now_;
   std::vector<std::string> listed = ListedEntries();
-  if (listed != listed_) {
+  const std::uint64_t view = stored_view_.empty() ? 0 : ParseRegistrarView(stored_view_)->number;
+  if (!down && (listed != listed_ || view != listed_view_)) {
     listed_ = std::move(listed);
+    listed_view_ = view;
     for (std::size_t i = 0; i < entries_.size(); ++i) {
       if (entries_[i]->has_list) {
         ListEntriesTo(i);
@@ -46,17 +53,32 @@
   After(kUpdateInterval, [this] { UpdateDirectory(); });
 }
 
+void cluster_sim::Register(std::size_t entry) {
+  entry_node& node = *entries_[entry];
+  if (!node.listed_since || now_ - node.alive_at >= kRegistrationLease) {
+    node.listed_since = now_;
+  }
+  node.alive_at = now_;
+  // The answer follows the call, whose time counts for the end of the lease.
+  const instant since = node.clock.Read(*node.listed_since + kStoreDelay);
+  const instant until = node.clock.Read(now_ - kStoreDelay) + kRegistrationLease * 9 / 10;
+  DeliverToEntry(entry, [since, until](dispatch_core& core, instant /*now*/) { core.OnRegistered(since, until); });
+}
+
 void cluster_sim::ListEntriesTo(std::size_t entry) {
-  DeliverToEntry(entry, [this, entry](dispatch_core& core, instant now) {
+  // A list may be outdated when it arrives at a process that was stopped.
+  DeliverToEntry(entry, [this, entry, listed = listed_, view = listed_view_](dispatch_core& core, instant now) {
     entries_[entry]->has_list = true;
-    core.OnPeers(listed_, now);
-    entries_[entry]->view->OnListed(listed_, now);
+    core.OnPeers(listed, now);
+    core.OnListedView(view);
+    entries_[entry]->view->OnListed(listed, now);
   });
 }
 
 void cluster_sim::StopStore(duration time) {
   Trace("fault: store does not answer for " + std::to_string(time.count() / 1000) + " ms");
   store_down_until_ = now_ + time;
+  leases_end_in_outage_ = random_.Below(2) == 0;
 }
 
 std::size_t cluster_sim::AddEntry() {
--- a/tests/besteffort/review_claims_test.cc
+++ b/tests/besteffort/review_claims_test.cc
@@ -77,6 +77,7 @@
     started.process = last_process_;
     started.core = std::make_unique<job_claims>(settings, last_process_, now);
     started.core->OnPeers(view.members, now);
+    started.core->OnRegistered(now, instant::max());
     started.core->OnView(view, now, now);
   }
 
@@ -237,7 +238,8 @@
   Cut(second, registrars[2]);  // the second entry has the registrar and itself
   Deliver(late);
   const instant heard_at = now;
-  while (!nodes[registrar].core->OnRequest({Address(second), nodes[second].process, {}, {}, false, {}, {}}, now).decides) {
+  while (
+      !nodes[registrar].core->OnRequest({Address(second), nodes[second].process, {}, {}, false, {}, {}}, now).decides) {
     RunFor(kTick);
   }
   Claim(second);
@@ -337,8 +339,8 @@
   EXPECT_EQ(nodes[entry].unavailable.count(kJob), 1U) << "neither granted nor refused";
 }
 
-// Guards against a job that is started although an earlier request may still start a task, by registrars that restart one
-// after the other within 15 s and send each other only the claims that are held.
+// Guards against a job that is started although an earlier request may still start a task, by registrars that restart
+// one after the other within 15 s and send each other only the claims that are held.
 TEST_F(review_claims_test, RestartedRegistrarsKnowThatJobIsNotRepeatable) {
   StartEntries(5);
   Claim(others[0]);
--- a/tests/besteffort/view_maintainer_test.cc
+++ b/tests/besteffort/view_maintainer_test.cc
@@ -33,6 +33,7 @@
     settings.address = Address(1);
     settings.own_incarnation = ++process;
     claims = std::make_unique<job_claims>(settings, process, now);
+    claims->OnRegistered(now, instant::max());
     view_maintainer_settings view;
     view.address = Address(1);
     view.change_limit = settings.view_change_limit();
--- a/tests/entry/registration_test.cc
+++ b/tests/entry/registration_test.cc
@@ -53,5 +53,35 @@
   EXPECT_EQ(RunCalls(4), "");
 }
 
+// Guards against an entry that takes itself as listed after its lease may have ended, or from before it was listed
+// again: the others may have gone on without it.
+TEST_F(RegistrationTest, IsListedUntilLeaseMayHaveEnded) {
+  EXPECT_FALSE(registered.Listed());
+  RunCalls(3);
+  ASSERT_TRUE(registered.Listed());
+  const instant since = now;
+  const duration lease = Settings().lease_time;
+  EXPECT_EQ(registered.Listed()->since, since);
+  EXPECT_LT(registered.Listed()->until, since + lease);
+  EXPECT_GT(registered.Listed()->until, since + lease / 2);
+  now += Settings().renew_interval;
+  RunCalls(1);
+  EXPECT_EQ(registered.Listed()->since, since);
+  EXPECT_GT(registered.Listed()->until, now + lease / 2);
+  // The lease has ended.
+  now += Settings().renew_interval;
+  std::vector<entry_action> out;
+  registered.OnTick(now, last_call, out);
+  ASSERT_EQ(out.size(), 1U);
+  store_result gone;
+  gone.outcome = store_outcome::kLeaseGone;
+  registered.OnResult(last_call, gone, now);
+  EXPECT_LE(registered.Listed()->until, now);
+  RunCalls(3);
+  EXPECT_EQ(registered.Listed()->since, now);
+  registered.Revoke(last_call, out);
+  EXPECT_FALSE(registered.Listed());
+}
+
 }  // namespace
 }  // namespace bamboowing
