Ask an entry that refuses connections at intervals

Cause: each failed request marked the entry for a check, which is sent without the interval between requests to an unreachable entry.

--- a/src/besteffort/job_claims_peers.cc
+++ b/src/besteffort/job_claims_peers.cc
@@ -197,8 +197,8 @@
     return;  // the same connection has failed for another request
   }
   to.failed_exchange = last_exchange_;
-  to.check = true;
-  if (++to.failed_exchanges >= kMaxFailedExchanges) {
+  to.check = ++to.failed_exchanges < kMaxFailedExchanges;
+  if (!to.check) {
     SetUnreachable(failed.address, "its connection failed", now);
   }
 }
--- a/tests/besteffort/job_claims_test.cc
+++ b/tests/besteffort/job_claims_test.cc
@@ -242,6 +242,24 @@
   EXPECT_EQ(nodes[0].core->reachable_entries(), 3U);
 }
 
+// Guards against an entry that spends its processor time on requests to another one whose machine refuses connections
+// at once, as one does whose process has ended.
+TEST_F(job_claims_test, EntryThatRefusesConnectionsIsAskedAtIntervals) {
+  StartEntries(3);
+  nodes[1].silent = true;
+  Claim(0);
+  const duration time = std::chrono::seconds(2);
+  std::size_t requests = 0;
+  for (const instant end = now + time; now < end;) {
+    RunFor(kTick);
+    requests += static_cast<std::size_t>(std::count_if(nodes[1].waiting.begin(), nodes[1].waiting.end(),
+                                                       [](const request& sent) { return sent.from == 0; }));
+    ResetConnectionsTo(1);
+  }
+  constexpr std::size_t kAtOnce = 3;  // until the entry counts as unreachable
+  EXPECT_LE(requests, static_cast<std::size_t>(time / nodes[0].core->settings().probe_interval) + kAtOnce);
+}
+
 // Guards against failures that add up over a long time, although the entry answered between them.
 TEST_F(job_claims_test, AnswerBetweenFailuresKeepsEntryReachable) {
   StartEntries(3);
