Begin the change of the view when all members are lost, and end it by the list

Change: it begins an ordinary change 2 s after the members are missing (members that run are listed again within that time after an outage of the key-value service), and the change ends when a list that is as new as the change has shown for 2.6 s that none of them is listed. So the wait is shorter, and a stale list ends nothing any more. Members that reach each other, but neither the key-value service nor that entry, are still not covered.

EntryThatIsNoMemberTakesOverOnlyAfterLossOfAll checked 9.6 s and a view without previous members; it now checks the two steps, each with its own bound, and that an old list ends nothing.

--- a/include/bamboowing/besteffort/view_maintainer.h
+++ b/include/bamboowing/besteffort/view_maintainer.h
@@ -29,8 +29,10 @@
   duration removal_delay{3'000'000};  ///< a member is removed when it was neither listed nor reachable for this long
   /// The same if jobs are refused meanwhile, since more than one member is missing or each job has one registrar.
   duration urgent_removal_delay{500'000};
-  /// See job_claims_settings::view_change_limit(). An entry that is no member replaces the view when no member was
-  /// listed or reachable for this long, since lost members decide about no job then.
+  /// An entry that is no member begins a change when no member was listed or reachable for this long: within it,
+  /// members that run and reach the key-value service after its outage are listed again.
+  duration takeover_delay{2'000'000};
+  /// See job_claims_settings::view_change_limit().
   duration change_limit{9'600'000};
   duration rank_delay{200'000};  ///< by which entries act one after the other, in the order of their addresses
 };
@@ -88,9 +90,9 @@
   std::vector<std::string> RemainingMembers(const job_claims& claims, std::size_t joining, instant now) const;
   /// Entries that are to become members.
   std::vector<std::string> JoiningEntries(const job_claims& claims, instant now) const;
-  /// Whether this entry may write the view that follows: it is one of @p members, or these are all gone. So an entry
-  /// that hears all members hears one that knows of the change.
-  bool MayWrite(const std::vector<std::string>& members, instant now) const;
+  /// Whether this entry may write the view that follows: it is one of @p members, or these were all gone for @p time.
+  /// So an entry that hears all members hears one that knows of the change.
+  bool MayWrite(const std::vector<std::string>& members, duration time, instant now) const;
   bool IsReadDue(const job_claims& claims, instant now) const;
   /// Additional delay of this entry's calls.
   duration RankDelay() const;
--- a/src/besteffort/job_claims_change.cc
+++ b/src/besteffort/job_claims_change.cc
@@ -51,15 +51,17 @@
 }
 
 bool job_claims::CollectsClaims(instant now) const {
-  if (!Contains(view_.previous, settings_.address)) {
+  const bool any_previous = std::any_of(view_.previous.begin(), view_.previous.end(),
+                                        [this](const std::string& address) { return IsReachable(address); });
+  const std::vector<std::string>& collectors = any_previous ? view_.previous : view_.members;
+  if (!Contains(collectors, settings_.address)) {
     return false;
   }
   // An entry that leaves does it if no other one can.
-  const std::ptrdiff_t rank =
-      std::count_if(view_.previous.begin(), view_.previous.end(), [this](const std::string& address) {
-        const bool precedes = leaving_ ? address != settings_.address : address < settings_.address;
-        return precedes && IsReachable(address) && !IsLeaving(address);
-      });
+  const std::ptrdiff_t rank = std::count_if(collectors.begin(), collectors.end(), [this](const std::string& address) {
+    const bool precedes = leaving_ ? address != settings_.address : address < settings_.address;
+    return precedes && IsReachable(address) && !IsLeaving(address);
+  });
   return now - view_adopted_at_ >= settings_.collection_delay * std::min(kMaxRank, rank);
 }
 
@@ -79,6 +81,9 @@
   // An entry that is not listed decides by no view that it has read before. If it is listed again, it reads this one.
   const peer& other = found->second;
   const bool unlisted = other.unlisted_since && now - *other.unlisted_since >= settings_.claim_end_limit();
+  if (!Contains(view_.previous, settings_.address)) {
+    return unlisted && !other.reachable;
+  }
   // Unless it hears all members, of which this entry is one.
   const instant contacted_at = std::max(started_at_, other.contacted_at.value_or(started_at_));
   return unlisted && now - contacted_at >= settings_.member_freshness + settings_.claim_end_limit();
@@ -109,19 +114,21 @@
 }
 
 void job_claims::UpdateKnownView(instant now) {
-  if (!IsChanging() || KnowsChange() || !complete_ || !Contains(view_.previous, settings_.address)) {
+  if (!IsChanging() || KnowsChange() || !complete_) {
     return;
   }
-  // A claim by an earlier view needs a majority of its registrars, one of which has handed it over unless so many of
-  // them are silent.
+  const bool is_previous = Contains(view_.previous, settings_.address);
   const std::size_t silent = static_cast<std::size_t>(
-      std::count_if(view_.previous.begin(), view_.previous.end(), [this, now](const std::string& address) {
+      std::count_if(view_.previous.begin(), view_.previous.end(), [&](const std::string& address) {
         const std::map<std::string, peer>::const_iterator found = peers_.find(address);
         const bool handed_over = found != peers_.end() && found->second.handed_over_view >= view_.number;
-        return address != settings_.address && !handed_over && !HasCeased(address, now);
+        return address != settings_.address && !(is_previous && handed_over) && !HasCeased(address, now);
       }));
+  // A claim by an earlier view needs a majority of its registrars, one of which has handed it over unless so many of
+  // them are silent. An entry that is no previous member learns of claims from another entry, unless all of these are
+  // gone.
   const std::size_t registrars = view_.previous.size() < kRegistrars ? 1 : kRegistrars;
-  if (silent < MajorityOf(registrars)) {
+  if (silent < (is_previous ? MajorityOf(registrars) : 1)) {
     SetKnownView("previous members that are silent: " + std::to_string(silent), now);
   }
 }
--- a/src/besteffort/view_maintainer.cc
+++ b/src/besteffort/view_maintainer.cc
@@ -146,7 +146,7 @@
 std::optional<registrar_view> view_maintainer::ContinuedChange(const job_claims& claims, instant now) const {
   const bool handed_over = claims.view().number == view_->number && claims.CanEndChange(now);
   const bool time_passed = now - view_seen_at_ >= settings_.change_limit + RankDelay();
-  if (handed_over || (time_passed && MayWrite(view_->previous, now))) {
+  if (handed_over || (time_passed && MayWrite(view_->previous, settings_.change_limit, now))) {
     return registrar_view{view_->number + 1, view_->members, {}};
   }
   const bool any_lost = std::any_of(view_->members.begin(), view_->members.end(),
@@ -165,10 +165,10 @@
   return first;
 }
 
-bool view_maintainer::MayWrite(const std::vector<std::string>& members, instant now) const {
+bool view_maintainer::MayWrite(const std::vector<std::string>& members, duration time, instant now) const {
   return Contains(members, settings_.address) ||
-         std::all_of(members.begin(), members.end(), [this, now](const std::string& address) {
-           return IsMissing(address, settings_.change_limit, now);
+         std::all_of(members.begin(), members.end(), [this, time, now](const std::string& address) {
+           return IsMissing(address, time + RankDelay(), now);
          });
 }
 
@@ -216,7 +216,7 @@
 
 std::optional<registrar_view> view_maintainer::ChangedMembers(const job_claims& claims, instant now) const {
   const bool is_previous = Contains(view_->previous, settings_.address);
-  if (!is_previous && !MayWrite(view_->members, now)) {
+  if (!is_previous && !MayWrite(view_->members, settings_.takeover_delay, now)) {
     return std::nullopt;
   }
   // The new members of a change in progress decide about nothing alone yet, so they can be replaced.
@@ -228,10 +228,6 @@
   if (changed.members.empty() || changed.members == view_->members) {
     return std::nullopt;
   }
-  if (!is_previous && !Contains(view_->members, settings_.address) && MayWrite(changed.previous, now)) {
-    // All members were lost for longer than a change takes, so that no claim rests on them.
-    changed.previous.clear();
-  }
   return changed;
 }
 
--- a/tests/besteffort/view_maintainer_test.cc
+++ b/tests/besteffort/view_maintainer_test.cc
@@ -185,11 +185,19 @@
   RunFor(std::chrono::seconds(30));
   EXPECT_EQ(Stored().number, 1U) << "entry 2 is listed";
   List({1});
-  RunFor(claims->settings().view_change_limit() - kTick * 2);
-  EXPECT_EQ(Stored().number, 1U);
-  RunFor(std::chrono::seconds(2));
+  RunFor(std::chrono::seconds(2) - kTick * 2);
+  EXPECT_EQ(Stored().number, 1U) << "they may be listed again after an outage";
+  RunFor(kTick * 10);
   EXPECT_EQ(Stored().number, 2U);
   EXPECT_EQ(Stored().members, Addresses({1}));
+  EXPECT_EQ(Stored().previous, Addresses({2, 3, 4})) << "runs may rest on claims that lost members have granted";
+  RunFor(claims->settings().claim_end_limit() + std::chrono::seconds(1));
+  EXPECT_EQ(Stored().number, 2U) << "the list is older than the change";
+  claims->OnListedView(2);
+  RunFor(claims->settings().claim_end_limit() - kTick * 2);
+  EXPECT_EQ(Stored().number, 2U);
+  RunFor(kTick * 10);
+  EXPECT_EQ(Stored().number, 3U);
   EXPECT_TRUE(Stored().previous.empty()) << "no claim needs the grants of lost members";
 }
 
--- a/tests/besteffort/view_recovery_test.cc
+++ b/tests/besteffort/view_recovery_test.cc
@@ -160,6 +160,23 @@
   EXPECT_EQ(deployment.sim.OverlappingRuns(), std::vector<std::string>());
 }
 
+// Guards against new entries that wait long for members of which none exists any more.
+TEST_P(view_recovery, NewEntriesServeSoonAfterLossOfAllMembers) {
+  recovering_deployment deployment(GetParam());
+  std::vector<std::size_t> added;
+  for (std::size_t i = 0; i < GetParam(); ++i) {
+    deployment.sim.KillEntry(i, kForGood);
+    added.push_back(deployment.sim.AddEntry());
+  }
+  deployment.in_use = added;
+  deployment.sim.ListEntriesToAgents();
+  const instant lost_at = deployment.sim.now();
+  deployment.Serve(kRecoveryLimit + std::chrono::seconds(4));
+  deployment.sim.RunFor(std::chrono::seconds(1));
+  EXPECT_EQ(deployment.ServedShare(lost_at + kRecoveryLimit, deployment.sim.now()), 1.0);
+  EXPECT_EQ(deployment.sim.OverlappingRuns(), std::vector<std::string>());
+}
+
 // Guards against a rolling restart that stops the service of the entries that are not being restarted.
 TEST_P(view_recovery, RollingRestartRefusesFewJobs) {
   for (const int interval_ms : {1000, 3000}) {
