Tell refused callers when registrars that are lost have ceased

What callers saw: a job that was refused for want of registrars was always told to come back after 300 ms, also while the refusal lasted for seconds (users' findings: what does Retry-After say?). Cause: a constant. Change: the time follows from what is known: until this entry knows all claims, and until nothing rests on members that are not listed any more. Members that are listed and silent may be back at any moment; for them it stays 300 ms.

--- a/include/bamboowing/besteffort/job_claims.h
+++ b/include/bamboowing/besteffort/job_claims.h
@@ -46,6 +46,7 @@
   duration answer_limit{500'000};
   duration retry_interval{40'000};  ///< until a claim that was denied or not decided is repeated for the first time
   duration max_retry_interval{320'000};
+  duration min_retry_after{300'000};     ///< shortest time after which a refused job is worth another attempt
   duration probe_interval{250'000};      ///< between requests to an unreachable entry
   duration contact_interval{2'000'000};  ///< longest time between two requests to a member of the view
   duration release_delay{100'000};       ///< releases wait this long for a request that also has claims
@@ -173,6 +174,9 @@
   /// Whether the change of the view in progress can end, since all members know the claims that rest on the previous
   /// members alone, and this entry is the one that ends it.
   bool CanEndChange(instant now) const;
+  /// Time after which a job that was refused for want of registrars is worth another attempt: until this entry knows
+  /// all claims and nothing rests on the members that are gone, as far as this can be foreseen.
+  duration RetryAfter(instant now) const;
   /// Whether the view must be read again for this registration.
   bool NeedsConfirmation() const;
   std::size_t open_claims() const { return claims_.size(); }
@@ -259,6 +263,8 @@
   /// Whether the previous member at @p address does not decide by an earlier view any more, and no claim rests on what
   /// it has confirmed by one.
   bool HasCeased(const std::string& address, instant now) const;
+  /// When that holds for a member that is not listed, if it is not heard of any more.
+  instant EndOfConfirmations(const peer& unlisted, instant now) const;
   /// Takes over the claims of an entry that has adopted the view. Those in progress may outlast what its reply says.
   void TakeHandOver(const exchange_state& ended, const claim_reply& reply, instant now);
   void UpdateKnownView(instant now);
--- a/src/besteffort/dispatch_claims.cc
+++ b/src/besteffort/dispatch_claims.cc
@@ -6,12 +6,6 @@
 #include "bamboowing/besteffort/dispatch_core.h"
 
 namespace bamboowing {
-namespace {
-
-constexpr duration kUnclaimedRetryAfter = std::chrono::milliseconds(300);
-
-}  // namespace
-
 void dispatch_core::OnPeers(const std::vector<std::string>& addresses, instant now) {
   claims_.OnPeers(addresses, now);
   HandleClaims();
@@ -113,7 +107,7 @@
   }
   failure unavailable(error_kind::kNotReady, not_run_state::kYes,
                       "too few of the entries that must confirm the job can be reached");
-  unavailable.retry_after = kUnclaimedRetryAfter;
+  unavailable.retry_after = claims_.RetryAfter(last_now_);
   Answer(*found->second, job_verdict::kRefused, std::move(unavailable));
   EraseIfFinished(job_id);
 }
@@ -129,7 +123,7 @@
   }
   failure unclaimed(error_kind::kNotReady, not_run_state::kYes,
                     "the other entries have not confirmed in time that the job is open nowhere else");
-  unclaimed.retry_after = kUnclaimedRetryAfter;
+  unclaimed.retry_after = claims_.RetryAfter(last_now_);
   Answer(job, job_verdict::kRefused, std::move(unclaimed));
 }
 
--- a/src/besteffort/job_claims_change.cc
+++ b/src/besteffort/job_claims_change.cc
@@ -73,20 +73,36 @@
   return knows || (from.previous && from.handed_over_view < view_.number && CollectsClaims(now));
 }
 
+instant job_claims::EndOfConfirmations(const peer& unlisted, instant now) const {
+  // An entry that is not listed decides by no view that it has read before. If it is listed again, it reads this one.
+  instant end = unlisted.unlisted_since.value_or(now);
+  if (IsInView()) {
+    // Unless it hears all members, of which this entry is one.
+    end = std::max(end, unlisted.contacted_at.value_or(started_at_) + settings_.member_freshness);
+  }
+  return end + settings_.claim_end_limit();
+}
+
 bool job_claims::HasCeased(const std::string& address, instant now) const {
   const std::map<std::string, peer>::const_iterator found = peers_.find(address);
-  if (found == peers_.end()) {
+  if (found == peers_.end() || !found->second.unlisted_since || now < EndOfConfirmations(found->second, now)) {
     return false;
   }
-  // An entry that is not listed decides by no view that it has read before. If it is listed again, it reads this one.
-  const peer& other = found->second;
-  const bool unlisted = other.unlisted_since && now - *other.unlisted_since >= settings_.claim_end_limit();
-  if (!Contains(view_.previous, settings_.address)) {
-    return unlisted && !other.reachable;
-  }
-  // Unless it hears all members, of which this entry is one.
-  const instant contacted_at = std::max(started_at_, other.contacted_at.value_or(started_at_));
-  return unlisted && now - contacted_at >= settings_.member_freshness + settings_.claim_end_limit();
+  return Contains(view_.previous, settings_.address) || !found->second.reachable;
+}
+
+duration job_claims::RetryAfter(instant now) const {
+  instant end = now + settings_.min_retry_after;
+  if (!complete_) {
+    end = std::max(end, started_at_ + settings_.claim_end_limit());
+  }
+  for (const std::pair<const std::string, peer>& item : peers_) {
+    const peer& other = item.second;
+    if (other.member && !other.listed && !other.reachable) {
+      end = std::max(end, EndOfConfirmations(other, now));
+    }
+  }
+  return end - now;
 }
 
 void job_claims::TakeHandOver(const exchange_state& ended, const claim_reply& reply, instant now) {
--- a/tests/besteffort/view_change_test.cc
+++ b/tests/besteffort/view_change_test.cc
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include <cstddef>
+#include <cstdlib>
 #include <initializer_list>
 #include <string>
 #include <vector>
@@ -179,6 +180,23 @@
   EXPECT_GE((now - stopped_at).count(), (settings.member_freshness + settings.claim_end_limit()).count());
 }
 
+// Guards against refused callers that are told to come back long before or after jobs can be served again.
+TEST_F(view_change_test, RefusedCallersAreToldWhenChangeEnds) {
+  StartWithMembers(3, {0, 1, 2});
+  EXPECT_EQ(nodes[0].core->RetryAfter(now), nodes[0].core->settings().min_retry_after);
+  Stop(1);
+  Stop(2);
+  RunFor(std::chrono::seconds(5));
+  nodes[0].core->OnPeers({}, now);
+  BeginChange({0});
+  nodes[0].core->OnListedView(2);
+  RunFor(kSoon);
+  const duration told = nodes[0].core->RetryAfter(now);
+  const duration waited = TimeUntilEnd(std::chrono::seconds(20));
+  EXPECT_GT(waited, std::chrono::seconds(1));
+  EXPECT_LE(std::abs((waited - told).count()), kTick.count() * 2);
+}
+
 // Guards against lost members that are taken as such although this entry has answered them a moment ago: without the
 // key-value service they decide as long as all members answer.
 TEST_F(view_change_test, MembersThatWereAnsweredHoldUpChangeLonger) {
