Keep the claim of an entry that reports its job as not repeatable

Found by reading: a report on a job that must not be repeated had the number of the claim as the reporting registrar knows it. If that entry holds the job itself, the receiver took the report as the end of its claim, and might have granted the job after 15 s while runs are active. A report has no claim number now.

Evidence: claim_registry_test.ReportOfHolderDoesNotEndItsClaim fails before (no claim is held) and passes now.

--- a/src/besteffort/claim_registry.cc
+++ b/src/besteffort/claim_registry.cc
@@ -209,7 +209,7 @@
     const bool ended = known.end == claim_end::kNotRepeatable;
     const instant until = ended ? known.until : known.reported_until;
     if ((ended || known.reported == claim_end::kNotRepeatable) && now < until) {
-      found.push_back({item.first, known.number, claim_end::kNotRepeatable, until - now});
+      found.push_back({item.first, 0, claim_end::kNotRepeatable, until - now});
     }
   }
   return found;
--- a/tests/besteffort/claim_registry_test.cc
+++ b/tests/besteffort/claim_registry_test.cc
@@ -272,5 +272,18 @@
   EXPECT_EQ(Claim(kOther, 2, 21, "ended").verdict, claim_verdict::kGranted);
 }
 
+// Guards against a report on a job that is taken as the end of the reporting entry's own claim, whose runs are active.
+TEST_F(claim_registry_test, ReportOfHolderDoesNotEndItsClaim) {
+  EXPECT_EQ(Verdict(kOne, 1, 7), claim_verdict::kGranted);
+  Release(kOther, 2, 9, claim_end::kNotRepeatable);
+  const std::vector<claim_release> reported = registry.NotRepeatableJobs(now);
+  ASSERT_EQ(reported.size(), 1U);
+  claim_registry other(kRunEndLimit, kSilenceLimit, kRetention);
+  EXPECT_EQ(other.Claim(kOne, 1, {"job", 7, kHold, false}, now).verdict, claim_verdict::kGranted);
+  other.Release(kOne, 1, reported[0], now);
+  EXPECT_EQ(other.HeldClaims(now).size(), 1U);
+  EXPECT_EQ(other.Claim(kOther, 2, {"job", 10, kHold, false}, now).verdict, claim_verdict::kNotRepeatable);
+}
+
 }  // namespace
 }  // namespace bamboowing
