--- a/include/bamboowing/besteffort/claim_registry.h
+++ b/include/bamboowing/besteffort/claim_registry.h
@@ -5,7 +5,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -18,8 +20,9 @@
 /// Which entry holds each job, and which jobs have completed. Does no I/O and reads no clock.
 class claim_registry {
  public:
-  /// Beyond this number of records, those of completed and released jobs are dropped. If all jobs are held, further
-  /// claims are not recorded.
+  /// Beyond this number of records, those of released jobs are dropped first, then those of completed, unrepeatable and
+  /// cancelled jobs, each time the one that expires first. A record of a job that its holder may still run is never
+  /// dropped: if there are no others, further claims and cancels are not recorded.
   static constexpr std::size_t kMaxRecords = 16'384;
 
   /// @p run_end_limit is the time from the end of an entry's process until none of its runs is active, @p silence_limit
@@ -44,11 +47,20 @@
   /// recorded a claim before keeps it. Returns false if it can't be kept.
   bool TakeOver(const held_claim& claim, duration time, instant now);
 
+  /// Denies all claims of the job for cancel.retention, and for as long as its holder may have claimed it for. A job
+  /// that is known to have completed stays so.
+  cancel_answer Cancel(const job_cancel& cancel, instant now);
+  /// Cancelled jobs that a process has claimed and not released.
+  std::vector<std::string> CancelledJobsOf(const std::string& holder, incarnation_id incarnation) const;
+  bool IsCancelled(const std::string& job_id, instant now) const;
+  /// Cancels with their remaining times.
+  std::vector<job_cancel> Cancels(instant now) const;
+
   /// The claims that are recorded or were handed over.
   std::vector<held_claim> HeldClaims(instant now) const;
 
-  /// The jobs that are known not to be repeatable, each with the time for which that is known.
-  std::vector<claim_release> NotRepeatableJobs(instant now) const;
+  /// The jobs that no entry may start since they are cancelled or not repeatable, with their remaining times.
+  std::vector<claim_release> ForbiddenJobs(instant now) const;
 
   /// Removes the records whose time has passed.
   void Expire(instant now);
@@ -65,6 +77,9 @@
     instant recorded_at;                ///< when this registrar learned of it
     std::optional<claim_end> reported;  ///< what another entry has reported of the job while it is held
     instant reported_until;
+    // If the job was cancelled:
+    bool was_open = false;  ///< an entry is known to have had it then
+    bool running = false;   ///< the holder had claimed it then and has not released it
   };
 
   /// A claim that another registrar has handed over.
@@ -75,6 +90,8 @@
     instant until;
   };
 
+  using record_map = std::unordered_map<std::string, record>;  ///< by job id
+
   /// Processes of one entry. Their incarnations have no order, so those that were replaced are remembered.
   struct entry_processes {
     incarnation_id newest = 0;
@@ -92,18 +109,24 @@
   void LimitClaims(const std::string& holder, incarnation_id except, instant now);
   /// Removes the handed-over claim that this release ends.
   void DropHandedOver(incarnation_id incarnation, const claim_release& release);
+  /// A claim of a cancelled job has ended. A job that was completed by then stays so.
+  void ReleaseCancelled(record_map::iterator cancelled, const claim_release& release, bool by_holder, instant until);
+  /// The holder of a cancelled job no longer runs it.
+  void ForgetHolder(const std::string& job_id, record& known);
   /// Returns false if the record can't be kept.
   bool Store(const std::string& job_id, record added);
-  /// Drops the record of a claim that has ended, the one that expires first. Returns false if there is none.
+  /// Drops a record of a claim that has ended. Returns false if there is none.
   bool DropEndedRecord();
 
   duration run_end_limit_;
   duration silence_limit_;
   duration max_retention_;
-  std::unordered_map<std::string, record> records_;  ///< by job id
+  record_map records_;
   /// By job id. Registrars may name different holders of a job, one of which has no majority.
   std::unordered_map<std::string, std::vector<handed_over_claim>> handed_over_;
   std::unordered_map<std::string, entry_processes> processes_;  ///< by address
+  /// Jobs of records with `running`, by the address of their holder.
+  std::map<std::string, std::set<std::string>> cancelled_of_;
 };
 
 }  // namespace bamboowing
--- a/include/bamboowing/besteffort/dispatch_core.h
+++ b/include/bamboowing/besteffort/dispatch_core.h
@@ -103,7 +103,7 @@
 std::string_view JobVerdictName(job_verdict verdict);
 
 using dispatch_action = std::variant<answer_job, send_run_batch, close_run_session, log_dispatch_event,
-                                     send_claim_request, abandon_claim_request>;
+                                     send_claim_request, abandon_claim_request, cancel_decided>;
 
 /// State of a job for its callers.
 enum class job_phase : std::uint8_t { kQueued, kRunning };
@@ -118,8 +118,9 @@
   void OnSubmit(call_id call, best_effort_job job, const queue_rule& queue, instant now);
   /// The caller's connection closed. Without another caller the job is stopped, since it may be submitted elsewhere.
   void OnCallerDisconnected(call_id call, instant now);
-  /// Returns whether this entry has the job; if so, the job is answered as cancelled.
-  bool OnCancel(const std::string& job_id, instant now);
+  /// A caller cancels a job at this entry, which need not have it. Answered by cancel_decided. If this entry has the
+  /// job, its callers are answered as cancelled and its runs are stopped at once.
+  void OnCancel(call_id call, const std::string& job_id, instant now);
   /// The process was asked to exit: all open and further jobs are answered by @p answer_by. A job that is expected to
   /// take longer is refused.
   void OnDrain(instant answer_by);
@@ -191,6 +192,7 @@
     bool begun = false;          ///< the claim was granted before
     bool claim_pending = false;  ///< the claim has lapsed; the job is claimed again when its runs have ended
     bool completed = false;      ///< all tasks are done
+    bool cancelled = false;      ///< a caller has cancelled the job
     bool answered = false;       ///< the caller was answered or has disconnected; remaining runs are being stopped
     bool ever_started = false;   ///< a start request was sent
     instant arrival;
@@ -266,6 +268,8 @@
   /// Handles what job_claims has decided.
   void HandleClaims();
   void HandleDecidedClaim(const claim_decided& decided);
+  /// Answers a job as cancelled and stops its runs.
+  void CancelJob(const std::string& job_id);
   void HandleLapsedClaim(const std::string& job_id);
   void HandleUnavailableClaim(const std::string& job_id);
   /// Answers a job that could not be claimed in time.
--- a/include/bamboowing/besteffort/job_claims.h
+++ b/include/bamboowing/besteffort/job_claims.h
@@ -53,6 +53,11 @@
   /// By which members collect the claims of the others one after the other, in the order of their addresses, until one
   /// of them has all.
   duration collection_delay{200'000};
+  /// A cancel that a majority of the job's registrars has not recorded after this time is answered as unconfirmed.
+  duration cancel_limit{900'000};
+  /// How long the answer to a cancel waits for the confirmation of the job's holder after a majority has recorded it.
+  duration holder_limit{300'000};
+  duration cancel_retry_interval{50'000};  ///< until a cancel that an entry has not recorded is sent to it again
 
   /// Time from the last message of a holder to a registrar until none of the holder's runs is active, if it loses its
   /// registrars then.
@@ -90,6 +95,24 @@
   std::string job_id;
 };
 
+/// A caller has cancelled a job that this entry has claimed. Its runs are to be stopped and its claim released.
+struct claim_cancelled {
+  std::string job_id;
+};
+
+/// What became of a cancel.
+enum class cancel_outcome : std::uint8_t {
+  kCancelled,    ///< an entry had the job; no task of it is started any more
+  kNotOpen,      ///< no entry had the job, or it had completed; a later submission of the job starts nothing
+  kUnconfirmed,  ///< a majority of the job's registrars has not recorded it in time; the caller has to repeat it
+};
+
+/// Answers a cancel.
+struct cancel_decided {
+  call_id call = 0;
+  cancel_outcome outcome = cancel_outcome::kUnconfirmed;
+};
+
 /// Logs a decision.
 struct log_claim_event {
   std::string event;
@@ -98,7 +121,7 @@
 };
 
 using claim_action = std::variant<send_claim_request, abandon_claim_request, claim_decided, claim_lapsed,
-                                  claim_unavailable, log_claim_event>;
+                                  claim_unavailable, claim_cancelled, cancel_decided, log_claim_event>;
 
 /// Number of claims by what became of them, since the start of the process.
 struct claim_totals {
@@ -133,6 +156,13 @@
   void Claim(const std::string& job_id, duration hold, instant now);
   /// Ends a claim: no run of the job is active. The end is remembered for @p retention.
   void Release(const std::string& job_id, claim_end end, duration retention, instant now);
+  /// A caller cancels a job. cancel_decided follows. @p was_open is whether this entry has the job.
+  void Cancel(call_id call, const std::string& job_id, bool was_open, instant now);
+  /// The caller of a cancel is gone: the cancel goes on and is not answered.
+  void ForgetCall(call_id call);
+  /// Number of cancels without an answer.
+  std::size_t unanswered_cancels() const;
+
   /// An earlier request may start a task of a job, also if this entry has released the job.
   void ForbidRepetition(const std::string& job_id, instant now);
   /// The entry that was last reported to hold a job which this one has claimed; empty if there is none.
@@ -194,6 +224,7 @@
     bool granted = false;                        ///< tasks may be started
     bool lapsed = false;                         ///< not repeated before the next call of Claim()
     bool unavailable = false;                    ///< claim_unavailable was reported
+    bool cancelled = false;                      ///< claim_cancelled was reported
     std::map<std::string, std::optional<claim_verdict>> registrars;  ///< newest answers by address; nullopt if pending
     std::set<std::string> told;                                      ///< entries that may have recorded the claim
     int retries = 0;
@@ -201,6 +232,26 @@
     std::string holder;
   };
 
+  /// How far an entry has been told of a cancel.
+  struct told_entry {
+    bool pending = false;    ///< a request is queued or sent
+    bool recorded = false;   ///< it has recorded the cancel
+    bool holds_job = false;  ///< according to a registrar
+    instant next_request;
+  };
+
+  /// A cancel that this entry took or knows as a registrar. It is kept until it expires, since registrars may change.
+  struct open_cancel {
+    std::vector<call_id> calls;  ///< that wait for the answer
+    bool was_open = false;
+    bool completed = false;
+    instant until;
+    instant answer_by;
+    std::optional<instant> holder_due;           ///< set when a majority has recorded it
+    std::vector<std::vector<std::string>> sets;  ///< of registrars
+    std::map<std::string, told_entry> told;      ///< registrars and holders by address
+  };
+
   struct peer {
     bool listed = true;
     bool member = false;    ///< of the view or its previous members
@@ -225,6 +276,7 @@
     int open_exchanges = 0;               ///< requests without a reply
     bool check = false;                   ///< a request is due although there is nothing to send
     std::vector<std::string> claims;      ///< ids of jobs to be claimed with the next request
+    std::vector<std::string> cancels;     ///< ids of cancelled jobs for the next request
     std::vector<claim_release> releases;
     instant oldest_release;
     instant sent_at;
@@ -237,6 +289,7 @@
     instant answer_due;  ///< pauses of this process are added
     std::vector<claim_release> releases;
     std::vector<std::string> claims;
+    std::vector<std::string> cancels;
     bool fetches_claims = false;
   };
 
@@ -338,6 +391,27 @@
   void OnFailedExchange(std::uint64_t exchange, const exchange_state& failed, instant now);
   void SetReachable(const std::string& address, instant now);
   void SetUnreachable(const std::string& address, const std::string& reason, instant now);
+  /// Reports that a job which this entry has claimed was cancelled.
+  void CancelOwnClaim(const std::string& job_id);
+  cancel_answer AnswerCancel(const job_cancel& cancel, instant now);
+  /// Adds a cancel, or renews it. Returns nullptr if no more can be kept.
+  open_cancel* KeepCancel(const std::string& job_id, instant until);
+  /// Chooses the registrars of a cancel by the current view.
+  void ReassignCancel(const std::string& job_id, open_cancel& cancel) const;
+  /// Sends the cancels that this entry knows to the registrars of a new view.
+  void ForwardCancels(const registrar_view& before, instant now);
+  /// Sends a cancel to the registrars and holders that have not recorded it, and answers it when it is decided.
+  void AdvanceCancel(const std::string& job_id, open_cancel& cancel, instant now);
+  void TellCancel(const std::string& address, const std::string& job_id, open_cancel& cancel, instant now);
+  void OnCancelAnswer(const std::string& address, const cancel_answer& answer, instant now);
+  /// A request with these cancels has failed, or the entry's new process may not know them.
+  void RepeatCancels(const std::string& address, const std::vector<std::string>& job_ids, instant now);
+  void ForgetCancelsAt(const std::string& address);
+  static bool IsRecorded(const open_cancel& cancel);
+  /// Whether all registrars and holders have recorded the cancel and nobody waits for its answer.
+  static bool IsSettled(const open_cancel& cancel);
+  void AnswerCancelCalls(const std::string& job_id, open_cancel& cancel, cancel_outcome outcome);
+  void AdvanceCancels(instant now);
   claim_answer AnswerClaim(const claim_request& request, const job_claim& claim, instant now);
   /// Adds the claims that this entry holds or has recorded.
   void AddKnownClaims(const claim_request& request, claim_reply& reply, instant now);
@@ -356,9 +430,11 @@
   seeded_random random_;
   claim_registry registry_;
   registrar_view view_;
-  std::optional<instant> view_confirmed_at_;  ///< newest time at which no newer view is known to have existed
-  std::map<std::string, open_claim> claims_;  ///< by job id
-  std::map<std::string, peer> peers_;         ///< by address
+  std::optional<instant> view_confirmed_at_;    ///< newest time at which no newer view is known to have existed
+  std::map<std::string, open_claim> claims_;    ///< by job id
+  std::map<std::string, open_cancel> cancels_;  ///< by job id
+  std::set<std::string> unsettled_cancels_;     ///< those of cancels_ that have something to be done
+  std::map<std::string, peer> peers_;           ///< by address
   std::map<std::uint64_t, exchange_state> exchanges_;
   std::uint64_t last_number_ = 0;
   std::uint64_t last_exchange_ = 0;
@@ -378,6 +454,7 @@
   bool listed_ = false;  ///< whether the list of entries is known
   instant started_at_;
   instant expired_at_;
+  instant cancels_expired_at_;
   instant advanced_at_;
   instant self_confirmed_at_;  ///< when the own process has last confirmed the claims that it has granted itself
   instant leases_checked_at_;
--- a/include/bamboowing/message/job_claim.h
+++ b/include/bamboowing/message/job_claim.h
@@ -32,6 +32,7 @@
   kReleased,       ///< another entry may run the job
   kCompleted,      ///< all tasks of the job are done
   kNotRepeatable,  ///< an earlier request may still start a task of the job
+  kCancelled,      ///< a caller has cancelled the job
 };
 
 /// An entry ends its claim: none of its runs of the job is active.
@@ -49,6 +50,22 @@
   std::uint64_t known_view = 0;  ///< newest view of which it knows all claims that rest on the previous members alone
 };
 
+/// A caller has cancelled a job. From the entry that was asked to a registrar or the holder of the job.
+struct job_cancel {
+  std::string job_id;
+  duration retention{0};  ///< how long no entry may start the job
+  bool was_open = false;  ///< an entry is known to have had the job when it was cancelled
+};
+
+/// Answer to one cancel.
+struct cancel_answer {
+  std::string job_id;
+  bool recorded = false;   ///< later claims of the job are denied here
+  bool was_open = false;   ///< an entry is known to have had the job when it was cancelled
+  bool completed = false;  ///< the job has completed
+  std::string holder;      ///< address of the entry that may still run the job; empty if none is known
+};
+
 /// From an entry to a registrar of the jobs. It may be repeated.
 struct claim_request {
   std::string address;  ///< "ip:port" at which the other entries reach the sender
@@ -58,6 +75,7 @@
   bool fetch_claims = false;  ///< asks for the claims that the receiver holds or has recorded
   registrar_view view;        ///< newest known to the sender; without members if the receiver knows it
   entry_status status;        ///< of the sender
+  std::vector<job_cancel> cancels;
 };
 
 enum class claim_verdict : std::uint8_t {
@@ -68,6 +86,7 @@
   /// The registrar can't tell: it has not learned the claims that were made before its start, its view may be
   /// outdated, or the claim is.
   kUndecided,
+  kCancelled,  ///< a caller has cancelled the job
 };
 
 /// Answer to one claim.
@@ -98,8 +117,10 @@
   registrar_view view;                  ///< newest known to it; without members unless newer than the sender's
   std::optional<duration> process_age;  ///< time since the start of the answering process, if it knows the sender's
   std::optional<duration> view_age;     ///< time since the key-value service held no newer view, if that is known
-  /// What the answering entry has recorded of jobs that are not repeatable, if its claims were asked for.
-  std::vector<claim_release> not_repeatable;
+  /// Jobs that no entry may start, with their remaining times, if the claims were asked for.
+  std::vector<claim_release> forbidden;
+  std::vector<cancel_answer> cancel_answers;
+  std::vector<std::string> cancelled;  ///< ids of cancelled jobs that the sender has claimed and not released
 };
 
 }  // namespace bamboowing
--- a/include/bamboowing/service/job_gateway.h
+++ b/include/bamboowing/service/job_gateway.h
@@ -42,8 +42,7 @@
   virtual ~job_listener() = default;
 
   virtual void OnJobResult(const answer_job& answer) = 0;
-  /// @p found is false if this entry has no such job.
-  virtual void OnCancelled(call_id call, bool found) = 0;
+  virtual void OnCancelled(call_id call, cancel_outcome outcome) = 0;
   /// @p phase is nullopt if this entry has no such job.
   virtual void OnPhase(call_id call, std::optional<job_phase> phase) = 0;
   /// @p jobs is the number of jobs in the queue of which no task has started.
--- a/schema/wire.capnp
+++ b/schema/wire.capnp
@@ -243,6 +243,20 @@
   holder @3 :Text;
 }
 
+struct JobCancel {
+  jobId @0 :Text;
+  retentionUs @1 :Int64;
+  wasOpen @2 :Bool;
+}
+
+struct CancelAnswer {
+  jobId @0 :Text;
+  recorded @1 :Bool;
+  wasOpen @2 :Bool;
+  completed @3 :Bool;
+  holder @4 :Text;
+}
+
 struct ClaimRequest {
   address @0 :Text;
   life @1 :UInt64;
@@ -253,6 +267,7 @@
   complete @6 :Bool;
   leaving @7 :Bool;
   knownView @8 :UInt64;
+  cancels @9 :List(JobCancel);
 }
 
 struct ClaimReply {
@@ -268,7 +283,9 @@
   processAgeUs @9 :Int64 = -1;
   leaving @10 :Bool;
   knownView @11 :UInt64;
-  notRepeatable @12 :List(ClaimRelease);
+  forbidden @12 :List(ClaimRelease);
+  cancelAnswers @13 :List(CancelAnswer);
+  cancelled @14 :List(Text);
 }
 
 struct EntryProcess {
--- a/src/besteffort/claim_registry.cc
+++ b/src/besteffort/claim_registry.cc
@@ -16,6 +16,8 @@
       return claim_verdict::kGranted;
     case claim_end::kCompleted:
       return claim_verdict::kCompleted;
+    case claim_end::kCancelled:
+      return claim_verdict::kCancelled;
     case claim_end::kNotRepeatable:
       break;
   }
@@ -27,7 +29,7 @@
 claim_answer claim_registry::Claim(const std::string& holder, incarnation_id incarnation, const job_claim& claim,
                                    instant now) {
   claim_answer answer{claim.job_id, claim.number, claim_verdict::kGranted, ""};
-  const std::unordered_map<std::string, record>::const_iterator found = records_.find(claim.job_id);
+  const record_map::const_iterator found = records_.find(claim.job_id);
   if (found != records_.end() && now < EndOf(found->second)) {
     const record& known = found->second;
     const bool same_process = known.holder == holder && known.incarnation == incarnation;
@@ -59,7 +61,8 @@
     // Another registrar may report the claim with the time that is left there.
     until = std::max(until, found->second.until);
   }
-  if (!Store(claim.job_id, {std::nullopt, holder, incarnation, claim.number, until, now, std::nullopt, {}})) {
+  if (!Store(claim.job_id,
+             {std::nullopt, holder, incarnation, claim.number, until, now, std::nullopt, {}, false, false})) {
     answer.verdict = claim_verdict::kUndecided;
   }
   return answer;
@@ -69,16 +72,26 @@
                              instant now) {
   const instant until = now + std::min(release.retention, max_retention_);
   DropHandedOver(incarnation, release);
-  const std::unordered_map<std::string, record>::iterator found = records_.find(release.job_id);
+  const record_map::iterator found = records_.find(release.job_id);
   if (found == records_.end() || now >= EndOf(found->second)) {
-    Store(release.job_id, {release.end, holder, incarnation, release.number, until, now, std::nullopt, {}});
+    const bool was_open = release.end == claim_end::kCancelled && release.number > 0;
+    Store(release.job_id,
+          {release.end, holder, incarnation, release.number, until, now, std::nullopt, {}, was_open, false});
     return;
   }
   record& known = found->second;
   const bool current = known.holder == holder && known.incarnation == incarnation && release.number >= known.number;
+  if (known.end == claim_end::kCancelled) {
+    ReleaseCancelled(found, release, current, until);
+    return;
+  }
   if (known.end && *known.end != claim_end::kReleased) {
     return;
   }
+  if (!current && !known.end && release.end == claim_end::kCancelled) {
+    Cancel({release.job_id, release.retention, true}, now);
+    return;
+  }
   if (current) {
     known.end = release.end;
     known.number = release.number;
@@ -90,6 +103,100 @@
   }
 }
 
+void claim_registry::ReleaseCancelled(record_map::iterator cancelled, const claim_release& release, bool by_holder,
+                                      instant until) {
+  record& known = cancelled->second;
+  if (by_holder && known.running) {
+    ForgetHolder(cancelled->first, known);
+    known.until = until;  // the time for which the job was claimed no longer counts
+  }
+  if (release.end == claim_end::kCompleted) {
+    ForgetHolder(cancelled->first, known);
+    known.end = claim_end::kCompleted;
+  }
+  if (release.end != claim_end::kReleased) {
+    known.until = std::max(known.until, until);
+  }
+}
+
+void claim_registry::ForgetHolder(const std::string& job_id, record& known) {
+  if (!std::exchange(known.running, false)) {
+    return;
+  }
+  const std::map<std::string, std::set<std::string>>::iterator jobs = cancelled_of_.find(known.holder);
+  if (jobs != cancelled_of_.end()) {
+    jobs->second.erase(job_id);
+    if (jobs->second.empty()) {
+      cancelled_of_.erase(jobs);
+    }
+  }
+}
+
+cancel_answer claim_registry::Cancel(const job_cancel& cancel, instant now) {
+  cancel_answer answer;
+  answer.job_id = cancel.job_id;
+  const instant until = now + std::min(cancel.retention, max_retention_);
+  const record_map::iterator found = records_.find(cancel.job_id);
+  if (found == records_.end() || EndOf(found->second) <= now) {
+    if (found != records_.end()) {
+      ForgetHolder(found->first, found->second);
+    }
+    answer.was_open = cancel.was_open;
+    answer.recorded =
+        Store(cancel.job_id, {claim_end::kCancelled, "", 0, 0, until, now, std::nullopt, {}, cancel.was_open, false});
+    return answer;
+  }
+  record& known = found->second;
+  answer.recorded = true;
+  answer.completed =
+      known.end == claim_end::kCompleted || (known.reported == claim_end::kCompleted && now < known.reported_until);
+  if (answer.completed) {
+    return answer;
+  }
+  if (!known.end) {
+    known.running = true;
+    known.was_open = true;
+    cancelled_of_[known.holder].insert(cancel.job_id);
+  }
+  known.end = claim_end::kCancelled;
+  known.until = std::max(known.until, until);
+  known.was_open = known.was_open || cancel.was_open;
+  answer.was_open = known.was_open;
+  answer.holder = known.running ? known.holder : "";
+  return answer;
+}
+
+std::vector<std::string> claim_registry::CancelledJobsOf(const std::string& holder, incarnation_id incarnation) const {
+  std::vector<std::string> cancelled;
+  const std::map<std::string, std::set<std::string>>::const_iterator jobs = cancelled_of_.find(holder);
+  if (jobs == cancelled_of_.end()) {
+    return cancelled;
+  }
+  for (const std::string& job_id : jobs->second) {
+    const record_map::const_iterator found = records_.find(job_id);
+    if (found != records_.end() && found->second.incarnation == incarnation) {
+      cancelled.push_back(job_id);
+    }
+  }
+  return cancelled;
+}
+
+bool claim_registry::IsCancelled(const std::string& job_id, instant now) const {
+  const record_map::const_iterator found = records_.find(job_id);
+  return found != records_.end() && found->second.end == claim_end::kCancelled && now < found->second.until;
+}
+
+std::vector<job_cancel> claim_registry::Cancels(instant now) const {
+  std::vector<job_cancel> cancels;
+  for (const record_map::value_type& item : records_) {
+    const record& known = item.second;
+    if (known.end == claim_end::kCancelled && now < known.until) {
+      cancels.push_back({item.first, known.until - now, known.was_open});
+    }
+  }
+  return cancels;
+}
+
 bool claim_registry::OnProcess(const std::string& holder, incarnation_id incarnation, instant now) {
   entry_processes& processes = processes_[holder];
   std::deque<incarnation_id>& replaced = processes.replaced;
@@ -202,22 +309,28 @@
   return held;
 }
 
-std::vector<claim_release> claim_registry::NotRepeatableJobs(instant now) const {
+std::vector<claim_release> claim_registry::ForbiddenJobs(instant now) const {
   std::vector<claim_release> found;
-  for (const std::pair<const std::string, record>& item : records_) {
+  for (const record_map::value_type& item : records_) {
     const record& known = item.second;
-    const bool ended = known.end == claim_end::kNotRepeatable;
-    const instant until = ended ? known.until : known.reported_until;
-    if ((ended || known.reported == claim_end::kNotRepeatable) && now < until) {
-      found.push_back({item.first, 0, claim_end::kNotRepeatable, until - now});
+    const bool cancelled = known.end == claim_end::kCancelled;
+    if ((cancelled || known.end == claim_end::kNotRepeatable) && now < known.until) {
+      found.push_back({item.first, 0, *known.end, known.until - now});
+    } else if (known.reported == claim_end::kNotRepeatable && now < known.reported_until) {
+      found.push_back({item.first, 0, claim_end::kNotRepeatable, known.reported_until - now});
     }
   }
   return found;
 }
 
 void claim_registry::Expire(instant now) {
-  for (std::unordered_map<std::string, record>::iterator item = records_.begin(); item != records_.end();) {
-    item = EndOf(item->second) <= now ? records_.erase(item) : std::next(item);
+  for (record_map::iterator item = records_.begin(); item != records_.end();) {
+    if (now < EndOf(item->second)) {
+      ++item;
+      continue;
+    }
+    ForgetHolder(item->first, item->second);
+    item = records_.erase(item);
   }
   const auto ended = [now](const handed_over_claim& claim) { return claim.until <= now; };
   for (std::unordered_map<std::string, std::vector<handed_over_claim>>::iterator item = handed_over_.begin();
@@ -237,9 +350,15 @@
 }
 
 bool claim_registry::DropEndedRecord() {
-  std::unordered_map<std::string, record>::iterator oldest = records_.end();
-  for (std::unordered_map<std::string, record>::iterator item = records_.begin(); item != records_.end(); ++item) {
-    if (item->second.end && (oldest == records_.end() || item->second.until < oldest->second.until)) {
+  record_map::iterator oldest = records_.end();
+  for (record_map::iterator item = records_.begin(); item != records_.end(); ++item) {
+    if (!item->second.end || item->second.running) {
+      continue;
+    }
+    const auto rank = [](const record& ended) {
+      return std::make_pair(ended.end != claim_end::kReleased, ended.until);
+    };
+    if (oldest == records_.end() || rank(item->second) < rank(oldest->second)) {
       oldest = item;
     }
   }
--- a/src/besteffort/dispatch_claims.cc
+++ b/src/besteffort/dispatch_claims.cc
@@ -44,6 +44,10 @@
       HandleLapsedClaim(lapsed->job_id);
     } else if (const claim_unavailable* missing = std::get_if<claim_unavailable>(&action); missing != nullptr) {
       HandleUnavailableClaim(missing->job_id);
+    } else if (const claim_cancelled* cancelled = std::get_if<claim_cancelled>(&action); cancelled != nullptr) {
+      CancelJob(cancelled->job_id);
+    } else if (const cancel_decided* answer = std::get_if<cancel_decided>(&action); answer != nullptr) {
+      actions_.emplace_back(*answer);
     } else if (log_claim_event* event = std::get_if<log_claim_event>(&action); event != nullptr) {
       LogEvent(std::move(event->event), event->job_id, std::move(event->detail));
     } else if (send_claim_request* send = std::get_if<send_claim_request>(&action); send != nullptr) {
@@ -71,6 +75,10 @@
     Enqueue(job);
     return;
   }
+  if (decided.verdict == claim_verdict::kCancelled) {
+    CancelJob(decided.job_id);
+    return;
+  }
   if (decided.verdict == claim_verdict::kCompleted) {
     // The answer to an earlier submission has not reached the caller.
     job.completed = true;
@@ -133,6 +141,9 @@
   const duration unrepeatable = unrepeatable_.Remaining(job->first, last_now_);
   if (job->second->completed) {
     end = claim_end::kCompleted;
+  } else if (job->second->cancelled && job->second->ever_started) {
+    // The registrars know the cancel. It is kept from the end of the runs, but not extended by a copy that was denied.
+    end = claim_end::kCancelled;
   } else if (unrepeatable > duration(0)) {
     end = claim_end::kNotRepeatable;
     retention = unrepeatable;
--- a/src/besteffort/dispatch_core.cc
+++ b/src/besteffort/dispatch_core.cc
@@ -247,6 +247,7 @@
 void dispatch_core::OnCallerDisconnected(call_id call, instant now) {
   const std::map<call_id, std::string>::const_iterator found = calls_.find(call);
   if (found == calls_.end()) {
+    claims_.ForgetCall(call);
     return;
   }
   const std::string id = found->second;
@@ -262,18 +263,24 @@
   EraseIfFinished(id);
 }
 
-bool dispatch_core::OnCancel(const std::string& job_id, instant now) {
+void dispatch_core::OnCancel(call_id call, const std::string& job_id, instant now) {
+  const job_map::const_iterator found = jobs_.find(job_id);
+  const bool open = found != jobs_.end() && !found->second->completed;
+  CancelJob(job_id);
+  claims_.Cancel(call, job_id, open, now);
+  HandleClaims();
+}
+
+void dispatch_core::CancelJob(const std::string& job_id) {
   const job_map::iterator found = jobs_.find(job_id);
-  if (found == jobs_.end()) {
-    return false;
+  if (found == jobs_.end() || found->second->completed) {
+    return;
   }
   open_job& job = *found->second;
-  if (!job.answered) {
-    Answer(job, job_verdict::kCancelled, failure(error_kind::kCancelled, "cancelled by the caller"));
-    StopRuns(job, now);
-    EraseIfFinished(job_id);
-  }
-  return true;
+  job.cancelled = true;
+  Answer(job, job_verdict::kCancelled, failure(error_kind::kCancelled, "cancelled by the caller"));
+  StopRuns(job, last_now_);
+  EraseIfFinished(job_id);
 }
 
 void dispatch_core::OnDrain(instant answer_by) {
--- a/src/besteffort/job_claims.cc
+++ b/src/besteffort/job_claims.cc
@@ -19,6 +19,7 @@
       complete_(settings.address.empty()),
       started_at_(now),
       expired_at_(now),
+      cancels_expired_at_(now),
       advanced_at_(now),
       self_confirmed_at_(now),
       leases_checked_at_(now) {
@@ -50,6 +51,12 @@
   claim.number = ++last_number_;
   claim.claimed_at = now;
   claim.until = now + hold;
+  if (registry_.IsCancelled(job_id, now)) {
+    claim.decided = true;
+    claim.cancelled = true;
+    actions_.emplace_back(claim_decided{job_id, claim_verdict::kCancelled});
+    return;
+  }
   if (view_.number > 0) {
     claim.sets = RegistrarSets(job_id, view_);
   }
@@ -83,6 +90,9 @@
   const claim_answer answer =
       registry_.Claim(settings_.address, settings_.own_incarnation, Describe(job_id, claim, now), now);
   verdict = answer.verdict;
+  if (answer.verdict == claim_verdict::kCancelled && claim.decided) {
+    CancelOwnClaim(job_id);
+  }
   if (answer.verdict == claim_verdict::kHeld) {
     NoteHolder(job_id, claim, answer.holder);
     CheckHolder(answer.holder);
@@ -105,6 +115,9 @@
   }
   open_claim& claim = found->second;
   claim.registrars[address] = answer.verdict;
+  if (answer.verdict == claim_verdict::kCancelled && claim.decided) {
+    CancelOwnClaim(answer.job_id);
+  }
   if (answer.verdict == claim_verdict::kHeld) {
     NoteHolder(answer.job_id, claim, answer.holder);
   }
@@ -118,14 +131,16 @@
 }
 
 void job_claims::Decide(const std::string& job_id, open_claim& claim, instant now) {
-  if (claim.decided || claim.lapsed) {
+  if (claim.decided || claim.lapsed || claim.cancelled) {
     return;
   }
   bool held = false;
   for (const std::pair<const std::string, std::optional<claim_verdict>>& item : claim.registrars) {
-    const bool final = item.second == claim_verdict::kCompleted || item.second == claim_verdict::kNotRepeatable;
+    const bool final = item.second == claim_verdict::kCompleted || item.second == claim_verdict::kNotRepeatable ||
+                       item.second == claim_verdict::kCancelled;
     if (final) {
       claim.decided = true;
+      claim.cancelled = item.second == claim_verdict::kCancelled;
       actions_.emplace_back(claim_decided{job_id, *item.second});
       return;
     }
@@ -245,6 +260,7 @@
   }
   ExpireExchanges(now);
   RepeatClaims(now);
+  AdvanceCancels(now);
   UpdateComplete(now);
   MaintainChange(now);
   SendRequests(now);
--- a/src/besteffort/job_claims_peers.cc
+++ b/src/besteffort/job_claims_peers.cc
@@ -102,12 +102,18 @@
   for (const claim_release& release : request.releases) {
     registry_.Release(request.address, request.incarnation, release, now);
   }
+  for (const job_cancel& cancel : request.cancels) {
+    reply.cancel_answers.push_back(AnswerCancel(cancel, now));
+  }
   for (const job_claim& claim : request.claims) {
     reply.answers.push_back(AnswerClaim(request, claim, now));
   }
   if (!request.claims.empty()) {
     reply.new_processes = NewProcesses(now);
   }
+  // The holder of a claim needs the confirmation of a majority within its lease, so it learns of a cancel that a
+  // majority has recorded, whatever became of the entry that took it.
+  reply.cancelled = registry_.CancelledJobsOf(request.address, request.incarnation);
   if (request.fetch_claims) {
     AddKnownClaims(request, reply, now);
   }
@@ -148,7 +154,7 @@
       reply.held.push_back(std::move(recorded));
     }
   }
-  reply.not_repeatable = registry_.NotRepeatableJobs(now);
+  reply.forbidden = registry_.ForbiddenJobs(now);
   for (const std::pair<const std::string, peer>& item : peers_) {
     if (item.second.reachable) {
       reply.peers.push_back(item.first);
@@ -172,10 +178,13 @@
     TakeBack(ended, now);
     return;
   }
+  for (const std::string& job_id : reply->cancelled) {
+    CancelOwnClaim(job_id);
+  }
   for (const held_claim& held : reply->held) {
     registry_.Claim(held.holder, held.incarnation, held.claim, now);
   }
-  for (const claim_release& ended_job : reply->not_repeatable) {
+  for (const claim_release& ended_job : reply->forbidden) {
     registry_.Release(ended.address, reply->incarnation, ended_job, now);
   }
   for (const std::string& address : reply->peers) {
@@ -188,6 +197,10 @@
   for (const claim_answer& answer : reply->answers) {
     OnAnswer(ended.address, answer, now);
   }
+  for (const cancel_answer& answer : reply->cancel_answers) {
+    OnCancelAnswer(ended.address, answer, now);
+  }
+  RepeatCancels(ended.address, ended.cancels, now);
 }
 
 void job_claims::OnFailedExchange(std::uint64_t exchange, const exchange_state& failed, instant now) {
@@ -269,6 +282,7 @@
   from.heard_at.reset();
   from.confirmed_at.reset();
   from.started_at.reset();
+  ForgetCancelsAt(address);
   AskAgain(address, now);
   return true;
 }
@@ -317,6 +331,7 @@
   }
   LogEvent("entry_unreachable", "", "entry " + address + ", " + reason);
   lost.next_probe = now + settings_.probe_interval;
+  RepeatCancels(address, std::exchange(lost.cancels, {}), now);
   // It is asked again when it can be reached.
   for (const std::string& job_id : std::exchange(lost.claims, {})) {
     const std::map<std::string, open_claim>::iterator claim = claims_.find(job_id);
@@ -337,6 +352,7 @@
       Ask(failed.address, job_id, claim->second, now);
     }
   }
+  RepeatCancels(failed.address, failed.cancels, now);
   if (to.releases.empty()) {
     to.oldest_release = now;
   }
@@ -380,7 +396,7 @@
   if (!to.reachable) {
     return idle && (now >= to.next_probe || to.check);
   }
-  if (!to.claims.empty()) {
+  if (!to.claims.empty() || !to.cancels.empty()) {
     return true;
   }
   const bool releases_due = !to.releases.empty() && now - to.oldest_release >= settings_.release_delay;
@@ -420,6 +436,13 @@
       sent.claims.push_back(job_id);
     }
   }
+  for (const std::string& job_id : std::exchange(to.cancels, {})) {
+    const std::map<std::string, open_cancel>::const_iterator cancel = cancels_.find(job_id);
+    if (cancel != cancels_.end() && now < cancel->second.until) {
+      send.request.cancels.push_back({job_id, cancel->second.until - now, cancel->second.was_open});
+      sent.cancels.push_back(job_id);
+    }
+  }
   sent.releases = std::exchange(to.releases, {});
   send.request.releases = sent.releases;
   actions_.emplace_back(std::move(send));
--- a/src/besteffort/job_claims_view.cc
+++ b/src/besteffort/job_claims_view.cc
@@ -37,7 +37,7 @@
   }
   // The previous members must still confirm a claim meanwhile.
   const bool change_begins = !view.previous.empty();
-  view_ = view;
+  const registrar_view before = std::exchange(view_, view);
   view_adopted_at_ = now;
   LogEvent("registrar_view", "",
            "number " + std::to_string(view.number) + ", members " + std::to_string(view.members.size()) +
@@ -55,6 +55,7 @@
     item.second.sets = RegistrarSets(item.first, view_);
     item.second.new_set_until = change_begins ? std::optional<instant>(now + settings_.view_grace) : std::nullopt;
   }
+  ForwardCancels(before, now);
   ReassignRegistrars(now);
 }
 
--- a/src/service/best_effort_entry.cc
+++ b/src/service/best_effort_entry.cc
@@ -287,15 +287,14 @@
   /// Whether the process may exit. Runs that an agent has not reported as stopped by then end with their lease.
   bool Drained(instant now) const {
     const bool left = !core_.claims().IsInView() || now >= leave_by_;
-    const bool released = core_.jobs() == 0 && !core_.claims().has_open_releases() && left;
+    const bool released =
+        core_.jobs() == 0 && !core_.claims().has_open_releases() && core_.claims().unanswered_cancels() == 0 && left;
     return released || (core_.unanswered_jobs() == 0 && now >= answer_by_ + kStopWait);
   }
 
   void Handle(job_submitted& input, instant now) { core_.OnSubmit(input.call, std::move(input.job), input.queue, now); }
   void Handle(caller_disconnected& input, instant now) { core_.OnCallerDisconnected(input.call, now); }
-  void Handle(cancel_requested& input, instant now) {
-    listener_.OnCancelled(input.call, core_.OnCancel(input.job_id, now));
-  }
+  void Handle(cancel_requested& input, instant now) { core_.OnCancel(input.call, input.job_id, now); }
   void Handle(phase_requested& input, instant /*now*/) { listener_.OnPhase(input.call, core_.PhaseOf(input.job_id)); }
   void Handle(pending_requested& input, instant /*now*/) {
     listener_.OnPending(input.call, core_.PendingJobs(input.queue));
@@ -435,6 +434,7 @@
   }
   void Execute(const send_run_batch& action) { rpc_->SendToAgent(action.session, action.batch); }
   void Execute(const send_claim_request& action) { rpc_->SendClaims(action.exchange, action.address, action.request); }
+  void Execute(const cancel_decided& action) { listener_.OnCancelled(action.call, action.outcome); }
   void Execute(const abandon_claim_request& action) { rpc_->AbandonClaims(action.exchange); }
   void Execute(const close_run_session& action) { rpc_->CloseSession(action.session); }
   static void Execute(const log_dispatch_event& action) {
--- a/src/wire/claim_codec.cc
+++ b/src/wire/claim_codec.cc
@@ -1,3 +1,5 @@
+#include <utility>
+
 #include "bamboowing/wire/codec.h"
 #include "convert.h"
 
@@ -48,7 +50,7 @@
 /// Returns false if a release has an unknown kind of end.
 bool ReadReleases(capnp::List<rpc::ClaimRelease>::Reader in, std::vector<claim_release>& releases) {
   for (rpc::ClaimRelease::Reader item : in) {
-    const std::optional<claim_end> end = ToEnum(item.getEnd(), claim_end::kNotRepeatable);
+    const std::optional<claim_end> end = ToEnum(item.getEnd(), claim_end::kCancelled);
     if (!end) {
       return false;
     }
@@ -76,6 +78,14 @@
   for (const claim_release& release : request.releases) {
     detail::WriteRelease(release, releases[i++]);
   }
+  capnp::List<rpc::JobCancel>::Builder cancels = out.initCancels(request.cancels.size());
+  i = 0;
+  for (const job_cancel& cancel : request.cancels) {
+    rpc::JobCancel::Builder item = cancels[i++];
+    item.setJobId(cancel.job_id);
+    item.setRetentionUs(cancel.retention.count());
+    item.setWasOpen(cancel.was_open);
+  }
 }
 
 void Write(const claim_reply& reply, rpc::ClaimReply::Builder out) {
@@ -103,10 +113,10 @@
     item.setLife(claim.incarnation);
     detail::WriteClaim(claim.claim, item.initClaim());
   }
-  capnp::List<rpc::ClaimRelease>::Builder not_repeatable = out.initNotRepeatable(reply.not_repeatable.size());
+  capnp::List<rpc::ClaimRelease>::Builder forbidden = out.initForbidden(reply.forbidden.size());
   i = 0;
-  for (const claim_release& release : reply.not_repeatable) {
-    detail::WriteRelease(release, not_repeatable[i++]);
+  for (const claim_release& release : reply.forbidden) {
+    detail::WriteRelease(release, forbidden[i++]);
   }
   detail::WriteTexts(reply.peers, out.initPeers(reply.peers.size()));
   capnp::List<rpc::ClaimAnswer>::Builder answers = out.initAnswers(reply.answers.size());
@@ -118,6 +128,17 @@
     item.setVerdict(static_cast<std::uint8_t>(answer.verdict));
     item.setHolder(answer.holder);
   }
+  capnp::List<rpc::CancelAnswer>::Builder cancels = out.initCancelAnswers(reply.cancel_answers.size());
+  i = 0;
+  for (const cancel_answer& answer : reply.cancel_answers) {
+    rpc::CancelAnswer::Builder item = cancels[i++];
+    item.setJobId(answer.job_id);
+    item.setRecorded(answer.recorded);
+    item.setWasOpen(answer.was_open);
+    item.setCompleted(answer.completed);
+    item.setHolder(answer.holder);
+  }
+  detail::WriteTexts(reply.cancelled, out.initCancelled(reply.cancelled.size()));
 }
 
 std::optional<claim_request> Read(rpc::ClaimRequest::Reader in) {
@@ -133,6 +154,9 @@
   if (!detail::ReadReleases(in.getReleases(), request.releases)) {
     return std::nullopt;
   }
+  for (rpc::JobCancel::Reader item : in.getCancels()) {
+    request.cancels.push_back({detail::ToString(item.getJobId()), duration(item.getRetentionUs()), item.getWasOpen()});
+  }
   return request;
 }
 
@@ -154,18 +178,23 @@
   for (rpc::HeldClaim::Reader item : in.getHeld()) {
     reply.held.push_back({detail::ToString(item.getHolder()), item.getLife(), detail::ReadClaim(item.getClaim())});
   }
-  if (!detail::ReadReleases(in.getNotRepeatable(), reply.not_repeatable)) {
+  if (!detail::ReadReleases(in.getForbidden(), reply.forbidden)) {
     return std::nullopt;
   }
   reply.peers = detail::ReadTexts(in.getPeers());
   for (rpc::ClaimAnswer::Reader item : in.getAnswers()) {
-    const std::optional<claim_verdict> verdict = detail::ToEnum(item.getVerdict(), claim_verdict::kUndecided);
+    const std::optional<claim_verdict> verdict = detail::ToEnum(item.getVerdict(), claim_verdict::kCancelled);
     if (!verdict) {
       return std::nullopt;
     }
     reply.answers.push_back(
         {detail::ToString(item.getJobId()), item.getNumber(), *verdict, detail::ToString(item.getHolder())});
   }
+  for (rpc::CancelAnswer::Reader item : in.getCancelAnswers()) {
+    reply.cancel_answers.push_back({detail::ToString(item.getJobId()), item.getRecorded(), item.getWasOpen(),
+                                    item.getCompleted(), detail::ToString(item.getHolder())});
+  }
+  reply.cancelled = detail::ReadTexts(in.getCancelled());
   return reply;
 }
 
--- a/tests/besteffort/claim_registry_test.cc
+++ b/tests/besteffort/claim_registry_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <vector>
 
 namespace bamboowing {
 namespace {
@@ -35,6 +36,8 @@
     registry.Release(holder, process, {job, number, end, kRetention}, now);
   }
 
+  cancel_answer Cancel(const std::string& job = "job") { return registry.Cancel({job, kRetention, false}, now); }
+
   claim_registry registry{kRunEndLimit, kSilenceLimit, kRetention};
   instant now{std::chrono::seconds(1000)};
 };
@@ -276,7 +279,7 @@
 TEST_F(claim_registry_test, ReportOfHolderDoesNotEndItsClaim) {
   EXPECT_EQ(Verdict(kOne, 1, 7), claim_verdict::kGranted);
   Release(kOther, 2, 9, claim_end::kNotRepeatable);
-  const std::vector<claim_release> reported = registry.NotRepeatableJobs(now);
+  const std::vector<claim_release> reported = registry.ForbiddenJobs(now);
   ASSERT_EQ(reported.size(), 1U);
   claim_registry other(kRunEndLimit, kSilenceLimit, kRetention);
   EXPECT_EQ(other.Claim(kOne, 1, {"job", 7, kHold, false}, now).verdict, claim_verdict::kGranted);
@@ -285,5 +288,103 @@
   EXPECT_EQ(other.Claim(kOther, 2, {"job", 10, kHold, false}, now).verdict, claim_verdict::kNotRepeatable);
 }
 
+// Guards against a claim that is granted after a cancel, whether the cancel precedes all claims or not.
+TEST_F(claim_registry_test, DeniesClaimsOfCancelledJob) {
+  const cancel_answer unknown = Cancel("early");
+  EXPECT_TRUE(unknown.recorded);
+  EXPECT_FALSE(unknown.was_open || unknown.completed);
+  EXPECT_EQ(unknown.holder, "");
+  EXPECT_EQ(Claim(kOne, 1, 7, "early").verdict, claim_verdict::kCancelled);
+  Claim(kOne, 1, 8);
+  const cancel_answer held = Cancel();
+  EXPECT_TRUE(held.recorded && held.was_open);
+  EXPECT_EQ(held.holder, kOne);
+  EXPECT_EQ(Verdict(kOne, 1, 9), claim_verdict::kCancelled);
+  EXPECT_EQ(Verdict(kOther, 2, 10), claim_verdict::kCancelled);
+}
+
+// Guards against a cancel that outlives its retention, is extended by denied copies, or ends before it.
+TEST_F(claim_registry_test, ForgetsCancelAfterRetention) {
+  Cancel();
+  now += kRetention - std::chrono::milliseconds(1);
+  EXPECT_EQ(Verdict(kOne, 1, 7), claim_verdict::kCancelled);
+  Release(kOne, 1, 7, claim_end::kReleased);
+  now += std::chrono::milliseconds(1);
+  EXPECT_EQ(Verdict(kOne, 1, 8), claim_verdict::kGranted);
+}
+
+// Guards against a holder that is not named until it has released a cancelled job, and one that is named afterwards.
+TEST_F(claim_registry_test, NamesCancelledJobsOfHolderUntilItsRelease) {
+  Claim(kOne, 1, 7);
+  Cancel();
+  EXPECT_EQ(registry.CancelledJobsOf(kOne, 1), std::vector<std::string>{"job"});
+  EXPECT_TRUE(registry.CancelledJobsOf(kOne, 2).empty());
+  EXPECT_TRUE(registry.CancelledJobsOf(kOther, 1).empty());
+  Release(kOne, 1, 7, claim_end::kCancelled);
+  EXPECT_TRUE(registry.CancelledJobsOf(kOne, 1).empty());
+  EXPECT_EQ(Verdict(kOther, 2, 8), claim_verdict::kCancelled);
+}
+
+// Guards against a completed job that is answered as cancelled, whichever of the two arrives first.
+TEST_F(claim_registry_test, CompletedJobIsNotCancelled) {
+  Claim(kOne, 1, 7);
+  Release(kOne, 1, 7, claim_end::kCompleted);
+  EXPECT_TRUE(Cancel().completed);
+  EXPECT_EQ(Verdict(kOther, 2, 8), claim_verdict::kCompleted);
+  Claim(kOne, 1, 9, "other");
+  Cancel("other");
+  Release(kOne, 1, 9, claim_end::kCompleted, "other");
+  EXPECT_EQ(Claim(kOther, 2, 10, "other").verdict, claim_verdict::kCompleted);
+}
+
+// Guards against a restarted registrar that does not learn which jobs no entry may start.
+TEST_F(claim_registry_test, TransfersEndsThatPreventStarts) {
+  Cancel("cancelled");
+  Claim(kOne, 1, 1, "unrepeatable");
+  Release(kOne, 1, 1, claim_end::kNotRepeatable, "unrepeatable");
+  Claim(kOne, 1, 2, "released");
+  Release(kOne, 1, 2, claim_end::kReleased, "released");
+  now += kRetention / 2;
+  claim_registry restarted(kRunEndLimit, kSilenceLimit, kRetention);
+  const std::vector<claim_release> ends = registry.ForbiddenJobs(now);
+  EXPECT_EQ(ends.size(), 2U);
+  for (const claim_release& end : ends) {
+    EXPECT_EQ(end.retention, kRetention - kRetention / 2);
+    restarted.Release(kOther, 2, end, now);
+  }
+  const job_claim cancelled{"cancelled", 3, kHold, false};
+  const job_claim unrepeatable{"unrepeatable", 4, kHold, false};
+  EXPECT_EQ(restarted.Claim(kOther, 2, cancelled, now).verdict, claim_verdict::kCancelled);
+  EXPECT_EQ(restarted.Claim(kOther, 2, unrepeatable, now).verdict, claim_verdict::kNotRepeatable);
+  now += kRetention - kRetention / 2;
+  EXPECT_EQ(restarted.Claim(kOther, 2, cancelled, now).verdict, claim_verdict::kGranted);
+}
+
+// Guards against cancels that displace the records of held jobs at the bound, and against released jobs that displace
+// cancels.
+TEST_F(claim_registry_test, DropsCancelsAfterReleasedAndBeforeHeldJobs) {
+  Cancel("old");
+  now += std::chrono::milliseconds(1);
+  Cancel("new");
+  Claim(kOne, 1, 1, "released");
+  Release(kOne, 1, 1, claim_end::kReleased, "released");
+  Claim(kOne, 1, 2, "running");
+  Cancel("running");
+  for (std::uint64_t i = 0; registry.size() < claim_registry::kMaxRecords; ++i) {
+    Claim(kOne, 1, 10 + i, "held" + std::to_string(i));
+  }
+  EXPECT_TRUE(Cancel("first").recorded);
+  EXPECT_EQ(Claim(kOther, 2, 1, "old").verdict, claim_verdict::kCancelled);
+  EXPECT_TRUE(Cancel("second").recorded);
+  EXPECT_EQ(Claim(kOther, 2, 1, "new").verdict, claim_verdict::kCancelled);
+  EXPECT_EQ(Claim(kOther, 2, 1, "old").verdict, claim_verdict::kGranted);  // displaces "new"
+  EXPECT_EQ(Claim(kOther, 2, 2, "held").verdict, claim_verdict::kGranted);
+  EXPECT_EQ(Claim(kOther, 2, 3, "another").verdict, claim_verdict::kGranted);
+  EXPECT_FALSE(Cancel("third").recorded);
+  EXPECT_EQ(Claim(kOther, 2, 4, "held0").verdict, claim_verdict::kHeld);
+  EXPECT_EQ(Claim(kOther, 2, 5, "running").verdict, claim_verdict::kCancelled);
+  EXPECT_EQ(registry.size(), claim_registry::kMaxRecords);
+}
+
 }  // namespace
 }  // namespace bamboowing
--- a/tests/besteffort/claiming_entries.h
+++ b/tests/besteffort/claiming_entries.h
@@ -47,6 +47,8 @@
     std::map<std::string, claim_verdict> decided;  ///< by job
     std::set<std::string> lapsed;                  ///< jobs
     std::set<std::string> unavailable;             ///< jobs
+    std::set<std::string> cancelled;               ///< claimed jobs that were cancelled
+    std::map<call_id, cancel_outcome> cancels;     ///< by call
     std::vector<std::string> events;
     std::map<std::string, std::string> details;  ///< newest detail by event
   };
@@ -139,6 +141,10 @@
         nodes[entry].lapsed.insert(lapsed->job_id);
       } else if (const claim_unavailable* missing = std::get_if<claim_unavailable>(&action); missing != nullptr) {
         nodes[entry].unavailable.insert(missing->job_id);
+      } else if (const claim_cancelled* cancelled = std::get_if<claim_cancelled>(&action); cancelled != nullptr) {
+        EXPECT_TRUE(nodes[entry].cancelled.insert(cancelled->job_id).second) << "cancelled twice";
+      } else if (const cancel_decided* answer = std::get_if<cancel_decided>(&action); answer != nullptr) {
+        EXPECT_TRUE(nodes[entry].cancels.emplace(answer->call, answer->outcome).second) << "answered twice";
       } else if (const log_claim_event* logged = std::get_if<log_claim_event>(&action); logged != nullptr) {
         nodes[entry].events.push_back(logged->event);
         nodes[entry].details[logged->event] = logged->detail;
@@ -171,6 +177,14 @@
   void Release(std::size_t entry, claim_end end, const std::string& job = "job") {
     nodes[entry].core->Release(job, end, std::chrono::seconds(15), now);
   }
+  void Cancel(std::size_t entry, call_id call, const std::string& job = "job") {
+    nodes[entry].core->Cancel(call, job, false, now);
+    Collect(entry);
+  }
+  bool Answered(std::size_t entry, call_id call, cancel_outcome outcome) const {
+    const std::map<call_id, cancel_outcome>::const_iterator found = nodes[entry].cancels.find(call);
+    return found != nodes[entry].cancels.end() && found->second == outcome;
+  }
   bool Decided(std::size_t entry, const std::string& job = "job") const { return nodes[entry].decided.count(job) != 0; }
   bool Decided(std::size_t entry, claim_verdict verdict, const std::string& job = "job") const {
     return Decided(entry, job) && nodes[entry].decided.at(job) == verdict;
@@ -184,7 +198,7 @@
 
   /// A claim by the process of entry @p from that arrives at entry @p to alone.
   claim_answer ClaimAtOnly(std::size_t from, std::size_t to, std::uint64_t number = 1000) {
-    claim_request single{Address(from), nodes[from].process, {}, {{"job", number, kHold}}, false, {}, {}};
+    claim_request single{Address(from), nodes[from].process, {}, {{"job", number, kHold}}, false, {}, {}, {}};
     return nodes[to].core->OnRequest(single, now).answers.at(0);
   }
 
--- a/tests/besteffort/cluster_sim.cc
+++ b/tests/besteffort/cluster_sim.cc
@@ -337,6 +337,10 @@
     }
   } else if (const send_claim_request* claims = std::get_if<send_claim_request>(&action); claims != nullptr) {
     SendClaims(entry, *claims);
+  } else if (const cancel_decided* decided = std::get_if<cancel_decided>(&action); decided != nullptr) {
+    sim_cancel& cancel = cancels_[decided->call - kFirstCancelCall];
+    cancel.outcome = decided->outcome;
+    cancel.answered = now_;
   } else if (const abandon_claim_request* abandon = std::get_if<abandon_claim_request>(&action); abandon != nullptr) {
     entries_[entry]->exchanges.erase(abandon->exchange);
   } else if (const close_run_session* close = std::get_if<close_run_session>(&action); close != nullptr) {
--- a/tests/besteffort/cluster_sim.h
+++ b/tests/besteffort/cluster_sim.h
@@ -23,6 +23,9 @@
 /// Service that all targets belong to.
 constexpr const char* kSimService = "inspect";
 
+/// Calls of cancels have numbers from this one on, those of submissions smaller ones.
+constexpr call_id kFirstCancelCall = 1'000'000;
+
 /// Whether the clock that the daemons use counts the time for which their machine is suspended.
 constexpr bool kDaemonClockCountsSuspension = true;
 
@@ -81,10 +84,21 @@
   bool caller_gone = false;  ///< the caller disconnected, or its entry was killed
 };
 
+/// A cancel that a caller has sent.
+struct sim_cancel {
+  std::string job;
+  std::size_t entry = 0;
+  instant sent;
+  std::optional<cancel_outcome> outcome;
+  instant answered;
+};
+
 /// Traffic for claims between entries.
 struct claim_counts {
   std::size_t with_claims = 0;    ///< requests with a claim
   std::size_t releases_only = 0;  ///< requests with releases and without a claim
+  std::size_t cancels = 0;        ///< cancels in requests
+  std::size_t cancel_bytes = 0;   ///< rough size of cancels and their answers, without the messages that have them
   std::size_t bytes = 0;          ///< rough size of all requests and replies
 };
 
@@ -111,6 +125,11 @@
   /// Submits a job whose first task crashes each target that starts it.
   std::size_t SubmitDeadly(std::size_t entry, const std::string& id, std::uint32_t tasks, int work_ms);
   void DisconnectCaller(std::size_t job);
+  /// Cancels a job at an entry. Returns its index in cancels().
+  std::size_t Cancel(std::size_t entry, const std::string& id);
+  const std::vector<sim_cancel>& cancels() const { return cancels_; }
+  /// Runs that were started later than @p limit after an answered cancel of their job, one line for each.
+  std::vector<std::string> StartsAfterCancel(duration limit) const;
 
   void KillEntry(std::size_t entry, duration down);
   /// Asks the entry's process to exit. It exits when its jobs have ended and the other members have removed it from the
@@ -295,6 +314,7 @@
   instant directory_updated_at_{std::chrono::seconds(1000)};
   std::vector<run_record> history_;
   std::vector<sim_job> jobs_;
+  std::vector<sim_cancel> cancels_;
   std::map<std::string, std::vector<instant>> crashes_;
   session_id last_session_ = 0;
   incarnation_id last_incarnation_ = 0;
--- a/tests/besteffort/cluster_sim_inputs.cc
+++ b/tests/besteffort/cluster_sim_inputs.cc
@@ -111,6 +111,28 @@
                  [=](dispatch_core& core, instant now) { core.OnCallerDisconnected(jobs_[job].call, now); });
 }
 
+std::size_t cluster_sim::Cancel(std::size_t entry, const std::string& id) {
+  Trace("cancel of " + id + " at entry " + std::to_string(entry));
+  const std::size_t index = cancels_.size();
+  cancels_.push_back({id, entry, now_, std::nullopt, now_});
+  DeliverToEntry(entry, [=](dispatch_core& core, instant now) { core.OnCancel(kFirstCancelCall + index, id, now); });
+  return index;
+}
+
+std::vector<std::string> cluster_sim::StartsAfterCancel(duration limit) const {
+  std::vector<std::string> found;
+  for (const sim_cancel& cancel : cancels_) {
+    const bool promised = cancel.outcome && cancel.outcome != cancel_outcome::kUnconfirmed;
+    for (const run_record& run : history_) {
+      if (promised && run.key.job_id == cancel.job && run.started_at > cancel.answered + limit) {
+        found.push_back(run.task + ": " + Describe(run) + ", cancelled at entry " + std::to_string(cancel.entry) +
+                        " at " + std::to_string(cancel.answered.time_since_epoch().count() / 1000));
+      }
+    }
+  }
+  return found;
+}
+
 void cluster_sim::KillEntry(std::size_t entry, duration down) {
   TraceFault("kill entry", entry, down);
   entries_[entry]->core.reset();
@@ -242,6 +264,11 @@
   for (const claim_release& release : request.releases) {
     claim_traffic.bytes += kItemSize + release.job_id.size();
   }
+  for (const job_cancel& cancel : request.cancels) {
+    ++claim_traffic.cancels;
+    claim_traffic.cancel_bytes += kItemSize + cancel.job_id.size();
+    claim_traffic.bytes += kItemSize + cancel.job_id.size();
+  }
   for (const job_claim& claim : request.claims) {
     claim_traffic.bytes += kItemSize + claim.job_id.size();
   }
@@ -252,6 +279,17 @@
   for (const claim_answer& answer : reply.answers) {
     claim_traffic.bytes += kItemSize + answer.job_id.size() + answer.holder.size();
   }
+  for (const cancel_answer& answer : reply.cancel_answers) {
+    claim_traffic.cancel_bytes += kItemSize + answer.job_id.size() + answer.holder.size();
+    claim_traffic.bytes += kItemSize + answer.job_id.size() + answer.holder.size();
+  }
+  for (const std::string& job_id : reply.cancelled) {
+    claim_traffic.cancel_bytes += job_id.size();
+    claim_traffic.bytes += job_id.size();
+  }
+  for (const claim_release& end : reply.forbidden) {
+    claim_traffic.bytes += kItemSize + end.job_id.size();
+  }
   for (const held_claim& held : reply.held) {
     claim_traffic.bytes += kItemSize + held.claim.job_id.size() + held.holder.size();
   }
--- a/tests/besteffort/review_claims_test.cc
+++ b/tests/besteffort/review_claims_test.cc
@@ -238,8 +238,9 @@
   Cut(second, registrars[2]);  // the second entry has the registrar and itself
   Deliver(late);
   const instant heard_at = now;
-  while (
-      !nodes[registrar].core->OnRequest({Address(second), nodes[second].process, {}, {}, false, {}, {}}, now).decides) {
+  while (!nodes[registrar]
+              .core->OnRequest({Address(second), nodes[second].process, {}, {}, false, {}, {}, {}}, now)
+              .decides) {
     RunFor(kTick);
   }
   Claim(second);
@@ -254,7 +255,7 @@
 TEST_F(late_successor_test, LateMessageDoesNotSilenceRunningProcess) {
   Deliver(late);
   RunFor(std::chrono::seconds(5));
-  const claim_request own{Address(holder), nodes[holder].process, {}, {{kJob, 1000, kHold}}, false, {}, {}};
+  const claim_request own{Address(holder), nodes[holder].process, {}, {{kJob, 1000, kHold}}, false, {}, {}, {}};
   EXPECT_EQ(nodes[registrar].core->OnRequest(own, now).answers.size(), 1U) << "the claim is not answered";
 }
 
--- a/tests/besteffort/view_change_test.cc
+++ b/tests/besteffort/view_change_test.cc
@@ -120,7 +120,7 @@
   TellAll({3, AddressesOf({3, 4, 5}), {}});
   for (const std::size_t registrar : {3U, 4U, 5U}) {
     const claim_release release{"job", 1000, claim_end::kReleased, kHold};
-    nodes[registrar].core->OnRequest({Address(2), nodes[2].process, {release}, {}, false, {}, {}}, now);
+    nodes[registrar].core->OnRequest({Address(2), nodes[2].process, {release}, {}, false, {}, {}, {}}, now);
   }
   Claim(3);
   const duration may_run = nodes[3].core->settings().claim_end_limit();
--- a/tests/wire/codec_test.cc
+++ b/tests/wire/codec_test.cc
@@ -252,11 +252,13 @@
   request.incarnation = 5;
   request.releases = {{"ended", 6, claim_end::kCompleted, duration(70)},
                       {"released", 7, claim_end::kReleased, duration(70)},
-                      {"late", 8, claim_end::kNotRepeatable, duration(70)}};
+                      {"late", 8, claim_end::kNotRepeatable, duration(70)},
+                      {"cancelled", 9, claim_end::kCancelled, duration(80)}};
   request.claims = {{"job", 9, duration(1000), true}, {"other", 10, duration(2000), false}};
   request.fetch_claims = true;
   request.status = {true, true, 19};
   request.view = {14, {"10.0.0.1:7000", "10.0.0.2:7000"}, {"10.0.0.3:7000"}};
+  request.cancels = {{"open", duration(90), true}, {"unknown", duration(91), false}};
   const std::optional<claim_request> copy = RoundTrip<rpc::ClaimRequest>(request);
   ASSERT_TRUE(copy);
   EXPECT_EQ(copy->address, request.address);
@@ -281,6 +283,12 @@
   EXPECT_EQ(copy->view.number, request.view.number);
   EXPECT_EQ(copy->view.members, request.view.members);
   EXPECT_EQ(copy->view.previous, request.view.previous);
+  ASSERT_EQ(copy->cancels.size(), request.cancels.size());
+  for (std::size_t i = 0; i < request.cancels.size(); ++i) {
+    EXPECT_EQ(copy->cancels[i].job_id, request.cancels[i].job_id);
+    EXPECT_EQ(copy->cancels[i].retention, request.cancels[i].retention);
+    EXPECT_EQ(copy->cancels[i].was_open, request.cancels[i].was_open);
+  }
   request.fetch_claims = false;
   const std::optional<claim_request> without_fetch = RoundTrip<rpc::ClaimRequest>(request);
   EXPECT_TRUE(without_fetch && !without_fetch->fetch_claims);
@@ -290,20 +298,20 @@
 TEST(Codec, ClaimReplyKeepsEveryField) {
   claim_reply reply;
   reply.incarnation = 11;
-  reply.answers = {{"a", 1, claim_verdict::kGranted, ""},
-                   {"b", 2, claim_verdict::kHeld, "10.0.0.2:7000"},
-                   {"c", 3, claim_verdict::kCompleted, ""},
-                   {"d", 4, claim_verdict::kNotRepeatable, ""},
-                   {"e", 5, claim_verdict::kUndecided, ""}};
+  reply.answers = {{"a", 1, claim_verdict::kGranted, ""},   {"b", 2, claim_verdict::kHeld, "10.0.0.2:7000"},
+                   {"c", 3, claim_verdict::kCompleted, ""}, {"d", 4, claim_verdict::kNotRepeatable, ""},
+                   {"e", 5, claim_verdict::kUndecided, ""}, {"f", 6, claim_verdict::kCancelled, ""}};
   reply.held = {{"10.0.0.3:7000", 13, {"job", 12, duration(3000), true}}};
   reply.peers = {"10.0.0.4:7000", "10.0.0.5:7000"};
   reply.new_processes = {{"10.0.0.6:7000", 16}, {"10.0.0.7:7000", 17}};
   reply.decides = true;
   reply.status = {false, true, 14};
-  reply.not_repeatable = {{"late", 18, claim_end::kNotRepeatable, duration(900)}};
+  reply.forbidden = {{"late", 18, claim_end::kNotRepeatable, duration(900)}};
   reply.view = {15, {"10.0.0.1:7000"}, {"10.0.0.3:7000", "10.0.0.4:7000"}};
   reply.process_age = duration(0);
   reply.view_age = duration(0);
+  reply.cancel_answers = {{"g", true, false, true, ""}, {"h", false, true, false, "10.0.0.6:7000"}};
+  reply.cancelled = {"i", "j"};
   const std::optional<claim_reply> copy = RoundTrip<rpc::ClaimReply>(reply);
   ASSERT_TRUE(copy);
   EXPECT_EQ(copy->incarnation, 11U);
@@ -329,27 +337,36 @@
   EXPECT_FALSE(copy->status.complete);
   EXPECT_TRUE(copy->status.leaving);
   EXPECT_EQ(copy->status.known_view, 14U);
-  ASSERT_EQ(copy->not_repeatable.size(), 1U);
-  EXPECT_EQ(copy->not_repeatable[0].job_id, "late");
-  EXPECT_EQ(copy->not_repeatable[0].number, 18U);
-  EXPECT_EQ(copy->not_repeatable[0].end, claim_end::kNotRepeatable);
-  EXPECT_EQ(copy->not_repeatable[0].retention, duration(900));
+  ASSERT_EQ(copy->forbidden.size(), 1U);
+  EXPECT_EQ(copy->forbidden[0].job_id, "late");
+  EXPECT_EQ(copy->forbidden[0].number, 18U);
+  EXPECT_EQ(copy->forbidden[0].end, claim_end::kNotRepeatable);
+  EXPECT_EQ(copy->forbidden[0].retention, duration(900));
   EXPECT_EQ(copy->view.number, reply.view.number);
   EXPECT_EQ(copy->view.members, reply.view.members);
   EXPECT_EQ(copy->view.previous, reply.view.previous);
   EXPECT_EQ(copy->process_age, reply.process_age);
   EXPECT_EQ(copy->view_age, reply.view_age);
+  ASSERT_EQ(copy->cancel_answers.size(), reply.cancel_answers.size());
+  for (std::size_t i = 0; i < reply.cancel_answers.size(); ++i) {
+    EXPECT_EQ(copy->cancel_answers[i].job_id, reply.cancel_answers[i].job_id);
+    EXPECT_EQ(copy->cancel_answers[i].recorded, reply.cancel_answers[i].recorded);
+    EXPECT_EQ(copy->cancel_answers[i].was_open, reply.cancel_answers[i].was_open);
+    EXPECT_EQ(copy->cancel_answers[i].completed, reply.cancel_answers[i].completed);
+    EXPECT_EQ(copy->cancel_answers[i].holder, reply.cancel_answers[i].holder);
+  }
+  EXPECT_EQ(copy->cancelled, reply.cancelled);
   reply = claim_reply();
   reply.status.complete = true;
   const std::optional<claim_reply> other = RoundTrip<rpc::ClaimReply>(reply);
   EXPECT_TRUE(other && other->status.complete && !other->decides && !other->process_age && !other->view_age);
-  EXPECT_TRUE(other && !other->status.leaving && other->not_repeatable.empty());
+  EXPECT_TRUE(other && !other->status.leaving && other->forbidden.empty());
 }
 
 // Guards against an end or a verdict of a newer or faulty entry that is taken as one that this build knows.
 TEST(Codec, RefusesClaimValuesOutOfRange) {
-  constexpr std::uint8_t kPastLastEnd = static_cast<std::uint8_t>(claim_end::kNotRepeatable) + 1;
-  constexpr std::uint8_t kPastLastVerdict = static_cast<std::uint8_t>(claim_verdict::kUndecided) + 1;
+  constexpr std::uint8_t kPastLastEnd = static_cast<std::uint8_t>(claim_end::kCancelled) + 1;
+  constexpr std::uint8_t kPastLastVerdict = static_cast<std::uint8_t>(claim_verdict::kCancelled) + 1;
   capnp::MallocMessageBuilder arena;
   rpc::ClaimRequest::Builder request = arena.initRoot<rpc::ClaimRequest>();
   rpc::ClaimRelease::Builder release = request.initReleases(1)[0];
