Let claims outlive the end of a change of the view

Change: after the end of a change, what the previous members have confirmed counts until the lease ends, for the grace of a change at most.

--- a/src/besteffort/job_claims_view.cc
+++ b/src/besteffort/job_claims_view.cc
@@ -35,8 +35,14 @@
   if (view.number <= view_.number || view.members.empty()) {
     return;
   }
-  // The previous members must still confirm a claim meanwhile.
   const bool change_begins = !view.previous.empty();
+  for (std::pair<const std::string, open_claim>& item : claims_) {
+    open_claim& claim = item.second;
+    // The previous members must still confirm a claim during a change. After it, what they have confirmed counts until
+    // the lease ends; the new members know the claim for longer.
+    const instant grace_end = now + settings_.view_grace;
+    claim.new_set_until = change_begins ? grace_end : std::min(grace_end, LeaseEnd(claim));
+  }
   const registrar_view before = std::exchange(view_, view);
   view_adopted_at_ = now;
   LogEvent("registrar_view", "",
@@ -53,7 +59,6 @@
   }
   for (std::pair<const std::string, open_claim>& item : claims_) {
     item.second.sets = RegistrarSets(item.first, view_);
-    item.second.new_set_until = change_begins ? std::optional<instant>(now + settings_.view_grace) : std::nullopt;
   }
   ForwardCancels(before, now);
   ReassignRegistrars(now);
--- a/tests/besteffort/view_change_test.cc
+++ b/tests/besteffort/view_change_test.cc
@@ -131,6 +131,49 @@
   EXPECT_TRUE(Granted(3)) << "denied for ever";
 }
 
+// Guards against running jobs that are stopped since a change has ended before their holder has heard of it, or before
+// the new members have answered it.
+TEST_F(view_change_test, ClaimOutlivesChangeThatEndsBeforeNewMembersAnswer) {
+  for (const bool hears_of_change : {true, false}) {
+    StartWithMembers(7, {0, 1, 2});
+    Claim(6);
+    RunFor(kSoon);
+    ASSERT_TRUE(Granted(6));
+    for (const std::size_t added : {3U, 4U, 5U}) {
+      nodes[added].silent = true;
+    }
+    if (hears_of_change) {
+      nodes[6].core->OnView({2, AddressesOf({3, 4, 5}), view.members}, now, now);
+      RunFor(kTick * 2);
+    }
+    nodes[6].core->OnView({3, AddressesOf({3, 4, 5}), {}}, now, now);
+    RunFor(std::chrono::milliseconds(300));
+    EXPECT_TRUE(nodes[6].lapsed.empty());
+    for (const std::size_t added : {3U, 4U, 5U}) {
+      nodes[added].silent = false;
+    }
+    RunFor(std::chrono::seconds(3));
+    EXPECT_TRUE(nodes[6].lapsed.empty());
+    EXPECT_EQ(ClaimAtOnly(2, 3).verdict, claim_verdict::kHeld);
+  }
+}
+
+// Guards against a holder that goes on for longer than its previous registrars have confirmed its claim.
+TEST_F(view_change_test, ClaimLapsesWithItsLeaseIfNewMembersDoNotAnswer) {
+  StartWithMembers(7, {0, 1, 2});
+  Claim(6);
+  RunFor(kSoon);
+  ASSERT_TRUE(Granted(6));
+  for (std::size_t other = 0; other < 6; ++other) {
+    nodes[other].silent = true;
+  }
+  const duration lease = nodes[6].core->settings().lease;
+  RunFor(lease / 2);
+  nodes[6].core->OnView({3, AddressesOf({3, 4, 5}), {}}, now, now);
+  RunFor(lease / 2 + kTick * 4);
+  EXPECT_EQ(nodes[6].lapsed.count("job"), 1U);
+}
+
 // Guards against a change that ends while registrars that have not heard of it can grant a job by the previous view.
 TEST_F(view_change_test, TwoSilentPreviousMembersHoldUpChange) {
   StartWithMembers(5, {0, 1, 2, 3, 4});
