--- a/tests/besteffort/view_change_test.cc
+++ b/tests/besteffort/view_change_test.cc
@@ -64,6 +64,17 @@
     return false;
   }
 
+  /// An entry is granted the job when the runs of a holder that was last heard of at @p heard_at must have ended.
+  void ExpectGrantedWhenRunsHaveEnded(std::size_t entry, instant heard_at) {
+    Claim(entry);
+    const duration may_run = nodes[entry].core->settings().claim_end_limit();
+    while (!Granted(entry) && now - heard_at < may_run * 3) {
+      RunFor(kTick);
+    }
+    EXPECT_GE((now - heard_at).count(), may_run.count());
+    EXPECT_TRUE(Granted(entry)) << "denied for ever";
+  }
+
   /// How long it takes until an entry can end the change, at most @p limit.
   duration TimeUntilEnd(duration limit) {
     const instant begin = now;
@@ -94,13 +105,7 @@
   BeginChange({3, 4, 5});
   ASSERT_LT(TimeUntilEnd(std::chrono::seconds(5)).count(), kSoon.count());
   TellAll({3, AddressesOf({3, 4, 5}), {}});
-  Claim(3);
-  const duration may_run = nodes[3].core->settings().claim_end_limit();
-  while (!Granted(3) && now - heard_at < may_run * 3) {
-    RunFor(kTick);
-  }
-  EXPECT_GE((now - heard_at).count(), may_run.count());
-  EXPECT_TRUE(Granted(3)) << "denied for ever";
+  ExpectGrantedWhenRunsHaveEnded(3, heard_at);
 }
 
 // As above, but the new members have granted the claim of another entry when the holder's is handed over. That entry
@@ -122,13 +127,7 @@
     const claim_release release{"job", 1000, claim_end::kReleased, kHold};
     nodes[registrar].core->OnRequest({Address(2), nodes[2].process, {release}, {}, false, {}, {}, {}}, now);
   }
-  Claim(3);
-  const duration may_run = nodes[3].core->settings().claim_end_limit();
-  while (!Granted(3) && now - heard_at < may_run * 3) {
-    RunFor(kTick);
-  }
-  EXPECT_GE((now - heard_at).count(), may_run.count());
-  EXPECT_TRUE(Granted(3)) << "denied for ever";
+  ExpectGrantedWhenRunsHaveEnded(3, heard_at);
 }
 
 // Guards against running jobs that are stopped since a change has ended before their holder has heard of it, or before
--- a/tests/besteffort/view_recovery_test.cc
+++ b/tests/besteffort/view_recovery_test.cc
@@ -95,6 +95,15 @@
   std::size_t next_ = 0;
 };
 
+/// From kRecoveryLimit after now on, all jobs are served.
+void ExpectRecovery(recovering_deployment& deployment) {
+  const instant begin = deployment.sim.now();
+  deployment.Serve(kRecoveryLimit + std::chrono::seconds(4));
+  deployment.sim.RunFor(std::chrono::seconds(1));
+  EXPECT_EQ(deployment.ServedShare(begin + kRecoveryLimit, deployment.sim.now()), 1.0);
+  EXPECT_EQ(deployment.sim.OverlappingRuns(), std::vector<std::string>());
+}
+
 class view_recovery : public testing::TestWithParam<std::size_t> {};
 
 // Guards against entries that refuse all jobs for long after most of the members are lost for good, when the members
@@ -106,11 +115,8 @@
     }
     recovering_deployment deployment(GetParam());
     deployment.LoseAllBut(left);
-    const instant lost_at = deployment.sim.now();
-    deployment.Serve(kRecoveryLimit + std::chrono::seconds(4));
-    deployment.sim.RunFor(std::chrono::seconds(1));
-    EXPECT_EQ(deployment.ServedShare(lost_at + kRecoveryLimit, deployment.sim.now()), 1.0) << left << " left";
-    EXPECT_EQ(deployment.sim.OverlappingRuns(), std::vector<std::string>());
+    SCOPED_TRACE(std::to_string(left) + " left");
+    ExpectRecovery(deployment);
   }
 }
 
@@ -120,11 +126,7 @@
   deployment.Serve(std::chrono::seconds(2));
   deployment.LoseAllBut(1);
   deployment.KillAllInUse(Ms(500));
-  const instant back_at = deployment.sim.now();
-  deployment.Serve(kRecoveryLimit + std::chrono::seconds(4));
-  deployment.sim.RunFor(std::chrono::seconds(1));
-  EXPECT_EQ(deployment.ServedShare(back_at + kRecoveryLimit, deployment.sim.now()), 1.0);
-  EXPECT_EQ(deployment.sim.OverlappingRuns(), std::vector<std::string>());
+  ExpectRecovery(deployment);
 }
 
 // Guards against planned replacements that stop the service: changes of the view that take long keep the entries that
@@ -153,11 +155,7 @@
     deployment.Serve(std::chrono::seconds(2));
   }
   deployment.KillAllInUse(Ms(500));
-  const instant back_at = deployment.sim.now();
-  deployment.Serve(kRecoveryLimit + std::chrono::seconds(4));
-  deployment.sim.RunFor(std::chrono::seconds(1));
-  EXPECT_EQ(deployment.ServedShare(back_at + kRecoveryLimit, deployment.sim.now()), 1.0);
-  EXPECT_EQ(deployment.sim.OverlappingRuns(), std::vector<std::string>());
+  ExpectRecovery(deployment);
 }
 
 // Guards against new entries that wait long for members of which none exists any more.
@@ -170,11 +168,7 @@
   }
   deployment.in_use = added;
   deployment.sim.ListEntriesToAgents();
-  const instant lost_at = deployment.sim.now();
-  deployment.Serve(kRecoveryLimit + std::chrono::seconds(4));
-  deployment.sim.RunFor(std::chrono::seconds(1));
-  EXPECT_EQ(deployment.ServedShare(lost_at + kRecoveryLimit, deployment.sim.now()), 1.0);
-  EXPECT_EQ(deployment.sim.OverlappingRuns(), std::vector<std::string>());
+  ExpectRecovery(deployment);
 }
 
 // Guards against a rolling restart that stops the service of the entries that are not being restarted.
