--- a/include/bamboowing/besteffort/view_maintainer.h
+++ b/include/bamboowing/besteffort/view_maintainer.h
@@ -27,7 +27,7 @@
   duration settle_time{700'000};
   duration join_delay{2'000'000};     ///< a new entry becomes a member when it has been listed for this long
   duration removal_delay{3'000'000};  ///< a member is removed when it was neither listed nor reachable for this long
-  /// The same if jobs are refused meanwhile, since more than one member is missing or each job has one registrar.
+  /// The same if half of the members or more are missing, so that most jobs are refused.
   duration urgent_removal_delay{500'000};
   /// An entry that is no member begins a change when no member was listed or reachable for this long: within it,
   /// members that run and reach the key-value service after its outage are listed again.
@@ -86,7 +86,7 @@
   std::optional<registrar_view> ChangedMembers(const job_claims& claims, instant now) const;
   /// Whether the member is to be removed because it is lost.
   bool IsLost(const std::string& address, instant now) const;
-  /// The members without those that are lost or leave.
+  /// The members without those that are lost and, in a small view, those that leave.
   std::vector<std::string> RemainingMembers(const job_claims& claims, std::size_t joining, instant now) const;
   /// Entries that are to become members.
   std::vector<std::string> JoiningEntries(const job_claims& claims, instant now) const;
--- a/src/besteffort/view_maintainer.cc
+++ b/src/besteffort/view_maintainer.cc
@@ -14,6 +14,8 @@
 constexpr duration kCallLimit = std::chrono::seconds(3);
 // Between two checks of what is due, each of which compares all entries with all members.
 constexpr duration kCheckInterval = std::chrono::milliseconds(20);
+// Up to this number of members, each one is a registrar of half of the jobs or more.
+constexpr std::size_t kSmallView = 2 * kRegistrars;
 // Bound of the rank by which an entry's calls are delayed.
 constexpr std::ptrdiff_t kMaxRank = 5;
 
@@ -182,8 +184,8 @@
   const std::size_t missing = static_cast<std::size_t>(
       std::count_if(view_->members.begin(), view_->members.end(),
                     [this, now](const std::string& member) { return IsMissing(member, duration(0), now); }));
-  const bool refused = missing > 1 || view_->members.size() < kRegistrars;
-  const duration delay = refused ? settings_.urgent_removal_delay : settings_.removal_delay;
+  const bool most_missing = missing * 2 >= view_->members.size();
+  const duration delay = most_missing ? settings_.urgent_removal_delay : settings_.removal_delay;
   return IsMissing(address, delay + RankDelay(), now);
 }
 
@@ -200,9 +202,11 @@
       staying.push_back(address);
     }
   }
-  // Of three members, one that restarts is no loss; two would be too few for several registrars of each job.
+  // In a larger view a member that restarts is missed less than two changes cost. Of three members, two would be too
+  // few for several registrars of each job.
+  const bool is_small = view_->members.size() <= kSmallView;
   const bool several = staying.size() + joining >= kRegistrars || view_->members.size() < kRegistrars;
-  return several && staying.size() + joining > 0 ? staying : present;
+  return is_small && several && staying.size() + joining > 0 ? staying : present;
 }
 
 std::vector<std::string> view_maintainer::JoiningEntries(const job_claims& claims, instant now) const {
