Evacuate failure domains at entries and agents

Change: library evacuation; entries read the state with the watch of the configuration, agents watch it, and batches pass it on in both directions. Entries do not use targets in evacuated failure domains, agents reject starts there and return what waits. Jobs that fit no other target are refused at once. document_watch becomes prefix_watch, which delivers all changes; the adapter picks the keys.

--- a/include/bamboowing/besteffort/dispatch_core.h
+++ b/include/bamboowing/besteffort/dispatch_core.h
@@ -132,6 +132,9 @@
   void OnSessionClosed(session_id session, const std::string& reason, instant now);
   void OnReport(session_id session, const agent_batch& batch, instant now);
 
+  /// The store shows these evacuations of failure domains.
+  void OnEvacuation(const evacuation_state& state);
+
   /// Replaces the list of the other entries, by their addresses.
   void OnPeers(const std::vector<std::string>& addresses, instant now);
   /// The key-value service holds this view of the registrars; see job_claims::OnView().
@@ -159,8 +162,9 @@
   std::size_t waiting_tasks() const { return static_cast<std::size_t>(waiting_tasks_); }
   std::size_t runs() const { return runs_.size(); }
 
-  /// Whether at least one target accepts runs.
-  bool HasUsableTarget(instant now) const;
+  /// Whether at least one target accepts runs. Targets in evacuated failure domains count: an entry whose targets are
+  /// all evacuated still answers its callers.
+  bool HasAcceptingTarget(instant now) const;
   /// Number of jobs that are not answered or whose runs have not ended.
   std::size_t jobs() const { return jobs_.size(); }
   std::size_t unanswered_jobs() const { return calls_.size(); }
@@ -250,10 +254,13 @@
   };
 
   void LogEvent(std::string event, const std::string& job_id, std::string detail);
+  /// @p source names the process that the state came from, for the log.
+  void MergeEvacuation(const evacuation_state& state, const std::string& source);
   std::optional<failure> ValidateJob(const best_effort_job& job) const;
   /// Whether a target of the job's service, without other runs, may be large enough for a task of the step.
   bool MayFitSomeTarget(const open_job& job, const job_step& step) const;
-  /// Set if a task of the job that is not done fits no known target of its service.
+  /// Set if a task of the job that is not done fits no known target of its service outside of evacuated failure
+  /// domains.
   std::optional<failure> CheckSize(const open_job& job, instant now) const;
   /// Refuses the jobs without a started task that no longer fit any target of their service.
   void RefuseOversizedJobs(instant now);
--- a/include/bamboowing/besteffort/run_manager.h
+++ b/include/bamboowing/besteffort/run_manager.h
@@ -20,6 +20,7 @@
 #include "bamboowing/besteffort/leased_target.h"
 #include "bamboowing/besteffort/mean_interval.h"
 #include "bamboowing/besteffort/unsettled_starts.h"
+#include "bamboowing/evacuation/evacuation_view.h"
 #include "bamboowing/message/batch.h"
 
 namespace bamboowing {
@@ -80,6 +81,8 @@
   /// The target is polled before a start if it has last confirmed its incarnation this long ago: another incarnation,
   /// with another capacity, may have replaced it. Shorter than the restart of a target.
   duration confirm_incarnation_after{1'000'000};
+  /// Whether failure domains may be evacuated. The agent then accepts no starts until it knows which are.
+  bool evacuation = false;
   /// Maximum fraction by which the target's clock may run slower than the agent's.
   double clock_drift = 0.02;
 };
@@ -154,6 +157,9 @@
   /// entry_selection. An unlisted entry stays a candidate until it has been without a session for `evict_entry_after`.
   void OnEntries(span<const entry_endpoint> entries, instant now);
 
+  /// The store shows these evacuations of failure domains.
+  void OnEvacuation(const evacuation_state& state, instant now);
+
   void OnStartResponse(std::uint64_t request_id, const request_response& response, instant now);
   void OnStopResponse(std::uint64_t request_id, const request_response& response, instant now);
   void OnPollResponse(std::uint64_t request_id, const poll_response& response, instant now);
@@ -234,6 +240,7 @@
     std::uint64_t crash_revision_sent = 0;         ///< revision of the crash ledger that was sent in this session
     std::uint64_t unrepeatable_revision_sent = 0;  ///< the same of the unrepeatable jobs
     std::uint64_t unanswered_revision_sent = 0;    ///< the same of the jobs with an unanswered start
+    std::uint64_t evacuation_change_sent = 0;      ///< change number of the evacuations that was sent in this session
   };
 
   /// Another target that announced itself.
@@ -336,6 +343,14 @@
   /// Polls the target until its list shows which runs are active. Raises the fencing token, so that a start request
   /// that was sent before and is not on the list is never executed.
   void BeginReconciliation();
+  /// @p source names the process that the state came from, for the log.
+  void MergeEvacuation(const evacuation_state& state, const std::string& source, instant now);
+  /// Whether no task may be started because the agent's failure domain is evacuated, or it is unknown whether it is.
+  bool Evacuated() const {
+    return settings_.evacuation && (!evacuation_.known() || evacuation_.Contains(settings_.agent.failure_domain));
+  }
+  /// Ends all runs that wait for capacity as never started.
+  void ReturnWaitingRuns(std::string_view reason, instant now);
   /// Ends the waiting runs and notifies all entries that the target accepts no starts.
   void SuspendAdmission(instant now);
   /// Sets how long the present target's runs may be active although it is lost, restarted or replaced.
@@ -447,6 +462,7 @@
   expiring_jobs unrepeatable_;     ///< jobs that must not be started again, relayed between entries
   instant target_ended_at_;        ///< when the target was last lost, restarted or replaced
   bool draining_ = false;
+  evacuation_view evacuation_;
 
   std::uint64_t last_request_id_ = 0;
   std::map<std::uint64_t, pending_request> pending_starts_;
--- a/include/bamboowing/besteffort/target_fleet.h
+++ b/include/bamboowing/besteffort/target_fleet.h
@@ -13,6 +13,7 @@
 #include "bamboowing/besteffort/expiring_jobs.h"
 #include "bamboowing/dispatch/target_health.h"
 #include "bamboowing/dispatch/target_table.h"
+#include "bamboowing/evacuation/evacuation_view.h"
 #include "bamboowing/message/batch.h"
 
 namespace bamboowing {
@@ -62,6 +63,7 @@
   bool exclusive = false;                        ///< the newest report shows an exclusive run of any entry
   std::uint64_t crash_revision_sent = 0;         ///< revision of the crash ledger that was sent in this session
   std::uint64_t unrepeatable_revision_sent = 0;  ///< revision of the unrepeatable jobs that was sent in this session
+  std::uint64_t evacuation_change_sent = 0;      ///< change number of the evacuations that was sent in this session
   announced_end end;                             ///< of the target or an earlier one; the target receives no starts
   target_description known_target;               ///< newest described target with an id
   std::uint64_t target_generation = 0;           ///< increases with each other incarnation of `known_target`
@@ -108,8 +110,18 @@
   /// Adds a start that is being sent to the committed amount.
   void CountStart(fleet_target& target, const resource_amount& need);
 
-  /// Whether the target accepts new runs, regardless of its free capacity.
-  bool IsUsable(const fleet_target& target, instant now) const;
+  /// Adopts the evacuations if they are newer than those that are known.
+  evacuation_change MergeEvacuation(const evacuation_state& state) { return evacuation_.Merge(state); }
+  const evacuation_view& evacuation() const { return evacuation_; }
+  /// Whether the target's failure domain is evacuated, so that it receives no new runs.
+  bool IsEvacuated(const fleet_target& target) const { return evacuation_.Contains(target.description.failure_domain); }
+
+  /// Whether the target accepts new runs, regardless of its free capacity and of evacuations.
+  bool AcceptsRuns(const fleet_target& target, instant now) const;
+  /// Whether new runs may be sent to the target, regardless of its free capacity.
+  bool IsUsable(const fleet_target& target, instant now) const {
+    return !IsEvacuated(target) && AcceptsRuns(target, now);
+  }
 
   /// Speed relative to the mean of the targets of all services; 1 is the mean.
   double RelativeSpeed(const fleet_target& target) const;
@@ -138,6 +150,7 @@
   std::map<session_id, std::string> sessions_;
   std::vector<std::string> by_index_;  ///< agent id by target index; empty if the index is unused
   target_health health_;
+  evacuation_view evacuation_;
   double log_speeds_ = 0;  ///< sum of the log speeds of all targets
 };
 
--- /dev/null
+++ b/include/bamboowing/evacuation/evacuation_view.h
@@ -0,0 +1,45 @@
+/// @file
+/// One process's knowledge of the evacuated failure domains.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "bamboowing/message/evacuation.h"
+
+namespace bamboowing {
+
+/// What merging a state has changed.
+enum class evacuation_change : std::uint8_t {
+  kNone,      ///< the state was not newer, or shows the same set
+  kLearned,   ///< the set is known for the first time; it may be empty
+  kReplaced,  ///< the set differs from the one that was known
+};
+
+/// Merges the states that a process receives, from the store and from other processes, in any order. Each is the
+/// complete set at a revision of the store, so the highest revision wins and a late message changes nothing.
+class evacuation_view {
+ public:
+  /// Adopts @p state if its revision is higher than the present one. A state with revision 0 is ignored.
+  evacuation_change Merge(const evacuation_state& state);
+
+  /// Whether any state was received.
+  bool known() const { return state_.revision != 0; }
+  bool Contains(std::string_view failure_domain) const;
+
+  /// The state as it is sent to other processes.
+  const evacuation_state& state() const { return state_; }
+  /// Increases with each change of the set. Processes that were sent this number know the present set; 0 if it is
+  /// unknown.
+  std::uint64_t change_number() const { return change_number_; }
+
+  /// The set for log lines, for example "hobart, burnie"; "none" if it is empty.
+  std::string Describe() const;
+
+ private:
+  evacuation_state state_;
+  std::uint64_t change_number_ = 0;
+};
+
+}  // namespace bamboowing
--- a/include/bamboowing/message/best_effort.h
+++ b/include/bamboowing/message/best_effort.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "bamboowing/base/types.h"
+#include "bamboowing/message/evacuation.h"
 
 namespace bamboowing {
 
@@ -121,6 +122,8 @@
   /// Jobs that must not be started again, since a start request of theirs without a response may still be executed:
   /// those that the entry has not sent in this session.
   std::vector<job_expiry> unrepeatable;
+  /// Revision 0 unless the set has changed since the entry last sent it in this session.
+  evacuation_state evacuation;
 };
 
 /// How a run ended.
@@ -180,6 +183,7 @@
   std::vector<job_expiry> unanswered;
   /// Whether the agent takes the reply to a report as contact with the entry, which then sends fewer heartbeats.
   bool replies_are_contact = false;
+  evacuation_state evacuation;  ///< as in run_requests
 };
 
 }  // namespace bamboowing
--- a/include/bamboowing/observe/metrics.h
+++ b/include/bamboowing/observe/metrics.h
@@ -36,10 +36,11 @@
   kResponseTime,
   kRunEnds,
   kClaims,
+  kEvacuatedDomains,
 };
 
 /// Number of metrics; the table in metrics_table.cc has one row for each.
-inline constexpr int kMetricCount = static_cast<int>(metric::kClaims) + 1;
+inline constexpr int kMetricCount = static_cast<int>(metric::kEvacuatedDomains) + 1;
 
 /// How a metric behaves over time.
 enum class metric_type : std::uint8_t {
--- a/include/bamboowing/service/best_effort_agent.h
+++ b/include/bamboowing/service/best_effort_agent.h
@@ -28,6 +28,9 @@
   virtual void OnTargetAnnounced(target_incarnation incarnation, target_description target,
                                  std::optional<target_time> clock) = 0;
 
+  /// Applies the evacuations that the store shows, if they are newer than those that are known. Thread-safe.
+  virtual void SetEvacuation(evacuation_state state) = 0;
+
   /// Handles the announcement of the target @p id that it stops. Thread-safe.
   virtual void OnTargetLeft(std::string id) = 0;
 };
--- a/include/bamboowing/service/best_effort_entry.h
+++ b/include/bamboowing/service/best_effort_entry.h
@@ -22,6 +22,9 @@
 
   /// Applies the configuration if its version is higher than the current one; ignores it otherwise. Thread-safe.
   virtual void SetQueues(std::shared_ptr<const queue_table> queues) = 0;
+
+  /// Applies the evacuations that the store shows, if they are newer than those that are known. Thread-safe.
+  virtual void SetEvacuation(evacuation_state state) = 0;
 };
 
 }  // namespace bamboowing
--- a/include/bamboowing/service/settings.h
+++ b/include/bamboowing/service/settings.h
@@ -26,6 +26,7 @@
   duration announcement_interval{1'500'000};  ///< interval between announcements of the target
   duration lease{1'000'000};                  ///< upper bound of the lease of runs on a target
   duration grace{6'000'000};                  ///< time limit from SIGTERM to process exit
+  bool evacuation = false;                    ///< whether operators may evacuate failure domains
 };
 
 /// Settings of one daemon. Addresses are "IP:PORT".
--- a/schema/wire.capnp
+++ b/schema/wire.capnp
@@ -72,6 +72,11 @@
   remainingUs @1 :Int64;
 }
 
+struct Evacuation {
+  revision @0 :UInt64;  # 0: not sent
+  failureDomains @1 :List(Text);
+}
+
 struct RunOrders {
   starts @0 :List(RunStart);
   stops @1 :List(RunKey);
@@ -79,6 +84,7 @@
   endsReceived @3 :UInt64;
   crashes @4 :List(CrashRecord);
   unrepeatable @5 :List(JobExpiry);
+  evacuation @6 :Evacuation;
 }
 
 struct RunEnd {
@@ -115,6 +121,7 @@
   unrepeatable @10 :List(JobExpiry);
   unanswered @11 :List(JobExpiry);
   repliesAreContact @12 :Bool;
+  evacuation @13 :Evacuation;
 }
 
 struct EntryBatch {
--- a/src/besteffort/dispatch_core.cc
+++ b/src/besteffort/dispatch_core.cc
@@ -73,6 +73,31 @@
   actions_.emplace_back(log_dispatch_event{std::move(event), job_id, std::move(detail)});
 }
 
+void dispatch_core::OnEvacuation(const evacuation_state& state) { MergeEvacuation(state, "the store"); }
+
+void dispatch_core::MergeEvacuation(const evacuation_state& state, const std::string& source) {
+  if (fleet_.MergeEvacuation(state) == evacuation_change::kNone) {
+    return;
+  }
+  capacities_changed_ = true;
+  const evacuation_view& evacuation = fleet_.evacuation();
+  LogEvent("evacuation_changed", "",
+           "evacuated failure domains: " + evacuation.Describe() + ", revision " + std::to_string(state.revision) +
+               ", from " + source);
+  if (last_now_ - started_at_ < kFleetSettleTime) {
+    return;  // agents may still be connecting
+  }
+  for (const std::string& domain : evacuation.state().failure_domains) {
+    const bool has_target = std::any_of(fleet_.all().begin(), fleet_.all().end(),
+                                        [&domain](const std::pair<const std::string, fleet_target>& item) {
+                                          return item.second.description.failure_domain == domain;
+                                        });
+    if (!has_target) {
+      LogEvent("evacuation_without_target", "", "no known target is in the failure domain " + domain);
+    }
+  }
+}
+
 std::uint32_t dispatch_core::TeamOf(const std::string& queue) {
   const std::map<std::string, std::uint32_t>::const_iterator known = teams_.find(queue);
   if (known != teams_.end()) {
@@ -217,7 +242,8 @@
     }
     failure oversized(error_kind::kNoTarget, not_run_state::kYes,
                       "no target of service " + job.queue.service + " has the capacity for a task of step " +
-                          std::to_string(step) + ", " + Describe(job.spec.steps[step].need));
+                          std::to_string(step) + ", " + Describe(job.spec.steps[step].need) +
+                          ", evacuated failure domains: " + fleet_.evacuation().Describe());
     oversized.retry_after = kCapacityRetryAfter;
     return oversized;
   }
--- a/src/besteffort/dispatch_place.cc
+++ b/src/besteffort/dispatch_place.cc
@@ -167,7 +167,7 @@
       continue;
     }
     serves = true;
-    if (FitsWithin(step.need, {}, target.capacity)) {
+    if (!fleet_.IsEvacuated(item.second) && FitsWithin(step.need, {}, target.capacity)) {
       return true;
     }
   }
--- a/src/besteffort/dispatch_runs.cc
+++ b/src/besteffort/dispatch_runs.cc
@@ -56,6 +56,7 @@
     // The new agent process does not know the starts of its predecessor.
     HandleUnansweredJobs(*target, now);
   }
+  MergeEvacuation(batch.runs.evacuation, target->agent);
   MergeUnsettledJobs(*target, batch.runs, now);
   MarkSettledRuns(*target, batch.runs);
   for (const crash_record& crash : batch.runs.crashes) {
@@ -317,10 +318,10 @@
   }
 }
 
-bool dispatch_core::HasUsableTarget(instant now) const {
+bool dispatch_core::HasAcceptingTarget(instant now) const {
   return std::any_of(fleet_.all().begin(), fleet_.all().end(),
                      [this, now](const std::pair<const std::string, fleet_target>& item) {
-                       return fleet_.IsUsable(item.second, now);
+                       return fleet_.AcceptsRuns(item.second, now);
                      });
 }
 
@@ -330,9 +331,10 @@
     const bool work = !target.pending_requests.starts.empty() || !target.pending_requests.stops.empty();
     const bool crashes = target.crash_revision_sent < crashes_.revision();
     const bool unrepeatable = target.unrepeatable_revision_sent < unrepeatable_.revision();
+    const bool evacuation = target.evacuation_change_sent < fleet_.evacuation().change_number();
     const duration heartbeat = target.replies_are_contact ? settings_.acknowledged_heartbeat : settings_.heartbeat;
     const bool due = now - target.last_sent_at >= heartbeat;
-    if (target.session == 0 || (!work && !crashes && !unrepeatable && !due)) {
+    if (target.session == 0 || (!work && !crashes && !unrepeatable && !evacuation && !due)) {
       continue;
     }
     send_run_batch send;
@@ -351,6 +353,10 @@
     }
     send.batch.runs.unrepeatable = unrepeatable_.Since(target.unrepeatable_revision_sent, now);
     target.unrepeatable_revision_sent = unrepeatable_.revision();
+    if (evacuation) {
+      send.batch.runs.evacuation = fleet_.evacuation().state();
+      target.evacuation_change_sent = fleet_.evacuation().change_number();
+    }
     target.pending_requests = {};
     target.last_sent_at = now;
     actions_.emplace_back(std::move(send));
--- a/src/besteffort/run_manager.cc
+++ b/src/besteffort/run_manager.cc
@@ -70,6 +70,10 @@
   // A resumed entry may act on outdated reports; its callers may already have retried elsewhere.
   const owner& from = owners_[entry];
   const bool stale = now - view_at >= settings_.max_report_age;
+  if (Evacuated()) {
+    EndRun(added, run_outcome::kUnavailable, "the failure domain is evacuated", now);
+    return;
+  }
   if (!accepting() || stale || from.released_at) {
     EndRun(added, run_outcome::kUnavailable, stale ? "the entry's view is outdated" : "no starts are accepted", now);
     return;
@@ -173,13 +177,7 @@
 
 void run_manager::OnDrain(instant now) {
   draining_ = true;
-  for (run_map::iterator run = runs_.begin(); run != runs_.end();) {
-    const run_map::iterator next = std::next(run);
-    if (run->second.state == run_state::kWaiting) {
-      EndRun(run, run_outcome::kUnavailable, "the agent drains", now);
-    }
-    run = next;
-  }
+  ReturnWaitingRuns("the agent drains", now);
   for (std::pair<const std::string, owner>& to : owners_) {
     to.second.target_update_pending = true;
   }
@@ -192,6 +190,29 @@
   return draining_ && runs_.empty() && all_received;
 }
 
+void run_manager::ReturnWaitingRuns(std::string_view reason, instant now) {
+  for (const run_key& key : std::exchange(waiting_, {})) {
+    const run_map::iterator run = runs_.find(key);
+    if (run != runs_.end() && run->second.state == run_state::kWaiting) {
+      EndRun(run, run_outcome::kUnavailable, reason, now);
+    }
+  }
+}
+
+void run_manager::OnEvacuation(const evacuation_state& state, instant now) { MergeEvacuation(state, "the store", now); }
+
+void run_manager::MergeEvacuation(const evacuation_state& state, const std::string& source, instant now) {
+  if (evacuation_.Merge(state) == evacuation_change::kNone) {
+    return;
+  }
+  LogEvent("evacuation_changed", "",
+           "evacuated failure domains: " + evacuation_.Describe() + ", revision " + std::to_string(state.revision) +
+               ", from " + source + (Evacuated() ? ", no task is started here" : ""));
+  if (Evacuated()) {
+    ReturnWaitingRuns("the failure domain is evacuated", now);
+  }
+}
+
 void run_manager::ExpireWaitingRuns(instant now) {
   std::deque<run_key> still_waiting;
   for (const run_key& key : waiting_) {
@@ -253,7 +274,8 @@
 }
 
 bool run_manager::MayRetryStart(const managed_run& run) const {
-  return run.state == run_state::kStarting && run.start_requests < settings_.max_start_requests;
+  // A repeated request could start a run whose first request was lost.
+  return run.state == run_state::kStarting && run.start_requests < settings_.max_start_requests && !Evacuated();
 }
 
 void run_manager::RetryStarts(instant now) {
--- a/src/besteffort/run_manager_incarnations.cc
+++ b/src/besteffort/run_manager_incarnations.cc
@@ -245,12 +245,7 @@
   unanswered_since_.reset();
   pending_polls_.clear();
   pending_stops_.clear();
-  for (const run_key& key : std::exchange(waiting_, {})) {
-    const run_map::iterator run = runs_.find(key);
-    if (run != runs_.end() && run->second.state == run_state::kWaiting) {
-      EndRun(run, run_outcome::kUnavailable, "the target accepts no starts", now);
-    }
-  }
+  ReturnWaitingRuns("the target accepts no starts", now);
   for (std::pair<const std::string, owner>& to : owners_) {
     to.second.target_update_pending = true;
   }
--- a/src/besteffort/target_fleet.cc
+++ b/src/besteffort/target_fleet.cc
@@ -38,6 +38,7 @@
   }
   target.crash_revision_sent = 0;
   target.unrepeatable_revision_sent = 0;
+  target.evacuation_change_sent = 0;
   target.exclusive = false;
   target.last_report_at = now;
   target.last_sent_at = instant{};
@@ -116,7 +117,7 @@
   AddTo(target.unreported_sum, need);
 }
 
-bool target_fleet::IsUsable(const fleet_target& target, instant now) const {
+bool target_fleet::AcceptsRuns(const fleet_target& target, instant now) const {
   return target.session != 0 && target.described && !target.description.draining && target.end.until <= now &&
          now - target.last_report_at < kSuspectAfter && target.backoff_until <= now &&
          health_.AllowedSlots(target.index) > target.own_runs;
--- a/src/observe/metrics_table.cc
+++ b/src/observe/metrics_table.cc
@@ -78,6 +78,10 @@
      "Claims of best-effort jobs at their registrars, by outcome: granted, denied, lapsed or unavailable.",
      "denied: copies of jobs arrive at several entries. lapsed and unavailable: too few registrars answer; look at the "
      "log lines entry_unreachable and registrar_view, and at the network between the entries."},
+    {metric::kEvacuatedDomains, "bamboowing_evacuated_failure_domains", type::kGauge, "failure domains", "",
+     "Failure domains that the operators have evacuated: no task is started there.",
+     "If it differs between entries for more than a few seconds, some don't reach the store: compare the revisions in "
+     "their log lines evacuation_changed."},
 }};
 
 }  // namespace
--- a/src/service/best_effort_agent.cc
+++ b/src/service/best_effort_agent.cc
@@ -80,10 +80,13 @@
   std::uint64_t call = 0;
   directory_update update;
 };
+struct evacuation_changed {
+  evacuation_state state;
+};
 struct drain_requested {};
 using agent_input = std::variant<session_opened, session_closed, requests_received, report_acknowledged,
                                  target_announced, target_left, start_request_completed, stop_request_completed,
-                                 poll_request_completed, directory_changed, drain_requested>;
+                                 poll_request_completed, directory_changed, evacuation_changed, drain_requested>;
 
 // Each incarnation of the agent must use a higher fencing token than the one before. The wall clock in milliseconds
 // usually gives one; if the clock was set back, the target's refusals raise the token.
@@ -107,6 +110,7 @@
   manager.first_token = InitialToken();
   manager.lease = std::min(settings.best_effort.lease, kMaxLease);
   manager.max_lease = settings.best_effort.lease;
+  manager.evacuation = settings.best_effort.evacuation;
   manager.max_capacity_age = settings.best_effort.announcement_interval + kCapacityTolerance;
   return manager;
 }
@@ -155,6 +159,8 @@
   }
   void OnTargetLeft(std::string id) override { ring_.Push(target_left{std::move(id)}); }
 
+  void SetEvacuation(evacuation_state state) override { ring_.Push(evacuation_changed{std::move(state)}); }
+
   void Drain() override { ring_.Push(drain_requested{}); }
   bool WaitDrained(duration limit) override { return drained_.WaitFor(limit); }
 
@@ -244,6 +250,7 @@
     core_.OnEntries(entries, now);
   }
 
+  void Handle(evacuation_changed& input, instant now) { core_.OnEvacuation(input.state, now); }
   void Handle(drain_requested& /*input*/, instant now) { core_.OnDrain(now); }
 
   void WatchDirectory(instant now) {
--- a/src/service/best_effort_entry.cc
+++ b/src/service/best_effort_entry.cc
@@ -93,15 +93,18 @@
   std::uint64_t call = 0;
   store_result result;
 };
+struct evacuation_changed {
+  evacuation_state state;
+};
 struct metrics_requested {
   http_server::responder answer;
 };
 struct drain_requested {};
 struct finish_requested {};
-using entry_input =
-    std::variant<job_submitted, caller_disconnected, cancel_requested, phase_requested, pending_requested,
-                 session_opened, session_closed, report_received, claim_request_received, claim_reply_received,
-                 directory_changed, store_result_received, metrics_requested, drain_requested, finish_requested>;
+using entry_input = std::variant<job_submitted, caller_disconnected, cancel_requested, phase_requested,
+                                 pending_requested, session_opened, session_closed, report_received,
+                                 claim_request_received, claim_reply_received, directory_changed, store_result_received,
+                                 evacuation_changed, metrics_requested, drain_requested, finish_requested>;
 
 /// Whether the decision thread must wake for the report. Others are handled before its next decision.
 bool IsUrgent(const run_report& report) {
@@ -199,6 +202,8 @@
     }
   }
 
+  void SetEvacuation(evacuation_state state) override { ring_.Push(evacuation_changed{std::move(state)}); }
+
   void Submit(call_id call, best_effort_job job, queue_rule queue) override {
     ring_.Push(job_submitted{call, std::move(job), std::move(queue)});
   }
@@ -275,7 +280,7 @@
       WatchDirectory(now);
       MaintainView(now);
       ExecuteActions();
-      ready_.store(!draining_ && core_.claims().IsServing(now) && core_.HasUsableTarget(now));
+      ready_.store(!draining_ && core_.claims().IsServing(now) && core_.HasAcceptingTarget(now));
       jobs_wait_.store(core_.waiting_tasks() > 0);
       last_round_us_.store(now.time_since_epoch().count());
       if (finishing_ && Drained(now)) {
@@ -343,6 +348,7 @@
       Log(log_level::kError, "registrar_view_malformed", {{"detail", shown.error}});
     }
   }
+  void Handle(evacuation_changed& input, instant /*now*/) { core_.OnEvacuation(input.state); }
   void Handle(metrics_requested& input, instant /*now*/) {
     UpdateMetrics();
     input.answer({200, "text/plain; version=0.0.4", metrics_.ToText(), std::nullopt});
@@ -371,6 +377,8 @@
     metrics_.Set(metric::kClaims, "unavailable", static_cast<double>(claims.unavailable));
     metrics_.Set(metric::kQueueDepth, "best_effort", static_cast<double>(core_.waiting_tasks()));
     metrics_.Set(metric::kTasksInFlight, "best_effort", static_cast<double>(core_.runs()));
+    metrics_.Set(metric::kEvacuatedDomains,
+                 static_cast<double>(core_.fleet().evacuation().state().failure_domains.size()));
     metrics_.Set(metric::kSessions, "agent", static_cast<double>(core_.fleet().sessions()));
     metrics_.Set(metric::kReady, Ready() ? 1 : 0);
     metrics_.Set(metric::kControlCpu, std::chrono::duration<double>(ProcessCpuTime()).count());
--- a/src/service/document_watch.cc
+++ b/src/service/prefix_watch.cc
@@ -1,6 +1,5 @@
-#include "bamboowing/service/document_watch.h"
+#include "bamboowing/service/prefix_watch.h"
 
-#include <chrono>
 #include <condition_variable>
 #include <memory>
 #include <mutex>
@@ -11,11 +10,6 @@
 namespace bamboowing {
 namespace {
 
-// A half-open connection never returns data or an error. A short wait bounds the time until it is detected, during
-// which changes are missed.
-constexpr duration kWatchWait = std::chrono::milliseconds(700);
-constexpr std::chrono::milliseconds kRetryDelay{100};
-
 /// Shared with the pending call, so that the watch can end before the call returns: the service may be silent for the
 /// whole timeout of the call.
 struct watch_state {
@@ -31,20 +25,20 @@
   failure error;
 };
 
-class document_watch_impl final : public document_watch {
+class prefix_watch_impl final : public prefix_watch {
  public:
-  document_watch_impl(std::unique_ptr<key_value_store> store, document_location location, value_callback on_value,
-                      health_callback on_health)
+  prefix_watch_impl(std::unique_ptr<key_value_store> store, prefix_watch_settings settings, update_callback on_update,
+                    health_callback on_health)
       : store_(std::move(store)),
-        location_(std::move(location)),
-        on_value_(std::move(on_value)),
+        settings_(std::move(settings)),
+        on_update_(std::move(on_update)),
         on_health_(std::move(on_health)),
         thread_([this] { Run(); }) {}
 
-  document_watch_impl(const document_watch_impl&) = delete;
-  document_watch_impl& operator=(const document_watch_impl&) = delete;
+  prefix_watch_impl(const prefix_watch_impl&) = delete;
+  prefix_watch_impl& operator=(const prefix_watch_impl&) = delete;
 
-  ~document_watch_impl() override {
+  ~prefix_watch_impl() override {
     {
       const std::lock_guard<std::mutex> lock(state_->mutex);
       state_->stopping = true;
@@ -70,7 +64,7 @@
 
   void WaitBeforeRetry() {
     std::unique_lock<std::mutex> lock(state_->mutex);
-    state_->changed.wait_for(lock, kRetryDelay, [this] { return state_->stopping; });
+    state_->changed.wait_for(lock, settings_.retry_delay, [this] { return state_->stopping; });
   }
 
   /// The callback that stores the result of a call in @p to.
@@ -97,7 +91,7 @@
 
   bool ReadAll() {
     const std::shared_ptr<outcome<list_result>> listed = std::make_shared<outcome<list_result>>();
-    store_->List(location_.watch_prefix, StoreIn(listed));
+    store_->List(settings_.prefix, StoreIn(listed));
     if (!WaitFor(*listed)) {
       return false;
     }
@@ -106,13 +100,13 @@
       return false;
     }
     revision_ = listed->result->revision;
-    DeliverNewVersions(listed->result->items);
+    on_update_({true, revision_, listed->result->items, {}});
     return true;
   }
 
   bool WatchChanges() {
     const std::shared_ptr<outcome<watch_result>> changed = std::make_shared<outcome<watch_result>>();
-    store_->Watch(location_.watch_prefix, revision_, kWatchWait, StoreIn(changed));
+    store_->Watch(settings_.prefix, revision_, settings_.wait, StoreIn(changed));
     if (!WaitFor(*changed)) {
       return false;
     }
@@ -122,17 +116,10 @@
       return false;
     }
     revision_ = changed->result->revision;
-    DeliverNewVersions(changed->result->items);
-    return true;
-  }
-
-  void DeliverNewVersions(const std::vector<key_value>& items) {
-    for (const key_value& item : items) {
-      if (item.key == location_.key && item.version > version_) {
-        version_ = item.version;
-        on_value_(item.value);
-      }
+    if (!changed->result->items.empty() || !changed->result->deleted.empty()) {
+      on_update_({false, revision_, changed->result->items, changed->result->deleted});
     }
+    return true;
   }
 
   void NotifyHealth(bool available, const failure& error) {
@@ -143,11 +130,10 @@
   }
 
   const std::unique_ptr<key_value_store> store_;
-  const document_location location_;
-  const value_callback on_value_;
+  const prefix_watch_settings settings_;
+  const update_callback on_update_;
   const health_callback on_health_;
   std::uint64_t revision_ = 0;
-  key_version version_ = 0;
   std::optional<bool> available_;
   const std::shared_ptr<watch_state> state_ = std::make_shared<watch_state>();
   std::thread thread_;
@@ -155,11 +141,11 @@
 
 }  // namespace
 
-std::unique_ptr<document_watch> document_watch::Start(std::unique_ptr<key_value_store> store,
-                                                      document_location location, value_callback on_value,
-                                                      health_callback on_health) {
-  return std::make_unique<document_watch_impl>(std::move(store), std::move(location), std::move(on_value),
-                                               std::move(on_health));
+std::unique_ptr<prefix_watch> prefix_watch::Start(std::unique_ptr<key_value_store> store,
+                                                  prefix_watch_settings settings, update_callback on_update,
+                                                  health_callback on_health) {
+  return std::make_unique<prefix_watch_impl>(std::move(store), std::move(settings), std::move(on_update),
+                                             std::move(on_health));
 }
 
 }  // namespace bamboowing
--- a/src/service/settings.cc
+++ b/src/service/settings.cc
@@ -81,6 +81,18 @@
     Report(key, node, Found(node), "a number from " + std::to_string(low) + " to " + std::to_string(high));
   }
 
+  void Boolean(const std::string& key, bool& out) {
+    const YAML::Node node = Get(key);
+    if (!node) {
+      return;
+    }
+    try {
+      out = node.as<bool>();
+    } catch (const YAML::Exception&) {
+      Report(key, node, Found(node), "true or false");
+    }
+  }
+
   void OneOf(const std::string& key, std::string& out, const std::vector<std::string>& allowed, bool required) {
     Text(key, out, required);
     if (out.empty() || std::find(allowed.begin(), allowed.end(), out) != allowed.end()) {
@@ -230,6 +242,7 @@
   map.Address("store_address", settings.store_address, true);
   map.Duration("lease_ms", best_effort.lease, kMillisecond, 100, 600'000);
   map.Duration("grace_s", best_effort.grace, kSecond, 0, 3600);
+  map.Boolean("evacuation", best_effort.evacuation);
   if (settings.role == daemon_role::kEntry) {
     map.Address("callers_address", best_effort.callers_address, true);
     map.Address("metrics_address", best_effort.metrics_address, false);
--- a/src/wire/runs_codec.cc
+++ b/src/wire/runs_codec.cc
@@ -115,6 +115,23 @@
   return jobs;
 }
 
+/// Leaves the field unset if the state is unknown, which is read as revision 0.
+template <typename Message>
+void WriteEvacuation(const evacuation_state& evacuation, Message& out) {
+  if (evacuation.revision == 0) {
+    return;
+  }
+  rpc::Evacuation::Builder item = out.initEvacuation();
+  item.setRevision(evacuation.revision);
+  WriteTexts(evacuation.failure_domains, item.initFailureDomains(evacuation.failure_domains.size()));
+}
+
+evacuation_state ReadEvacuation(rpc::Evacuation::Reader in) {
+  evacuation_state evacuation{in.getRevision(), ReadTexts(in.getFailureDomains())};
+  std::sort(evacuation.failure_domains.begin(), evacuation.failure_domains.end());
+  return evacuation;
+}
+
 }  // namespace
 
 void WriteRunRequests(const run_requests& requests, rpc::RunOrders::Builder out) {
@@ -134,6 +151,7 @@
   out.setEndsReceived(requests.results_received);
   WriteCrashes(requests.crashes, out.initCrashes(requests.crashes.size()));
   WriteJobs(requests.unrepeatable, out.initUnrepeatable(requests.unrepeatable.size()));
+  WriteEvacuation(requests.evacuation, out);
 }
 
 run_requests ReadRunRequests(rpc::RunOrders::Reader in) {
@@ -147,6 +165,7 @@
   requests.results_received = in.getEndsReceived();
   requests.crashes = ReadCrashes(in.getCrashes());
   requests.unrepeatable = ReadJobs(in.getUnrepeatable());
+  requests.evacuation = ReadEvacuation(in.getEvacuation());
   return requests;
 }
 
@@ -177,6 +196,7 @@
   WriteJobs(report.unrepeatable, out.initUnrepeatable(report.unrepeatable.size()));
   WriteJobs(report.unanswered, out.initUnanswered(report.unanswered.size()));
   out.setRepliesAreContact(report.replies_are_contact);
+  WriteEvacuation(report.evacuation, out);
 }
 
 bool ReadReport(rpc::RunReport::Reader in, run_report& report) {
@@ -203,6 +223,7 @@
   report.unrepeatable = ReadJobs(in.getUnrepeatable());
   report.unanswered = ReadJobs(in.getUnanswered());
   report.replies_are_contact = in.getRepliesAreContact();
+  report.evacuation = ReadEvacuation(in.getEvacuation());
   return true;
 }
 
--- a/standins/platform_standin.py
+++ b/standins/platform_standin.py
@@ -84,6 +84,7 @@
         self.lock = threading.Condition()
         self.items = {}
         self.history = []
+        self.discarded_revision = 0  # of the newest event that was discarded
         self.revision = 1
         self.leases = {}  # id -> (expiry, time to live in ms)
         self.calls = 0
@@ -107,6 +108,19 @@
     def put_configuration(self, document):
         self.put("op/config", json.dumps(document).encode())
 
+    def evacuate(self, failure_domain):
+        self.put(f"op/evacuate/{failure_domain}", b"")
+
+    def end_evacuation(self, failure_domain):
+        with self.lock:
+            self._remove(f"op/evacuate/{failure_domain}")
+
+    def discard_history(self):
+        """Watches from before the present revision are answered with 410."""
+        with self.lock:
+            self.history.clear()
+            self.discarded_revision = self.revision
+
     def _write(self, key, value, lease):
         self.revision += 1
         created = self.items[key]["created"] if key in self.items else self.revision
@@ -173,6 +187,8 @@
 
     def wait_for_events(self, query):
         deadline = time.monotonic() + int(query["wait_ms"]) / 1000
+        if int(query["after"]) < self.discarded_revision:
+            return 410, {}
         while True:
             events = [e for e in self.history
                       if e["revision"] > int(query["after"]) and e["key"].startswith(query["prefix"])]
--- a/tests/besteffort/cluster_sim.cc
+++ b/tests/besteffort/cluster_sim.cc
@@ -31,8 +31,15 @@
 }  // namespace
 
 cluster_sim::cluster_sim(std::size_t entries, std::size_t targets, std::uint64_t seed, std::uint32_t cores,
-                         std::size_t domains)
-    : random_(seed), seed_(seed), entry_count_(entries), targets_(targets), cores_(cores), domains_(domains) {
+                         std::size_t domains, bool evacuation)
+    : random_(seed),
+      seed_(seed),
+      entry_count_(entries),
+      targets_(targets),
+      cores_(cores),
+      domains_(domains),
+      evacuation_enabled_(evacuation) {
+  evacuation_.revision = 1;
   registrar_view first{1, {}, {}};
   for (std::size_t i = 0; i < entries; ++i) {
     entries_.push_back(std::make_unique<entry_node>());
@@ -168,6 +175,8 @@
   run_manager_settings settings;
   settings.agent.id = AgentId(agent);
   settings.agent.incarnation = ++last_incarnation_;
+  settings.agent.failure_domain = DomainOfAgent(agent);
+  settings.evacuation = evacuation_enabled_;
   settings.agent.idle_heartbeat_interval = std::chrono::milliseconds(150);
   settings.agent.heartbeat_interval = std::chrono::milliseconds(150);
   settings.agent.silence_limit = std::chrono::milliseconds(900);
--- a/tests/besteffort/cluster_sim.h
+++ b/tests/besteffort/cluster_sim.h
@@ -105,9 +105,10 @@
 /// Runs the decision cores of a small deployment in one thread.
 class cluster_sim {
  public:
-  /// @p cores is the number of cores of each target; the entries are spread over @p domains failure domains.
+  /// @p cores is the number of cores of each target; the entries are spread over @p domains failure domains. Only with
+  /// @p evacuation do the processes learn of evacuations, and the agents wait for them.
   cluster_sim(std::size_t entries, std::size_t targets, std::uint64_t seed, std::uint32_t cores = 4,
-              std::size_t domains = 4);
+              std::size_t domains = 4, bool evacuation = false);
 
   /// At which other entries reach an entry.
   static std::string Address(std::size_t entry) { return "10.0.0." + std::to_string(entry) + ":7000"; }
@@ -149,6 +150,16 @@
   void PartitionEntries(std::size_t one, std::size_t other, duration time);
   /// The store answers no call for @p time. Registrations expire meanwhile in some of the outages.
   void StopStore(duration time);
+  /// Operators evacuate exactly these failure domains from now on. Processes that are cut off from
+  /// the store learn it only from others.
+  void SetEvacuation(std::vector<std::string> domains);
+  /// The store does not reach the processes for @p time.
+  void CutEntryFromStore(std::size_t entry, duration time) { entries_[entry]->store_cut_until = now_ + time; }
+  void CutAgentFromStore(std::size_t agent, duration time) { agents_[agent]->store_cut_until = now_ + time; }
+  std::string DomainOfAgent(std::size_t agent) const { return "domain-" + std::to_string(agent % domains_); }
+  /// Starts in evacuated failure domains later than @p limit after the evacuation, one line for each.
+  std::vector<std::string> StartsInEvacuatedDomains(duration limit) const;
+
   /// An entry that the store lists from now on; it is not a member of the view yet. Agents are not told of it.
   std::size_t AddEntry();
   /// Tells all agents of the entries that were added.
@@ -209,6 +220,7 @@
     std::optional<instant> listed_since;  ///< since when the process is listed without a break
     incarnation_id entry_incarnation = 0;
     std::set<std::uint64_t> exchanges;  ///< requests for claims without a reply
+    instant store_cut_until;
     instant frozen_until;
     machine_clock clock;
     std::vector<std::function<void()>> deferred_inputs;  ///< inputs that arrived while the process was frozen
@@ -218,6 +230,7 @@
     std::unique_ptr<run_manager> core;
     std::unique_ptr<fake_target> target;
     incarnation_id agent_incarnation = 0;
+    instant store_cut_until;
     instant frozen_until;
     machine_clock clock;
     std::vector<std::function<void()>> deferred_inputs;
@@ -265,6 +278,8 @@
   std::vector<std::string> ListedEntries() const;
   /// Gives the entries a changed list, and lets registrations expire.
   void UpdateDirectory();
+  /// Gives all processes that reach the store its evacuations.
+  void DeliverEvacuation();
   void ListEntriesTo(std::size_t entry);
   /// Ends the entry's process when it has drained.
   void CheckDrained(std::size_t entry, incarnation_id process, duration down);
@@ -298,6 +313,7 @@
   std::size_t targets_;
   std::uint32_t cores_;
   std::size_t domains_;
+  bool evacuation_enabled_;
   std::multimap<instant, std::function<void()>> events_;
   std::vector<std::unique_ptr<entry_node>> entries_;
   std::vector<std::unique_ptr<agent_node>> agents_;
@@ -308,6 +324,9 @@
   std::string stored_view_;  ///< text of the view of the registrars
   store_version stored_version_ = 0;
   instant store_down_until_;
+  evacuation_state evacuation_;
+  /// When the set of evacuated failure domains changed, and to what.
+  std::vector<std::pair<instant, std::vector<std::string>>> evacuations_;
   std::vector<std::string> listed_;
   std::uint64_t listed_view_ = 0;      ///< number of the view when the entries were told of listed_
   bool leases_end_in_outage_ = false;  ///< whether registrations expire while the store is down
--- a/tests/besteffort/cluster_sim_store.cc
+++ b/tests/besteffort/cluster_sim_store.cc
@@ -50,9 +50,49 @@
       }
     }
   }
+  DeliverEvacuation();
   After(kUpdateInterval, [this] { UpdateDirectory(); });
 }
 
+void cluster_sim::SetEvacuation(std::vector<std::string> domains) {
+  std::sort(domains.begin(), domains.end());
+  ++evacuation_.revision;
+  evacuation_.failure_domains = domains;
+  evacuations_.emplace_back(now_, std::move(domains));
+}
+
+void cluster_sim::DeliverEvacuation() {
+  if (!evacuation_enabled_ || store_down_until_ > now_) {
+    return;
+  }
+  for (std::size_t i = 0; i < entries_.size(); ++i) {
+    if (entries_[i]->store_cut_until <= now_) {
+      DeliverToEntry(i, [state = evacuation_](dispatch_core& core, instant /*now*/) { core.OnEvacuation(state); });
+    }
+  }
+  for (std::size_t i = 0; i < agents_.size(); ++i) {
+    if (agents_[i]->store_cut_until <= now_) {
+      DeliverToAgent(i, [state = evacuation_](run_manager& core, instant now) { core.OnEvacuation(state, now); });
+    }
+  }
+}
+
+std::vector<std::string> cluster_sim::StartsInEvacuatedDomains(duration limit) const {
+  std::vector<std::string> starts;
+  for (std::size_t i = 0; i < evacuations_.size(); ++i) {
+    const instant ends_at = i + 1 < evacuations_.size() ? evacuations_[i + 1].first : instant::max();
+    for (const run_record& run : history_) {
+      const std::string domain =
+          DomainOfAgent(static_cast<std::size_t>(std::stoul(run.target.substr(run.target.find('-') + 1))));
+      const bool evacuated = std::binary_search(evacuations_[i].second.begin(), evacuations_[i].second.end(), domain);
+      if (evacuated && run.started_at > evacuations_[i].first + limit && run.started_at < ends_at) {
+        starts.push_back(run.task + " at " + run.target);
+      }
+    }
+  }
+  return starts;
+}
+
 void cluster_sim::Register(std::size_t entry) {
   entry_node& node = *entries_[entry];
   if (!node.listed_since || now_ - node.alive_at >= kRegistrationLease) {
--- a/tests/end_to_end/platform_test.py
+++ b/tests/end_to_end/platform_test.py
@@ -73,6 +73,13 @@
     def store_address(self):
         return f"127.0.0.1:{self.kv.port}"
 
+    def failure_domain(self, _agent):
+        return "hobart"
+
+    def more_settings(self):
+        """Further lines of the section best_effort."""
+        return ""
+
     def connect_minion(self, minion):
         pass
 
@@ -95,16 +102,17 @@
             name, f"role: entry\nid: {name}\nfailure_domain: hobart\nbest_effort:\n"
                   f"  callers_address: {ip}:{callers}\n  readiness_address: {ip}:{readiness}\n"
                   f"  peers_address: {ip}:{self.peers_port}\n  store_address: {self.store_address()}\n"
-                  f"  metrics_address: {self.metrics[name]}\n  lease_ms: 1000\n  grace_s: 6\n")
+                  f"  metrics_address: {self.metrics[name]}\n  lease_ms: 1000\n  grace_s: 6\n"
+                  + self.more_settings())
         self.start(name, [BUILD / "platform/bamboowing_platform", "--config", settings])
 
     def start_platform_agent(self, name):
         announce = free_ports(1)[0]
         seeds = ", ".join(f'"{ip}:1"' for ip, _, _ in self.addresses.values())
         self.write_settings(
-            name, f"role: agent\nid: {name}\nfailure_domain: hobart\nbest_effort:\n"
+            name, f"role: agent\nid: {name}\nfailure_domain: {self.failure_domain(name)}\nbest_effort:\n"
                   f"  announce_address: 127.0.0.1:{announce}\n  seeds: [{seeds}]\n  peers_port: {self.peers_port}\n"
-                  f"  store_address: {self.store_address()}\n  lease_ms: 1000\n  grace_s: 6\n")
+                  f"  store_address: {self.store_address()}\n  lease_ms: 1000\n  grace_s: 6\n" + self.more_settings())
         self.launch_agent(name)
         self.platform_minions.append(self.minion_type(f"minion-{name}", SERVICE, f"127.0.0.1:{announce}"))
         self.connect_minion(self.platform_minions[-1])
--- a/tests/service/document_watch_test.cc
+++ b/tests/service/prefix_watch_test.cc
@@ -1,4 +1,4 @@
-#include "bamboowing/service/document_watch.h"
+#include "bamboowing/service/prefix_watch.h"
 
 #include <gtest/gtest.h>
 
@@ -72,16 +72,16 @@
   const bool lists_;
 };
 
-std::unique_ptr<document_watch> StartWatch(silent_calls& calls, bool lists) {
-  return document_watch::Start(
-      std::make_unique<silent_store>(calls, lists), {"op/config", "op/"}, [](const std::string&) {},
+std::unique_ptr<prefix_watch> StartWatch(silent_calls& calls, bool lists) {
+  return prefix_watch::Start(
+      std::make_unique<silent_store>(calls, lists), prefix_watch_settings{"op/"}, [](const prefix_update&) {},
       [](bool, const std::string&) {});
 }
 
 // Guards against a process that exits late, or not at all, because a connection to the service went silent.
-TEST(document_watch, EndsWhileAWatchIsUnanswered) {
+TEST(prefix_watch, EndsWhileAWatchIsUnanswered) {
   silent_calls calls;
-  std::unique_ptr<document_watch> watch = StartWatch(calls, true);
+  std::unique_ptr<prefix_watch> watch = StartWatch(calls, true);
   ASSERT_TRUE(calls.WaitFor(&silent_calls::watch));
   const steady_clock::time_point before = steady_clock::now();
   // The service answers in the end, so that a watch that waits for it fails the test instead of blocking it.
@@ -95,9 +95,9 @@
 }
 
 // Guards against the same with a list, which is called after the watch has failed.
-TEST(document_watch, EndsWhileAListIsUnanswered) {
+TEST(prefix_watch, EndsWhileAListIsUnanswered) {
   silent_calls calls;
-  std::unique_ptr<document_watch> watch = StartWatch(calls, false);
+  std::unique_ptr<prefix_watch> watch = StartWatch(calls, false);
   ASSERT_TRUE(calls.WaitFor(&silent_calls::list));
   const steady_clock::time_point before = steady_clock::now();
   std::thread late([&calls] {
--- a/tests/wire/codec_test.cc
+++ b/tests/wire/codec_test.cc
@@ -138,6 +138,25 @@
   EXPECT_TRUE(report->runs.replies_are_contact);
 }
 
+// Guards against an evacuation that is lost between processes, and against one that an absent field announces.
+TEST(Codec, RunsKeepEvacuations) {
+  entry_batch sent;
+  sent.runs.evacuation = {17, {"a", "b"}};
+  const std::optional<entry_batch> received = RoundTrip<rpc::EntryBatch>(sent);
+  ASSERT_TRUE(received);
+  EXPECT_EQ(received->runs.evacuation.revision, 17U);
+  EXPECT_EQ(received->runs.evacuation.failure_domains, std::vector<std::string>({"a", "b"}));
+
+  agent_batch report;
+  report.runs.evacuation = {18, {}};
+  const std::optional<agent_batch> reported = RoundTrip<rpc::AgentBatch>(report);
+  ASSERT_TRUE(reported);
+  EXPECT_EQ(reported->runs.evacuation.revision, 18U);
+  const std::optional<agent_batch> without = RoundTrip<rpc::AgentBatch>(agent_batch());
+  ASSERT_TRUE(without);
+  EXPECT_EQ(without->runs.evacuation.revision, 0U);
+}
+
 // Guards against crash counts and exclusive runs that are lost between processes: a deadly task would be started again.
 TEST(Codec, RunsKeepEveryFieldOnCrashes) {
   const crash_record crash{
