--- a/tests/platform/job_test.cc
+++ b/tests/platform/job_test.cc
@@ -71,5 +71,95 @@
   }
 }
 
+/// Records the calls that reach the entry. The only route is "/checks/", unless there is no configuration.
+class recording_gateway final : public job_gateway {
+ public:
+  explicit recording_gateway(bool configured) {
+    if (configured) {
+      queue_rule rule;
+      rule.name = "checks";
+      rule.prefix = "/checks/";
+      queues_ = std::make_shared<const queue_table>(1, std::vector<queue_rule>{rule});
+    }
+  }
+
+  std::shared_ptr<const queue_table> Queues() const override { return queues_; }
+  void Submit(call_id /*call*/, best_effort_job job, queue_rule /*queue*/) override {
+    calls.push_back("submit " + job.id);
+  }
+  void CallerDisconnected(call_id /*call*/) override {}
+  void Cancel(call_id /*call*/, std::string job_id) override { calls.push_back("cancel " + job_id); }
+  void QueryPhase(call_id /*call*/, std::string job_id) override { calls.push_back("phase " + job_id); }
+  void QueryPendingJobs(call_id /*call*/, std::string queue) override { calls.push_back("pending " + queue); }
+  bool Ready() const override { return true; }
+
+  std::vector<std::string> calls;
+
+ private:
+  std::shared_ptr<const queue_table> queues_;
+};
+
+class recording_server final : public connection_server {
+ public:
+  void Serve() override {}
+  void Respond(call_id /*call*/, http_response response) override { statuses.push_back(response.status); }
+  void DisableKeepAlive() override {}
+  void StopAccepting() override {}
+  int port() const override { return 0; }
+
+  std::vector<int> statuses;
+};
+
+/// What one request leads to: a call of the entry, or "answer STATUS" if the request doesn't reach it.
+std::string OutcomeOf(const std::string& method, const std::string& path, bool configured = true) {
+  recording_gateway gateway(configured);
+  recording_server server;
+  job_request_handler handler;
+  handler.Attach(gateway, server);
+  http_request request;
+  request.method = method;
+  request.path = path;
+  request.body = Job().dump();
+  handler.OnRequest(1, request);
+  if (gateway.calls.size() + server.statuses.size() != 1) {
+    return "not exactly one outcome";
+  }
+  return server.statuses.empty() ? gateway.calls[0] : "answer " + std::to_string(server.statuses[0]);
+}
+
+// Guards against a job that can't be cancelled because its route was removed, or because another route covers its path.
+TEST(Cancel, OfAJobIdDoesNotDependOnTheRoute) {
+  EXPECT_EQ(OutcomeOf("DELETE", "/checks/8a00000000000001"), "cancel 8a00000000000001");
+  EXPECT_EQ(OutcomeOf("DELETE", "/removed/8a00000000000001"), "cancel 8a00000000000001");
+  EXPECT_EQ(OutcomeOf("DELETE", "/checks/removed/8A0000000000000F"), "cancel 8A0000000000000F");
+  EXPECT_EQ(OutcomeOf("DELETE", "/8a00000000000001"), "cancel 8a00000000000001");
+}
+
+// Guards against a cancel of something that is not a job id, and against jobs whose other ids can no longer be
+// cancelled.
+TEST(Cancel, WithoutAJobIdNeedsARoute) {
+  for (const char* path :
+       {"/removed/", "/removed/8a0000000000001", "/removed/8a000000000000001", "/removed/8a0000000000000g",
+        "/removed/8a00000000000001/", "/removed/x8a00000000000001", "/", ""}) {
+    EXPECT_EQ(OutcomeOf("DELETE", path), "answer 404") << path;
+  }
+  EXPECT_EQ(OutcomeOf("DELETE", "/checks/patrol-8"), "cancel patrol-8");
+}
+
+// Guards against jobs that are admitted or reported under a route that the configuration doesn't have.
+TEST(Request, UnderARemovedRouteIsNotFound) {
+  EXPECT_EQ(OutcomeOf("POST", "/removed/8a00000000000001"), "answer 404");
+  EXPECT_EQ(OutcomeOf("GET", "/removed/8a00000000000001"), "answer 404");
+  EXPECT_EQ(OutcomeOf("POST", "/checks/8a00000000000001"), "submit 8a00000000000001");
+  EXPECT_EQ(OutcomeOf("GET", "/checks/8a00000000000001"), "phase 8a00000000000001");
+}
+
+// Guards against an entry without a configuration that answers as if it knew the routes.
+TEST(Request, WithoutAConfigurationIsUnavailable) {
+  for (const char* method : {"POST", "GET", "DELETE"}) {
+    EXPECT_EQ(OutcomeOf(method, "/checks/8a00000000000001", false), "answer 503") << method;
+  }
+}
+
 }  // namespace
 }  // namespace bamboowing::platform
