--- a/tests/platform/job_test.cc
+++ b/tests/platform/job_test.cc
@@ -135,6 +135,24 @@
   EXPECT_EQ(OutcomeOf("DELETE", "/8a00000000000001"), "cancel 8a00000000000001");
 }
 
+// Guards against a success under a removed route, which only an older configuration allows: the cancel takes effect and
+// is answered as one of a job that is gone.
+TEST(Cancel, UnderARemovedRouteIsAnsweredAsGone) {
+  recording_gateway gateway(true);
+  recording_server server;
+  job_request_handler handler;
+  handler.Attach(gateway, server);
+  http_request request;
+  request.method = "DELETE";
+  call_id call = 0;
+  for (const char* path : {"/removed/8a00000000000001", "/checks/8a00000000000001"}) {
+    request.path = path;
+    handler.OnRequest(++call, request);
+    handler.OnCancelled(call, cancel_outcome::kCancelled);
+  }
+  EXPECT_EQ(server.statuses, std::vector<int>({410, 200}));
+}
+
 // Guards against a cancel of something that is not a job id, and against jobs whose other ids can no longer be
 // cancelled.
 TEST(Cancel, WithoutAJobIdNeedsARoute) {
