Move claims and the view of registrars into the library claims

Cause: the claims of jobs and the view of registrars are decisions of their own, but were part of besteffort, which the work on evacuation and overload extends. It depends on ownership (the actions and keys of the store) and xxhash. Only includes change in the moved files; no behaviour and no type changes.

--- a/include/bamboowing/besteffort/dispatch_core.h
+++ b/include/bamboowing/besteffort/dispatch_core.h
@@ -17,9 +17,9 @@
 #include "bamboowing/besteffort/crash_ledger.h"
 #include "bamboowing/besteffort/expiring_jobs.h"
 #include "bamboowing/besteffort/job.h"
-#include "bamboowing/besteffort/job_claims.h"
 #include "bamboowing/besteffort/recent_minimum.h"
 #include "bamboowing/besteffort/target_fleet.h"
+#include "bamboowing/claims/job_claims.h"
 #include "bamboowing/dispatch/run_time_estimator.h"
 #include "bamboowing/dispatch/settings.h"
 
--- a/include/bamboowing/besteffort/job_claims.h
+++ b/include/bamboowing/claims/job_claims.h
@@ -15,8 +15,8 @@
 
 #include "bamboowing/base/random.h"
 #include "bamboowing/base/types.h"
-#include "bamboowing/besteffort/claim_registry.h"
-#include "bamboowing/besteffort/registrar_quorum.h"
+#include "bamboowing/claims/claim_registry.h"
+#include "bamboowing/claims/registrar_quorum.h"
 #include "bamboowing/message/job_claim.h"
 
 namespace bamboowing {
--- a/include/bamboowing/besteffort/view_maintainer.h
+++ b/include/bamboowing/claims/view_maintainer.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "bamboowing/base/types.h"
-#include "bamboowing/besteffort/job_claims.h"
+#include "bamboowing/claims/job_claims.h"
 #include "bamboowing/message/registrar_view.h"
 #include "bamboowing/ownership/owner_actions.h"
 
--- a/src/besteffort/job_claims_cancels.cc
+++ b/src/claims/job_claims_cancels.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "bamboowing/besteffort/job_claims.h"
+#include "bamboowing/claims/job_claims.h"
 
 namespace bamboowing {
 namespace {
--- a/src/besteffort/job_claims_view.cc
+++ b/src/claims/job_claims_view.cc
@@ -4,7 +4,7 @@
 #include <functional>
 #include <utility>
 
-#include "bamboowing/besteffort/job_claims.h"
+#include "bamboowing/claims/job_claims.h"
 
 namespace bamboowing {
 namespace {
--- a/src/besteffort/registrar_quorum.cc
+++ b/src/claims/registrar_quorum.cc
@@ -1,4 +1,4 @@
-#include "bamboowing/besteffort/registrar_quorum.h"
+#include "bamboowing/claims/registrar_quorum.h"
 
 #include <xxhash.h>
 
--- a/src/besteffort/view_maintainer.cc
+++ b/src/claims/view_maintainer.cc
@@ -1,11 +1,11 @@
-#include "bamboowing/besteffort/view_maintainer.h"
+#include "bamboowing/claims/view_maintainer.h"
 
 #include <algorithm>
 #include <cstddef>
 #include <iterator>
 #include <utility>
 
-#include "bamboowing/besteffort/registrar_quorum.h"
+#include "bamboowing/claims/registrar_quorum.h"
 
 namespace bamboowing {
 namespace {
--- a/src/service/best_effort_entry.cc
+++ b/src/service/best_effort_entry.cc
@@ -9,8 +9,8 @@
 
 #include "bamboowing/base/ring.h"
 #include "bamboowing/besteffort/agent_demand.h"
-#include "bamboowing/besteffort/registrar_quorum.h"
-#include "bamboowing/besteffort/view_maintainer.h"
+#include "bamboowing/claims/registrar_quorum.h"
+#include "bamboowing/claims/view_maintainer.h"
 #include "bamboowing/entry/directory.h"
 #include "bamboowing/entry/registration.h"
 #include "bamboowing/entry/store_watcher.h"
--- a/tests/besteffort/cluster_sim.h
+++ b/tests/besteffort/cluster_sim.h
@@ -13,9 +13,9 @@
 #include "bamboowing/base/random.h"
 #include "bamboowing/besteffort/agent_demand.h"
 #include "bamboowing/besteffort/dispatch_core.h"
-#include "bamboowing/besteffort/registrar_quorum.h"
 #include "bamboowing/besteffort/run_manager.h"
-#include "bamboowing/besteffort/view_maintainer.h"
+#include "bamboowing/claims/registrar_quorum.h"
+#include "bamboowing/claims/view_maintainer.h"
 #include "fake_target.h"
 
 namespace bamboowing {
--- a/tests/besteffort/review_claims_test.cc
+++ b/tests/besteffort/review_claims_test.cc
@@ -11,7 +11,7 @@
 #include <utility>
 #include <vector>
 
-#include "bamboowing/besteffort/job_claims.h"
+#include "bamboowing/claims/job_claims.h"
 #include "cluster_sim.h"
 #include "retrying_caller.h"
 
--- a/tests/besteffort/claim_registry_test.cc
+++ b/tests/claims/claim_registry_test.cc
@@ -1,4 +1,4 @@
-#include "bamboowing/besteffort/claim_registry.h"
+#include "bamboowing/claims/claim_registry.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/besteffort/claiming_entries.h
+++ b/tests/claims/claiming_entries.h
@@ -12,7 +12,7 @@
 #include <utility>
 #include <vector>
 
-#include "bamboowing/besteffort/job_claims.h"
+#include "bamboowing/claims/job_claims.h"
 
 namespace bamboowing {
 
--- a/tests/besteffort/job_claims_test.cc
+++ b/tests/claims/job_claims_test.cc
@@ -1,4 +1,4 @@
-#include "bamboowing/besteffort/job_claims.h"
+#include "bamboowing/claims/job_claims.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/besteffort/view_change_test.cc
+++ b/tests/claims/view_change_test.cc
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "bamboowing/besteffort/job_claims.h"
+#include "bamboowing/claims/job_claims.h"
 #include "claiming_entries.h"
 
 namespace bamboowing {
--- a/tests/besteffort/view_maintainer_test.cc
+++ b/tests/claims/view_maintainer_test.cc
@@ -1,4 +1,4 @@
-#include "bamboowing/besteffort/view_maintainer.h"
+#include "bamboowing/claims/view_maintainer.h"
 
 #include <gtest/gtest.h>
 
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "bamboowing/besteffort/registrar_quorum.h"
+#include "bamboowing/claims/registrar_quorum.h"
 
 namespace bamboowing {
 namespace {
