--- a/include/bamboowing/besteffort/dispatch_core.h
+++ b/include/bamboowing/besteffort/dispatch_core.h
@@ -208,8 +208,9 @@
     double waiting_work_us = 0;
     std::optional<instant> first_start;
     std::uint32_t starts = 0;
-    std::string last_run_result;  ///< description of the newest ended run, for the log
-    bool has_failed_run = false;  ///< a run of the job has failed or was stopped as a straggler
+    std::uint32_t rejected_starts = 0;  ///< starts that agents in evacuated failure domains have rejected
+    std::string last_run_result;        ///< description of the newest ended run, for the log
+    bool has_failed_run = false;        ///< a run of the job has failed or was stopped as a straggler
     target_index failed_target = kNoTarget;
   };
 
@@ -256,6 +257,8 @@
   void LogEvent(std::string event, const std::string& job_id, std::string detail);
   /// @p source names the process that the state came from, for the log.
   void MergeEvacuation(const evacuation_state& state, const std::string& source);
+  /// Logs each evacuated failure domain in which no target is known, once.
+  void ReportUnknownDomains(instant now);
   std::optional<failure> ValidateJob(const best_effort_job& job) const;
   /// Whether a target of the job's service, without other runs, may be large enough for a task of the step.
   bool MayFitSomeTarget(const open_job& job, const job_step& step) const;
@@ -311,6 +314,9 @@
   void StartTask(open_job& job, std::uint32_t position, const target_choice& chosen, instant now);
   void OnRunEnded(fleet_target& from, const run_result& end, instant now);
   void RemoveRun(run_map::iterator run);
+  /// An evacuated target has rejected a start of the job. A job all of whose starts were rejected has not begun, and is
+  /// refused if it fits no other target.
+  void WithdrawStart(open_job& job);
   void CompleteTask(open_job& job, job_task& task);
   void HandleTaskFailure(open_job& job, job_task& task, target_index on, instant now);
   void RequeueTask(open_job& job, job_task& task);
@@ -391,7 +397,9 @@
   double started_work_us_ = 0;  ///< exponentially decaying sum over kRateWindowUs
   instant decayed_at_;
   instant started_at_;
-  bool capacities_changed_ = false;  ///< since the last call of RefuseOversizedJobs()
+  std::uint64_t reported_evacuation_ = 0;  ///< set version of the evacuations at the last ReportUnknownDomains()
+  std::set<std::string> unknown_domains_;  ///< evacuated failure domains without a target that were logged
+  bool capacities_changed_ = false;        ///< since the last call of RefuseOversizedJobs()
   instant checked_at_;
   instant last_now_;
   std::optional<instant> drain_deadline_;  ///< set while draining: all jobs are answered by then
--- a/include/bamboowing/besteffort/run_manager.h
+++ b/include/bamboowing/besteffort/run_manager.h
@@ -180,7 +180,10 @@
   std::size_t runs() const { return runs_.size(); }
   /// Whether a run that shares the target with no other one is active or waits.
   bool HasExclusiveRun() const;
-  bool accepting() const { return phase_ == phase::kServing && capacity_known_ && !target_.draining && !draining_; }
+  /// Whether starts are admitted, an evacuation aside.
+  bool accepting() const {
+    return phase_ == phase::kServing && capacity_known_ && !target_.draining && !draining_ && EvacuationKnown();
+  }
 
  private:
   /// State of the agent's view of its target.
@@ -240,7 +243,7 @@
     std::uint64_t crash_revision_sent = 0;         ///< revision of the crash ledger that was sent in this session
     std::uint64_t unrepeatable_revision_sent = 0;  ///< the same of the unrepeatable jobs
     std::uint64_t unanswered_revision_sent = 0;    ///< the same of the jobs with an unanswered start
-    std::uint64_t evacuation_change_sent = 0;      ///< change number of the evacuations that was sent in this session
+    std::uint64_t evacuation_version_sent = 0;     ///< set version of the evacuations that was sent in this session
   };
 
   /// Another target that announced itself.
@@ -345,9 +348,11 @@
   void BeginReconciliation();
   /// @p source names the process that the state came from, for the log.
   void MergeEvacuation(const evacuation_state& state, const std::string& source, instant now);
+  bool EvacuationKnown() const { return !settings_.evacuation || evacuation_.known(); }
   /// Whether no task may be started because the agent's failure domain is evacuated, or it is unknown whether it is.
   bool Evacuated() const {
-    return settings_.evacuation && (!evacuation_.known() || evacuation_.Contains(settings_.agent.failure_domain));
+    return !EvacuationKnown() || evacuation_.Contains(settings_.agent.failure_domain) ||
+           evacuation_.Contains(target_.failure_domain);
   }
   /// Ends all runs that wait for capacity as never started.
   void ReturnWaitingRuns(std::string_view reason, instant now);
--- a/include/bamboowing/besteffort/target_fleet.h
+++ b/include/bamboowing/besteffort/target_fleet.h
@@ -63,7 +63,7 @@
   bool exclusive = false;                        ///< the newest report shows an exclusive run of any entry
   std::uint64_t crash_revision_sent = 0;         ///< revision of the crash ledger that was sent in this session
   std::uint64_t unrepeatable_revision_sent = 0;  ///< revision of the unrepeatable jobs that was sent in this session
-  std::uint64_t evacuation_change_sent = 0;      ///< change number of the evacuations that was sent in this session
+  std::uint64_t evacuation_version_sent = 0;     ///< set version of the evacuations that was sent in this session
   announced_end end;                             ///< of the target or an earlier one; the target receives no starts
   target_description known_target;               ///< newest described target with an id
   std::uint64_t target_generation = 0;           ///< increases with each other incarnation of `known_target`
@@ -116,6 +116,9 @@
   /// Whether the target's failure domain is evacuated, so that it receives no new runs.
   bool IsEvacuated(const fleet_target& target) const { return evacuation_.Contains(target.description.failure_domain); }
 
+  /// Whether there is another target outside of evacuated failure domains.
+  bool HasOtherTarget(const fleet_target& target) const;
+
   /// Whether the target accepts new runs, regardless of its free capacity and of evacuations.
   bool AcceptsRuns(const fleet_target& target, instant now) const;
   /// Whether new runs may be sent to the target, regardless of its free capacity.
--- a/src/besteffort/dispatch_core.cc
+++ b/src/besteffort/dispatch_core.cc
@@ -82,17 +82,22 @@
   capacities_changed_ = true;
   const evacuation_view& evacuation = fleet_.evacuation();
   LogEvent("evacuation_changed", "",
-           "evacuated failure domains: " + evacuation.Describe() + ", revision " + std::to_string(state.revision) +
+           "evacuated failure domains: [" + evacuation.Describe() + "], revision " + std::to_string(state.revision) +
                ", from " + source);
-  if (last_now_ - started_at_ < kFleetSettleTime) {
-    return;  // agents may still be connecting
+}
+
+void dispatch_core::ReportUnknownDomains(instant now) {
+  // Agents may still be connecting before.
+  if (now - started_at_ < kFleetSettleTime || reported_evacuation_ == fleet_.evacuation().set_version()) {
+    return;
   }
-  for (const std::string& domain : evacuation.state().failure_domains) {
+  reported_evacuation_ = fleet_.evacuation().set_version();
+  for (const std::string& domain : fleet_.evacuation().state().failure_domains) {
     const bool has_target = std::any_of(fleet_.all().begin(), fleet_.all().end(),
                                         [&domain](const std::pair<const std::string, fleet_target>& item) {
                                           return item.second.description.failure_domain == domain;
                                         });
-    if (!has_target) {
+    if (!has_target && unknown_domains_.insert(domain).second) {
       LogEvent("evacuation_without_target", "", "no known target is in the failure domain " + domain);
     }
   }
@@ -240,10 +245,11 @@
     if (job.remaining_tasks[step] == 0 || MayFitSomeTarget(job, job.spec.steps[step])) {
       continue;
     }
+    const std::string evacuated = fleet_.evacuation().Describe();
     failure oversized(error_kind::kNoTarget, not_run_state::kYes,
                       "no target of service " + job.queue.service + " has the capacity for a task of step " +
                           std::to_string(step) + ", " + Describe(job.spec.steps[step].need) +
-                          ", evacuated failure domains: " + fleet_.evacuation().Describe());
+                          (evacuated.empty() ? "" : ", outside of the evacuated failure domains " + evacuated));
     oversized.retry_after = kCapacityRetryAfter;
     return oversized;
   }
@@ -441,6 +447,7 @@
     ExpireAgents(now);
     ExpireJobs(now);
     StopStragglers(now);
+    ReportUnknownDomains(now);
     std::vector<target_index> restored;
     fleet_.health().Restore(now, restored);
     fleet_.EvictSilent(now - kEvictTargetAfter);
--- a/src/besteffort/dispatch_crashes.cc
+++ b/src/besteffort/dispatch_crashes.cc
@@ -135,7 +135,7 @@
   double least = std::numeric_limits<double>::max();
   for (std::pair<const std::string, fleet_target>& item : fleet_.all()) {
     fleet_target& target = item.second;
-    const bool avoided = task.avoided_target == target.index && fleet_.all().size() > 1;
+    const bool avoided = task.avoided_target == target.index && fleet_.HasOtherTarget(target);
     const bool reserved_here = target.own_exclusive_runs > 0;
     const bool reserved_elsewhere = target.exclusive && !reserved_here;
     if (avoided || reserved_elsewhere || (!reserved_here && !may_reserve) ||
--- a/src/besteffort/dispatch_place.cc
+++ b/src/besteffort/dispatch_place.cc
@@ -197,7 +197,7 @@
     const double affinity_factor = step.affinity.empty() || HasLabel(target, step.affinity) ? 1 : kRemoteFactor;
     const double run_us = work_us * affinity_factor / fleet_.RelativeSpeed(target);
     fastest_us = std::min(fastest_us, run_us);
-    const bool avoided = task.avoided_target == target.index && fleet_.all().size() > 1;
+    const bool avoided = task.avoided_target == target.index && fleet_.HasOtherTarget(target);
     if (!avoided && FitsWithin(step.need, target.Committed(), target.description.capacity)) {
       best_us = std::min(best_us, run_us);
       free.push_back({&target, run_us});
--- a/src/besteffort/dispatch_runs.cc
+++ b/src/besteffort/dispatch_runs.cc
@@ -56,6 +56,9 @@
     // The new agent process does not know the starts of its predecessor.
     HandleUnansweredJobs(*target, now);
   }
+  if (fleet_.evacuation().IsOutdated(batch.runs.evacuation)) {
+    target->evacuation_version_sent = 0;
+  }
   MergeEvacuation(batch.runs.evacuation, target->agent);
   MergeUnsettledJobs(*target, batch.runs, now);
   MarkSettledRuns(*target, batch.runs);
@@ -171,6 +174,9 @@
       case run_outcome::kNoRoom:
       case run_outcome::kUnavailable:
         from.backoff_until = now + (end.outcome == run_outcome::kNoRoom ? kNoRoomPause : kUnavailablePause);
+        if (fleet_.IsEvacuated(from) && !end.start_unanswered) {
+          WithdrawStart(job);
+        }
         RequeueTask(job, task);
         break;
       case run_outcome::kStopped:
@@ -187,6 +193,14 @@
   EraseIfFinished(end.key.job_id);
 }
 
+void dispatch_core::WithdrawStart(open_job& job) {
+  ++job.rejected_starts;
+  if (job.rejected_starts == job.starts) {
+    job.ever_started = false;
+    capacities_changed_ = true;
+  }
+}
+
 void dispatch_core::CompleteTask(open_job& job, job_task& task) {
   task.state = task_state::kDone;
   --job.remaining_tasks[task.step];
@@ -331,7 +345,7 @@
     const bool work = !target.pending_requests.starts.empty() || !target.pending_requests.stops.empty();
     const bool crashes = target.crash_revision_sent < crashes_.revision();
     const bool unrepeatable = target.unrepeatable_revision_sent < unrepeatable_.revision();
-    const bool evacuation = target.evacuation_change_sent < fleet_.evacuation().change_number();
+    const bool evacuation = target.evacuation_version_sent < fleet_.evacuation().set_version();
     const duration heartbeat = target.replies_are_contact ? settings_.acknowledged_heartbeat : settings_.heartbeat;
     const bool due = now - target.last_sent_at >= heartbeat;
     if (target.session == 0 || (!work && !crashes && !unrepeatable && !evacuation && !due)) {
@@ -355,7 +369,7 @@
     target.unrepeatable_revision_sent = unrepeatable_.revision();
     if (evacuation) {
       send.batch.runs.evacuation = fleet_.evacuation().state();
-      target.evacuation_change_sent = fleet_.evacuation().change_number();
+      target.evacuation_version_sent = fleet_.evacuation().set_version();
     }
     target.pending_requests = {};
     target.last_sent_at = now;
--- a/src/besteffort/run_manager.cc
+++ b/src/besteffort/run_manager.cc
@@ -71,7 +71,8 @@
   const owner& from = owners_[entry];
   const bool stale = now - view_at >= settings_.max_report_age;
   if (Evacuated()) {
-    EndRun(added, run_outcome::kUnavailable, "the failure domain is evacuated", now);
+    EndRun(added, run_outcome::kUnavailable,
+           evacuation_.known() ? "the failure domain is evacuated" : "the evacuations are not known yet", now);
     return;
   }
   if (!accepting() || stale || from.released_at) {
@@ -206,8 +207,11 @@
     return;
   }
   LogEvent("evacuation_changed", "",
-           "evacuated failure domains: " + evacuation_.Describe() + ", revision " + std::to_string(state.revision) +
+           "evacuated failure domains: [" + evacuation_.Describe() + "], revision " + std::to_string(state.revision) +
                ", from " + source + (Evacuated() ? ", no task is started here" : ""));
+  for (std::pair<const std::string, owner>& to : owners_) {
+    to.second.target_update_pending = true;
+  }
   if (Evacuated()) {
     ReturnWaitingRuns("the failure domain is evacuated", now);
   }
--- a/src/besteffort/run_manager_entries.cc
+++ b/src/besteffort/run_manager_entries.cc
@@ -117,7 +117,7 @@
   opened.crash_revision_sent = 0;
   opened.unrepeatable_revision_sent = 0;
   opened.unanswered_revision_sent = 0;
-  opened.evacuation_change_sent = 0;
+  opened.evacuation_version_sent = 0;
 }
 
 void run_manager::OnSessionClosed(const std::string& entry, const std::string& reason, instant now) {
@@ -154,6 +154,9 @@
   }
   unrepeatable_.Merge(batch.runs.unrepeatable, settings_.max_request_delay, now);
   // Before the starts of the same batch: they may be the first that the agent receives.
+  if (evacuation_.IsOutdated(batch.runs.evacuation)) {
+    from.evacuation_version_sent = 0;
+  }
   MergeEvacuation(batch.runs.evacuation, "entry " + entry, now);
   for (const run_key& key : batch.runs.stops) {
     const run_map::iterator found = runs_.find(key);
@@ -248,7 +251,7 @@
 bool run_manager::ReportDue(const entry_session& session, const owner& to, instant now) const {
   const bool records_pending = to.crash_revision_sent < crashes_.revision() ||
                                to.unrepeatable_revision_sent < unrepeatable_.revision() ||
-                               to.evacuation_change_sent < evacuation_.change_number();
+                               to.evacuation_version_sent < evacuation_.set_version();
   if (!to.initial_report_sent || to.target_update_pending || records_pending) {
     return true;
   }
@@ -319,8 +322,9 @@
   if (!to.initial_report_sent || to.target_update_pending) {
     report.has_target = true;
     report.target = target_;
-    // The entries apply evacuations to the same name as this agent.
-    report.target.failure_domain = settings_.agent.failure_domain;
+    if (report.target.failure_domain.empty()) {
+      report.target.failure_domain = settings_.agent.failure_domain;
+    }
     report.target.draining = !accepting() || to.released_at;
     report.target.id = target_incarnation_.id;
     report.target.start_id = target_incarnation_.start_id;
@@ -346,9 +350,9 @@
   to.unrepeatable_revision_sent = unrepeatable_.revision();
   report.unanswered = unanswered_jobs_.Since(to.unanswered_revision_sent, now);
   to.unanswered_revision_sent = unanswered_jobs_.revision();
-  if (to.evacuation_change_sent < evacuation_.change_number()) {
+  if (to.evacuation_version_sent < evacuation_.set_version()) {
     report.evacuation = evacuation_.state();
-    to.evacuation_change_sent = evacuation_.change_number();
+    to.evacuation_version_sent = evacuation_.set_version();
   }
   to.initial_report_sent = true;
   to.target_update_pending = false;
--- a/src/besteffort/target_fleet.cc
+++ b/src/besteffort/target_fleet.cc
@@ -38,7 +38,7 @@
   }
   target.crash_revision_sent = 0;
   target.unrepeatable_revision_sent = 0;
-  target.evacuation_change_sent = 0;
+  target.evacuation_version_sent = 0;
   target.exclusive = false;
   target.last_report_at = now;
   target.last_sent_at = instant{};
@@ -123,6 +123,13 @@
          health_.AllowedSlots(target.index) > target.own_runs;
 }
 
+bool target_fleet::HasOtherTarget(const fleet_target& target) const {
+  return std::any_of(by_agent_.begin(), by_agent_.end(),
+                     [this, &target](const std::pair<const std::string, fleet_target>& item) {
+                       return item.second.index != target.index && !IsEvacuated(item.second);
+                     });
+}
+
 double target_fleet::RelativeSpeed(const fleet_target& target) const {
   const double mean = by_agent_.empty() ? 0 : log_speeds_ / static_cast<double>(by_agent_.size());
   return std::exp(target.speed.log_speed() - mean);
--- a/src/evacuation/evacuation_view.cc
+++ b/src/evacuation/evacuation_view.cc
@@ -14,7 +14,7 @@
   if (!learned && same_set) {
     return evacuation_change::kNone;
   }
-  ++change_number_;
+  ++set_version_;
   return learned ? evacuation_change::kLearned : evacuation_change::kReplaced;
 }
 
@@ -27,7 +27,7 @@
   for (const std::string& domain : state_.failure_domains) {
     text += (text.empty() ? "" : ", ") + domain;
   }
-  return text.empty() ? "none" : text;
+  return text;
 }
 
 }  // namespace bamboowing
--- a/tests/besteffort/evacuation_test.cc
+++ b/tests/besteffort/evacuation_test.cc
@@ -148,8 +148,10 @@
     RunLoad(Ms(200));
   }
   sim.KillEntry(0, Ms(300));
+  const instant restarted_at = sim.now();
   RunLoad(Ms(2000));
   ExpectGuarantees(kNoticed);
+  EXPECT_GT(StartsIn("domain-0", restarted_at), 0U) << "the other targets must be used";
 }
 
 // Guards against jobs that wait until their deadline although no target may serve them.
@@ -198,6 +200,64 @@
   EXPECT_EQ(Count(job_verdict::kCompleted), submitted);
 }
 
+// Guards against starts that entries send only to have them rejected.
+TEST_F(evacuation, EntriesSendNoStartsToEvacuatedTargets) {
+  sim.SetEvacuation({"domain-1"});
+  sim.RunFor(kNoticed);
+  RunLoad(Ms(1000));
+  sim.RunFor(Ms(1000));
+  for (std::size_t i = 0; i < kEntries; ++i) {
+    const std::map<run_outcome, std::uint64_t>& outcomes = sim.entry(i)->outcome_counts();
+    EXPECT_EQ(outcomes.count(run_outcome::kUnavailable), 0U) << "entry " << i;
+  }
+}
+
+// Guards against jobs that wait until their deadline because an entry that did not know of the evacuation has sent
+// their starts, which the agents have rejected.
+TEST_F(evacuation, RefusesJobsWhoseStartsWereRejectedAtOnce) {
+  sim.CutEntryFromStore(0, Ms(20'000));
+  sim.SetEvacuation({"domain-0", "domain-1", "domain-2", "domain-3"});
+  std::vector<std::size_t> jobs;
+  for (int i = 0; i < 350; ++i) {
+    jobs.push_back(sim.Submit(0, "job" + std::to_string(i), 1, 5));
+    sim.RunFor(Ms(1));
+  }
+  sim.RunFor(Ms(2000));
+  for (const std::size_t job : jobs) {
+    EXPECT_TRUE(sim.jobs()[job].verdict) << sim.jobs()[job].id;
+  }
+  EXPECT_GT(Count(job_verdict::kRefused), 0U);
+  EXPECT_EQ(Count(job_verdict::kUnknown), 0U);
+  ExpectGuarantees(kNoticed);
+}
+
+// Guards against a process that knows the newest state and does not tell another one, because it has sent the same set
+// before.
+TEST_F(evacuation, NewerStateReachesProcessesWithAnOlderOne) {
+  sim.StopStore(Ms(60'000));
+  sim.entry(0)->OnEvacuation({10, {"domain-0"}});
+  sim.RunFor(Ms(1000));
+  sim.entry(0)->OnEvacuation({25, {"domain-0"}});
+  sim.entry(1)->OnEvacuation({20, {}});
+  sim.RunFor(Ms(1000));
+  const instant since = sim.now();
+  RunLoad(Ms(3000));
+  EXPECT_EQ(StartsIn("domain-0", since), 0U);
+}
+
+// Guards against a task that avoids the target of its lost run although it is the only one left.
+TEST_F(evacuation, LostTaskUsesTheOnlyTargetLeft) {
+  cluster_sim small(kEntries, kDomains, 1, kCores, kDomains, true);
+  small.RunFor(Ms(4000));
+  small.SetEvacuation({"domain-1", "domain-2", "domain-3"});
+  small.RunFor(Ms(1000));
+  const std::size_t job = small.Submit(0, "lost", 1, 500);
+  small.RunFor(Ms(100));
+  small.CrashTarget(0, Ms(500));
+  small.RunFor(Ms(15'000));
+  EXPECT_EQ(small.jobs()[job].verdict, job_verdict::kCompleted);
+}
+
 // Guards against starts after any sequence of faults at the processes that know of the evacuation. Each seed evacuates
 // one or two failure domains, twice.
 TEST_P(evacuation, HoldsUnderFaults) {
--- a/tests/platform/store_test.cc
+++ b/tests/platform/store_test.cc
@@ -84,6 +84,19 @@
 }
 
 // Guards against an entry that never registers again because another writer left bytes at its key: the key can only be
+// Guards against a key that was deleted and created again, or the reverse, and is taken as it was in between.
+TEST(StoreItems, TheLastEventOfAKeyCounts) {
+  scripted_store store;
+  store.body =
+      R"({"store_revision":9,"events":[{"key":"a","revision":4,"tombstone":true},{"key":"a","value":"","revision":5},)"
+      R"({"key":"b","value":"","revision":6},{"key":"b","revision":7,"tombstone":true}]})";
+  const std::optional<watch_result> changed = store.Watch();
+  ASSERT_TRUE(changed);
+  ASSERT_EQ(changed->items.size(), 1U);
+  EXPECT_EQ(changed->items[0].key, "a");
+  EXPECT_EQ(changed->deleted, std::vector<std::string>({"b"}));
+}
+
 // replaced with its revision.
 TEST(StoreItems, AKeyWithAnUnreadableValueHasARevision) {
   scripted_store store;
