--- a/standins/platform_standin.py
+++ b/standins/platform_standin.py
@@ -252,6 +252,7 @@
         self.begin_incarnation()
         self.runs = []  # [task, attempt, start time, end time, outcome, arrival of the request] of every run
         self.state = "ready"
+        self.zone = "hobart"
         self.lose_answers = 0  # number of starts that will take effect without a response
         self.late_share = 0.0  # probability that a request gets no response and is executed late
         self.late_requests = 0  # requests that are still to be executed
@@ -338,7 +339,7 @@
             time.sleep(self.heartbeat_interval_s)
 
     def heartbeat(self):
-        return {"backend": self.service, "address": self.address, "zone": "hobart", "version": "v1", "slots": 8,
+        return {"backend": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": 8,
                 "state": self.state, "cold_ms": 0, "labels": ["a", "r1-1"], "clock_ms": self.clock(),
                 "capacity": dict(self.capacity), "seq": self.seq, "born": self.born}
 
--- a/tests/end_to_end/platform_test.py
+++ b/tests/end_to_end/platform_test.py
@@ -115,6 +115,7 @@
                   f"  store_address: {self.store_address()}\n  lease_ms: 1000\n  grace_s: 6\n" + self.more_settings())
         self.launch_agent(name)
         self.platform_minions.append(self.minion_type(f"minion-{name}", SERVICE, f"127.0.0.1:{announce}"))
+        self.platform_minions[-1].zone = self.failure_domain(name)
         self.connect_minion(self.platform_minions[-1])
 
     def launch_agent(self, name):
