Bound what clients can make connection_server hold

Cause: the server read into a buffer without a maximum size, and the parser returns trailers and chunk size lines only when they are complete, without a limit. Bodies and connections had no common bound, and a slow request no time limit.

Change: the connections move to src/transport/http_connections, which http_server can share. Received bytes are read into one buffer of the server, and only unparsed bytes are kept for a connection. New limits: trailers and chunk size lines (16 KiB), bytes of all requests together (32 MiB), time to receive a request or write a response (30 s). At the byte limit, incomplete requests are closed, the oldest first, then the new request is refused; the refusal leaves open whether the job has run, as the request may be a copy. At the connection limit, the connection that has been without a complete request for longest is replaced, likewise when accept() finds no free descriptor; accept() is then repeated after 100 ms. A refusal is followed by a short time of discarding, so that the client can read it. The readiness address has 256 connections.

--- a/include/bamboowing/transport/connection_server.h
+++ b/include/bamboowing/transport/connection_server.h
@@ -25,16 +25,23 @@
   virtual void OnCallerDisconnected(call_id call) = 0;
 };
 
-/// Bounds on connections and requests.
+/// Bounds on all that clients can make a server hold. Well-behaved clients reach none of the defaults.
 struct connection_limits {
+  /// At this limit, the connection that has been without a complete request for longest is closed for a new one.
   std::size_t max_connections = 3000;
-  std::size_t max_header_bytes = 16U << 10U;
-  std::size_t max_body_bytes = 256U << 10U;
+  std::size_t max_header_bytes = 16U << 10U;   ///< of a request
+  std::size_t max_trailer_bytes = 16U << 10U;  ///< of the trailers, and of each chunk size line with its extension
+  std::size_t max_body_bytes = 256U << 10U;    ///< of a request
+  /// Of all requests that have been received, also in part, and not answered, and of responses that are not written.
+  /// At this limit, incomplete requests are closed, the oldest first; then requests are refused with `overloaded`.
+  std::size_t max_buffered_bytes = 32U << 20U;
+  /// Time to receive one request or to write one response; slower connections are closed within a further eighth of it
+  /// or a second, whichever is less.
+  duration receive_timeout{30'000'000};
   duration idle_timeout{60'000'000};  ///< connections without an open request are closed after this time
 };
 
-/// Serves HTTP/1.1 on one numeric address with one thread. cpprestsdk's listener, which serves everything else,
-/// does not report the end of a connection, so this one is built on Boost.Beast.
+/// Serves HTTP/1.1 on one numeric address with one thread.
 class connection_server {
  public:
   /// Binds @p address ("127.0.0.1:8080"); port 0 picks a free port. Returns null and sets @p error on failure.
