Serve all HTTP addresses by Boost.Beast with bounds

Cause: the listener of cpprestsdk has no bound on header lines, trailers, chunk extensions and connections, and two crashes inside it were open: an operation on a connection that another thread has closed.

Change: http_server keeps its interface and uses http_connections, one thread for each server. read_timeout_enforcer, which found the listener's sockets through the kernel, is removed; it had no test of its own, and the tests of slow and waiting callers in http_abuse_test remain unchanged. Handlers are called from one thread instead of a pool. Metrics, announcement and operators' addresses have 256 connections.

--- a/include/bamboowing/transport/http.h
+++ b/include/bamboowing/transport/http.h
@@ -34,9 +34,9 @@
 /// `{"kind", "reason", "not_run"}`, with `retry_after_ms` if the error has a retry time.
 http_response ErrorResponse(const failure& error);
 
-/// Sets the number of threads shared by all HTTP servers and clients of this process, except connection_server.
+/// Sets the number of threads shared by all HTTP clients of this process. Each server has one thread of its own.
 ///
-/// Must be called before the first server or client is opened. Returns false and changes nothing if the thread pool is
+/// Must be called before the first client is opened. Returns false and changes nothing if the thread pool is
 /// already running.
 bool SetHttpThreads(int thread_count);
 
--- a/include/bamboowing/transport/http_server.h
+++ b/include/bamboowing/transport/http_server.h
@@ -10,19 +10,21 @@
 #include <string_view>
 
 #include "bamboowing/base/error.h"
+#include "bamboowing/base/types.h"
 #include "bamboowing/transport/http.h"
 
 namespace bamboowing {
 
-/// Resource limits of an http_server.
+/// Resource limits of an http_server. Its other limits are the defaults of connection_limits.
 struct http_limits {
   std::size_t max_body_bytes =
       1U << 20U;  ///< larger bodies are rejected with `too_large` before they are read completely
-  /// Maximum time to receive a request; slower connections are closed within a further eighth of this time. A
-  /// connection that stalls in the middle of a request stays open while another request received at about the same time
-  /// is open.
+  /// Maximum time to receive a request or to write a response; slower connections are closed within a further eighth of
+  /// this time or a second, whichever is less.
   duration read_timeout = std::chrono::seconds(30);
-  std::size_t max_open_requests = 4096;  ///< further requests are rejected with `overloaded`
+  std::size_t max_open_requests = 4096;         ///< further requests are rejected with `overloaded`
+  std::size_t max_connections = 3000;           ///< as connection_limits::max_connections
+  std::size_t max_buffered_bytes = 32U << 20U;  ///< as connection_limits::max_buffered_bytes
 };
 
 /// Serves HTTP/1.1 on one numeric address. All functions are thread-safe.
@@ -32,7 +34,7 @@
   /// first call has an effect. If all copies are destroyed without a call, the caller receives an `internal` error.
   using responder = std::function<void(http_response)>;
 
-  /// Receives one request. Called concurrently from the threads of the HTTP thread pool; must not block.
+  /// Receives one request. Called from the server's thread; must not block.
   using handler = std::function<void(http_request, responder)>;
 
   /// Listens on @p address ("127.0.0.1:8080"); port 0 picks a free port. Returns null and sets @p error if the address
--- a/src/service/agent_daemon.cc
+++ b/src/service/agent_daemon.cc
@@ -23,6 +23,8 @@
 namespace {
 
 constexpr std::size_t kRingCapacity = 4096;
+// One target announces itself here.
+constexpr std::size_t kMaxAnnouncementConnections = 256;
 constexpr duration kMaxWait = std::chrono::seconds(1);
 constexpr std::uint32_t kMaxSlots = 4096;
 
@@ -70,7 +72,8 @@
     if (!target_) {
       return false;
     }
-    const http_limits limits;
+    http_limits limits;
+    limits.max_connections = kMaxAnnouncementConnections;
     announce_server_ = http_server::Open(
         settings_.announce_address,
         [this](const http_request& request, const http_server::responder& answer) { HandleHttp(request, answer); },
--- a/src/service/best_effort_entry.cc
+++ b/src/service/best_effort_entry.cc
@@ -27,6 +27,9 @@
 namespace {
 
 constexpr std::size_t kRingCapacity = 2048;
+// Few clients connect here, and the machine is needed for callers.
+constexpr std::size_t kMaxMetricsConnections = 256;
+constexpr std::size_t kMaxMetricsBytes = 4U << 20U;
 constexpr duration kMaxWait = std::chrono::seconds(1);
 constexpr duration kRegistrationLease = std::chrono::seconds(5);
 constexpr duration kRegistrationRenewInterval = std::chrono::milliseconds(1500);
@@ -250,6 +253,9 @@
 
  private:
   bool OpenMetrics(failure& error) {
+    http_limits limits;
+    limits.max_connections = kMaxMetricsConnections;
+    limits.max_buffered_bytes = kMaxMetricsBytes;
     metrics_server_ = http_server::Open(
         settings_.best_effort.metrics_address,
         [this](const http_request& request, http_server::responder answer) {
@@ -259,7 +265,7 @@
           }
           ring_.Push(metrics_requested{std::move(answer)});
         },
-        http_limits(), error);
+        limits, error);
     return metrics_server_ != nullptr;
   }
 
--- a/src/service/entry_daemon.cc
+++ b/src/service/entry_daemon.cc
@@ -25,6 +25,8 @@
 namespace {
 
 constexpr std::size_t kRingCapacity = 4096;
+// Few clients connect here, and the descriptors of the machine are needed for callers.
+constexpr std::size_t kMaxOperatorConnections = 256;
 constexpr duration kMaxWait = std::chrono::seconds(1);
 
 struct call_received {
@@ -115,6 +117,8 @@
     http_limits limits;
     limits.max_body_bytes = settings_.max_body_bytes;
     limits.max_open_requests = settings_.max_open_calls;
+    // Each open call of a caller that does not pipeline has a connection of its own.
+    limits.max_connections = std::max<std::size_t>(limits.max_connections, settings_.max_open_calls);
     caller_server_ = http_server::Open(
         settings_.callers_address,
         [this](const http_request& request, http_server::responder answer) { HandleHttp(request, std::move(answer)); },
@@ -160,7 +164,8 @@
     return entry;
   }
 
-  bool StartOperatorServer(const http_limits& limits, failure& error) {
+  bool StartOperatorServer(http_limits limits, failure& error) {
+    limits.max_connections = kMaxOperatorConnections;
     std::optional<std::string> token = ReadToken(settings_.operators_token_file, error);
     if (!token) {
       return false;
--- a/standins/kv_server.cc
+++ b/standins/kv_server.cc
@@ -70,6 +70,7 @@
   http_limits limits;
   limits.max_body_bytes = kMaxBodyBytes;
   limits.max_open_requests = kMaxOpenRequests;
+  limits.max_connections = kMaxOpenRequests;
   kv_server* const self = result.get();
   result->server_ = http_server::Open(
       options.address,
--- a/tests/transport/http_abuse_test.cc
+++ b/tests/transport/http_abuse_test.cc
@@ -77,6 +77,56 @@
   EXPECT_TRUE(ServesRequests(*server));
 }
 
+// Guards against a process that runs out of memory because of header lines, trailers or chunk extensions without end,
+// which the listener of cpprestsdk kept.
+TEST(HttpAbuse, PartsWithoutEndAreRejected) {
+  constexpr std::size_t kFloodBytes = 64U << 20U;
+  const std::unique_ptr<http_server> server = OpenServer({}, RespondImmediately);
+  const std::string chunked = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string line = "X: " + std::string(1024, 'a') + "\r\n";
+  for (const std::string& start :
+       {std::string("GET / HTTP/1.1\r\n"), chunked + "1\r\nx\r\n0\r\n", chunked + "1;x=" + std::string(1024, 'a')}) {
+    const raw_socket caller = raw_socket::Connect(server->port());
+    const std::string more = start.find(';') == std::string::npos ? line : std::string(1024, 'a');
+    bool open = caller.Send(start);
+    std::size_t sent = 0;
+    while (open && !caller.IsReadable() && sent < kFloodBytes) {
+      open = caller.Send(more);
+      sent += more.size();
+    }
+    EXPECT_LT(sent, kFloodBytes) << start;
+    EXPECT_EQ(caller.ReadUntil("too_large").rfind("HTTP/1.1 413", 0), 0U) << start;
+    EXPECT_TRUE(ServesRequests(*server));
+  }
+}
+
+// Guards against a responder that uses its server after Close(), and against a Close() that waits forever for a caller
+// who has disconnected.
+TEST(HttpAbuse, ResponderOutlivesItsServer) {
+  std::promise<http_server::responder> received_responder;
+  std::unique_ptr<http_server> server =
+      OpenServer({}, [&received_responder](const http_request&, const http_server::responder& answer) {
+        received_responder.set_value(answer);
+      });
+  raw_socket caller = raw_socket::Connect(server->port());
+  ASSERT_TRUE(caller.Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n"));
+  const http_server::responder answer = received_responder.get_future().get();
+  caller.Close();
+  answer(http_response());
+  server.reset();
+  answer(http_response());
+}
+
+// Guards against a client that waits for the interim response before it sends its body.
+TEST(HttpAbuse, ExpectedContinueIsSent) {
+  const std::unique_ptr<http_server> server = OpenServer({}, RespondImmediately);
+  const raw_socket caller = raw_socket::Connect(server->port());
+  ASSERT_TRUE(caller.Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n"));
+  EXPECT_EQ(caller.ReadUntil("\r\n\r\n"), "HTTP/1.1 100 Continue\r\n\r\n");
+  ASSERT_TRUE(caller.Send("abc"));
+  EXPECT_NE(caller.ReadUntil("\r\n\r\n3").find("200 OK"), std::string::npos);
+}
+
 // Guards against a size limit that rejects valid chunked bodies.
 TEST(HttpAbuse, ChunkedBodyWithinTheLimitIsServed) {
   http_limits limits;
