Make the limits of the callers' address settings

Cause: machines of entries differ in memory and descriptors, and the limits of connection_server were constants.

The idle timeout no longer applies to a request that is being received, which has a time limit of its own.

--- a/include/bamboowing/service/settings.h
+++ b/include/bamboowing/service/settings.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "bamboowing/base/types.h"
+#include "bamboowing/transport/connection_server.h"
 #include "bamboowing/transport/worker_commitments.h"
 
 namespace bamboowing {
@@ -27,6 +28,7 @@
   duration lease{1'000'000};                  ///< upper bound of the lease of runs on a target
   duration grace{6'000'000};                  ///< time limit from SIGTERM to process exit
   bool evacuation = false;                    ///< whether operators may evacuate failure domains
+  connection_limits callers_limits;           ///< entry: of callers_address
 };
 
 /// Settings of one daemon. Addresses are "IP:PORT".
--- a/src/service/settings.cc
+++ b/src/service/settings.cc
@@ -235,6 +235,21 @@
   }
 }
 
+void ReadCallersLimits(map_reader& best_effort, connection_limits& limits, std::vector<settings_error>& errors) {
+  if (!best_effort.Get("callers_limits")) {
+    return;
+  }
+  map_reader map(best_effort.Map("callers_limits"), "best_effort.callers_limits", errors);
+  map.Integer("connections", limits.max_connections, 1, 1'000'000);
+  map.Integer("header_bytes", limits.max_header_bytes, 1024, 1 << 20);
+  map.Integer("trailer_bytes", limits.max_trailer_bytes, 1024, 1 << 20);
+  map.Integer("body_bytes", limits.max_body_bytes, 1024, 1 << 30);
+  map.Integer("buffered_bytes", limits.max_buffered_bytes, 1 << 16, std::int64_t{1} << 40);
+  map.Duration("receive_timeout_ms", limits.receive_timeout, kMillisecond, 100, 600'000);
+  map.Duration("idle_timeout_ms", limits.idle_timeout, kMillisecond, 100, 3'600'000);
+  map.ReportUnknownKeys();
+}
+
 void ReadBestEffort(map_reader& top, daemon_settings& settings, std::vector<settings_error>& errors) {
   best_effort_settings& best_effort = settings.best_effort;
   best_effort.enabled = true;
@@ -245,6 +260,7 @@
   map.Boolean("evacuation", best_effort.evacuation);
   if (settings.role == daemon_role::kEntry) {
     map.Address("callers_address", best_effort.callers_address, true);
+    ReadCallersLimits(map, best_effort.callers_limits, errors);
     map.Address("metrics_address", best_effort.metrics_address, false);
     map.Address("readiness_address", best_effort.readiness_address, true);
     map.Address("peers_address", settings.peers_address, true);
--- a/src/transport/http_connections.cc
+++ b/src/transport/http_connections.cc
@@ -160,7 +160,7 @@
     const bool receives_too_long = receiving_since_ && *receiving_since_ + limits.receive_timeout < now;
     const bool sends_too_long = writing_ && writing_since_ + limits.receive_timeout < now;
     const bool discards_too_long = discarding_ && last_activity_ + kDiscardTime < now;
-    const bool idles_too_long = calls_.empty() && last_activity_ + limits.idle_timeout < now;
+    const bool idles_too_long = calls_.empty() && !receiving_since_ && last_activity_ + limits.idle_timeout < now;
     if (receives_too_long || sends_too_long || discards_too_long || idles_too_long) {
       Close();
     }
--- a/tests/platform/templates_test.cc
+++ b/tests/platform/templates_test.cc
@@ -106,5 +106,22 @@
   }
 }
 
+// Guards against limits that are ignored, and against values that would refuse every request.
+TEST(Templates, CallersLimitsAreRead) {
+  std::vector<settings_error> errors;
+  const std::string text = FillIn("entry", {});
+  const std::optional<daemon_settings> settings =
+      ParseSettings(text + "\n  callers_limits:\n    buffered_bytes: 1048576\n    receive_timeout_ms: 5000\n", errors);
+  ASSERT_TRUE(settings) << Describe(errors.at(0));
+  EXPECT_EQ(settings->best_effort.callers_limits.max_buffered_bytes, 1U << 20U);
+  EXPECT_EQ(settings->best_effort.callers_limits.receive_timeout, std::chrono::seconds(5));
+  EXPECT_EQ(settings->best_effort.callers_limits.max_connections, connection_limits().max_connections);
+  for (const std::string wrong : {"connections: 0", "body_bytes: 10", "buffered: 1048576", "header_bytes: many"}) {
+    errors.clear();
+    EXPECT_FALSE(ParseSettings(text + "\n  callers_limits:\n    " + wrong + "\n", errors)) << wrong;
+    EXPECT_EQ(errors.size(), 1U) << wrong;
+  }
+}
+
 }  // namespace
 }  // namespace bamboowing::platform
