Order jobs by cost under overload at entries and agents

Cause: while capacity is short, an entry refuses whichever job arrives while the expected wait exceeds a share of the smallest slack, so the highest priority loses as many jobs as the others. Change: best_effort.overload_order: cost (default deadline, unchanged). Entries plan the waiting jobs of a service at each arrival during a shortage (library overload), serve them by priority while jobs are deferred, and refuse those that can no longer start. Lower priorities then leave capacity for one task free at each target. RunStart gets priority and startSlackUs; agents start the runs that wait in that order, and runs without them in the order of arrival.

--- a/include/bamboowing/besteffort/dispatch_core.h
+++ b/include/bamboowing/besteffort/dispatch_core.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -22,6 +23,8 @@
 #include "bamboowing/besteffort/target_fleet.h"
 #include "bamboowing/dispatch/run_time_estimator.h"
 #include "bamboowing/dispatch/settings.h"
+#include "bamboowing/overload/overload_order.h"
+#include "bamboowing/overload/overload_planner.h"
 
 namespace bamboowing {
 
@@ -67,6 +70,8 @@
   double lone_straggler_factor = 4;
   duration straggler_floor{120'000};  ///< minimum age of a run that is stopped as a straggler
   health_settings health;
+  overload_order order = overload_order::kDeadline;  ///< order of waiting jobs while capacity is short
+  overload_settings overload;                        ///< used with overload_order::kCost
 };
 
 /// Answers a submission.
@@ -105,6 +110,17 @@
 using dispatch_action = std::variant<answer_job, send_run_batch, close_run_session, log_dispatch_event,
                                      send_claim_request, abandon_claim_request, cancel_decided>;
 
+/// What was decided of a job while capacity was short, with overload_order::kCost.
+enum class overload_decision : std::uint8_t {
+  kDeferred,   ///< goes behind the jobs that are in time, for the first time
+  kRefused,    ///< refused at its arrival
+  kDisplaced,  ///< refused after it was accepted, in favour of other jobs
+  kExpired,    ///< refused because no task was started in time
+};
+
+/// Name of a decision in metrics.
+std::string_view OverloadDecisionName(overload_decision decision);
+
 /// State of a job for its callers.
 enum class job_phase : std::uint8_t { kQueued, kRunning };
 
@@ -170,6 +186,10 @@
   std::size_t unanswered_jobs() const { return calls_.size(); }
   const job_claims& claims() const { return claims_; }
   const target_fleet& fleet() const { return fleet_; }
+  /// Number of decisions since the start of the process, by priority. Only with overload_order::kCost.
+  const std::map<std::pair<std::uint32_t, overload_decision>, std::uint64_t>& overload_counts() const {
+    return overload_counts_;
+  }
 
  private:
   enum class task_state : std::uint8_t { kBlocked, kWaiting, kInFlight, kDone };
@@ -184,6 +204,19 @@
     target_index avoided_target = kNoTarget;  ///< target of the newest run that did not succeed
   };
 
+  /// Ranks of the jobs in the waiting queue, lowest first. With overload_order::kDeadline, all are kInTimeRank.
+  static constexpr std::uint64_t kUrgentRank = 0;
+  static constexpr std::uint64_t kInTimeRank = 1;
+  /// Plus twice the priority: jobs that are in time while others are deferred. Deferred jobs have the next rank.
+  static constexpr std::uint64_t kServedRank = 2;
+
+  /// Sum of the needs of many tasks, or their mean.
+  struct resource_sum {
+    double cpu_millicores = 0;
+    double memory_mb = 0;
+    double accelerators = 0;
+  };
+
   struct open_job {
     best_effort_job spec;
     queue_rule queue;
@@ -206,6 +239,9 @@
     instant latest_start;     ///< latest start that still meets the objective
     std::uint32_t estimate_team = 0;
     double waiting_work_us = 0;
+    std::uint64_t rank = kInTimeRank;
+    resource_sum mean_need;  ///< of one task
+    bool deferral_logged = false;
     std::optional<instant> first_start;
     std::uint32_t starts = 0;
     std::string last_run_result;  ///< description of the newest ended run, for the log
@@ -213,6 +249,16 @@
     target_index failed_target = kNoTarget;
   };
 
+  /// Work that this entry has started at the targets of one service, in microseconds of a whole target.
+  struct service_load {
+    service_load(const overload_settings& settings, instant now) : planner(settings), decayed_at(now) {}
+
+    overload_planner planner;
+    double started_us = 0;  ///< exponentially decaying sum
+    instant decayed_at;
+    double in_flight = 0;  ///< number of targets that the active runs fill
+  };
+
   struct dispatched_run {
     target_index target = kNoTarget;
     incarnation_id agent_incarnation = 0;  ///< of the agent when the start was sent
@@ -229,24 +275,37 @@
     bool settled = false;
     bool exclusive = false;
     std::uint64_t target_generation = 0;  ///< of the target when the start was sent
+    service_load* load = nullptr;         ///< that the run counts in; only with overload_order::kCost
+    double target_share = 0;              ///< part of the target that the run needs
   };
 
   using job_map = std::map<std::string, std::unique_ptr<open_job>>;
   using run_map = std::map<run_key, dispatched_run>;
-  using waiting_queue = std::set<std::pair<instant, std::string>>;
+
+  struct queue_position {
+    std::uint64_t rank = kInTimeRank;
+    instant latest_start;
+    std::string job_id;
+
+    bool operator<(const queue_position& other) const {
+      return std::tie(rank, latest_start, job_id) < std::tie(other.rank, other.latest_start, other.job_id);
+    }
+  };
+  using waiting_queue = std::set<queue_position>;
+
+  /// The waiting jobs of one service, in order of latest start, and its capacity.
+  struct waiting_service {
+    std::vector<open_job*> jobs;
+    resource_sum mean_capacity;  ///< of a usable target
+    service_capacity capacity;
+    double free_share = 0;  ///< share of the waiting tasks that fit into free capacity
+  };
 
   struct target_choice {
     fleet_target* target = nullptr;
     double expected_run_us = 0;
   };
 
-  /// Sum of the needs of many tasks.
-  struct resource_sum {
-    double cpu_millicores = 0;
-    double memory_mb = 0;
-    double accelerators = 0;
-  };
-
   /// Capacity of all usable targets in tasks of the mean need of the waiting ones.
   struct fleet_capacity {
     double tasks = 0;
@@ -264,7 +323,40 @@
   std::optional<failure> CheckSize(const open_job& job, instant now) const;
   /// Refuses the jobs without a started task that no longer fit any target of their service.
   void RefuseOversizedJobs(instant now);
-  std::optional<failure> CheckAdmission(const open_job& job, instant now);
+  /// Sets the rank of an admitted job. With overload_order::kCost, it may defer or refuse other jobs.
+  std::optional<failure> CheckAdmission(open_job& job, instant now);
+  /// Plans the waiting jobs together with an arriving one.
+  std::optional<failure> CheckCost(open_job& job, instant now);
+  /// The waiting jobs of the arriving job's service, and that job.
+  waiting_service WaitingJobsOf(open_job& arriving);
+  /// Measures the capacity of the service. Returns false if there is no shortage: all waiting tasks fit into free
+  /// capacity, or the capacity is unknown.
+  bool MeasureService(waiting_service& waiting, const open_job& arriving);
+  /// Number of tasks that an arriving job has waiting at first.
+  static double FirstTasks(const open_job& job);
+  waiting_job DescribeWaiting(const open_job& job, bool arriving, const resource_sum& capacity) const;
+  /// Returns the refusal of the arriving job, if it is hopeless.
+  std::optional<failure> ApplyPlan(const waiting_service& waiting, span<const waiting_job> described,
+                                   span<const planned_job> plan, const open_job& arriving);
+  /// Whether the job leaves capacity for one more task free at each target, because capacity is short and jobs of
+  /// higher priority may arrive, at this entry or at another one, which has no other means to get capacity in time.
+  bool YieldsCapacity(const open_job& job, instant now) const;
+  static std::uint64_t RankOf(const open_job& job, job_service service, bool shortage);
+  void SetRank(open_job& job, std::uint64_t rank);
+  /// Whether the first tasks of a job fit into free capacity, whatever else waits.
+  bool FitsFreeCapacity(const open_job& job) const;
+  std::string DescribeCost(const open_job& job, const waiting_job& described, const planned_job& planned,
+                           const std::string& favoured) const;
+  failure CostFailure(const open_job& job, const waiting_job& described, const planned_job& planned,
+                      const std::string& favoured) const;
+  void CountOverload(const open_job& job, overload_decision decision);
+  service_load& LoadOf(const std::string& service);
+  /// Counts a run that is being started in the load of its service.
+  void CountStartedWork(const open_job& job, const resource_amount& need, const fleet_target& target,
+                        dispatched_run& run);
+  /// The target has rejected the run.
+  void UncountRejectedWork(const open_job& job, const dispatched_run& run);
+  void AddStartedWork(service_load& load, std::uint32_t priority, double work_us);
   /// Longest expected queue wait at which a job is still admitted.
   duration MaxQueueWait(instant now);
   void MakeTasks(open_job& job);
@@ -380,7 +472,10 @@
   std::map<call_id, std::string> calls_;
   crash_ledger crashes_;
   job_claims claims_;
-  waiting_queue queue_;  ///< jobs with waiting tasks by latest start
+  waiting_queue queue_;                        ///< jobs with waiting tasks by rank and latest start
+  std::map<std::string, service_load> loads_;  ///< by service
+  std::size_t peer_count_ = 0;                 ///< number of other entries
+  std::map<std::pair<std::uint32_t, overload_decision>, std::uint64_t> overload_counts_;
   run_map runs_;
   /// Jobs whose submissions must not start a task, known to this entry or reported by others.
   expiring_jobs unrepeatable_;
--- a/include/bamboowing/besteffort/run_manager.h
+++ b/include/bamboowing/besteffort/run_manager.h
@@ -376,7 +376,11 @@
   void ExpireOwners(instant now);
   void ExpireWaitingRuns(instant now);
   /// Expected wait for capacity of a run that arrives now, if each end of a run makes room for one.
-  duration ExpectedWait() const;
+  duration ExpectedWait(const managed_run& arriving) const;
+  /// Whether a run starts before another one that waits and has arrived earlier: by priority, then by latest start.
+  static bool StartsBefore(const managed_run& run, const managed_run& other);
+  /// Adds a run to those that wait for capacity.
+  void InsertWaiting(const run_key& key, const managed_run& run);
   void StartWaitingRuns(instant now);
   /// Whether the run may start beside those that are at the target.
   bool FitsBesideOthers(const managed_run& run) const;
@@ -424,7 +428,7 @@
   std::map<std::string, instant> disconnected_since_;  ///< when an entry was first seen without a session, by address
   std::map<std::string, owner> owners_;                ///< by address
   run_map runs_;
-  std::deque<run_key> waiting_;          ///< in the order of arrival; may contain keys of ended runs
+  std::deque<run_key> waiting_;          ///< in the order of their starts; may contain keys of ended runs
   resource_amount committed_at_target_;  ///< sum over runs in all states except kWaiting
   resource_amount waiting_amount_;
   mean_interval end_interval_;  ///< between the ends of runs at the target
--- a/include/bamboowing/message/best_effort.h
+++ b/include/bamboowing/message/best_effort.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -102,14 +103,21 @@
   duration remaining{0};  ///< time left when the message is sent
 };
 
+/// Position of a run among those that wait for capacity at an agent.
+struct run_order {
+  std::uint32_t priority = 0;  ///< of the queue of the job; 0 is the highest
+  duration start_slack{0};     ///< time until the latest start; negative if the run is late
+};
+
 /// Request to an agent to start one run.
 struct run_start {
   run_key key;
   std::string payload;
   resource_amount need;
-  duration start_within{0};  ///< how long the run may wait for free capacity; then it ends with kNoRoom
-  std::string queue;         ///< name of the queue of the job
-  bool exclusive = false;    ///< nothing else may run at the target during this run
+  duration start_within{0};        ///< how long the run may wait for free capacity; then it ends with kNoRoom
+  std::string queue;               ///< name of the queue of the job
+  bool exclusive = false;          ///< nothing else may run at the target during this run
+  std::optional<run_order> order;  ///< absent for the order of arrival
 };
 
 /// Requests from an entry to an agent.
--- a/include/bamboowing/observe/metrics.h
+++ b/include/bamboowing/observe/metrics.h
@@ -37,10 +37,11 @@
   kRunEnds,
   kClaims,
   kEvacuatedDomains,
+  kOverloadDecisions,
 };
 
 /// Number of metrics; the table in metrics_table.cc has one row for each.
-inline constexpr int kMetricCount = static_cast<int>(metric::kEvacuatedDomains) + 1;
+inline constexpr int kMetricCount = static_cast<int>(metric::kOverloadDecisions) + 1;
 
 /// How a metric behaves over time.
 enum class metric_type : std::uint8_t {
--- a/include/bamboowing/overload/overload_planner.h
+++ b/include/bamboowing/overload/overload_planner.h
@@ -38,9 +38,9 @@
 
 /// What becomes of a waiting job.
 enum class job_service : std::uint8_t {
-  kInTime,    ///< served in the order of latest start
+  kInTime,    ///< expected to make its latest start
   kUrgent,    ///< late, but within the reserved share of its priority: served first
-  kDeferred,  ///< served when no job that is in time waits
+  kDeferred,  ///< served after the jobs in time of its own and of higher priorities
   kHopeless,  ///< deferred, and no longer expected to start before `start_by`
 };
 
@@ -62,6 +62,8 @@
   /// Work of this priority within the window, in microseconds.
   double Of(std::uint32_t priority, instant now) const;
   double Total(instant now) const;
+  /// Whether there is work of a higher priority within the window.
+  bool HasAbove(std::uint32_t priority, instant now) const;
 
  private:
   static constexpr std::size_t kSlices = 8;
@@ -86,6 +88,9 @@
   /// A task was started.
   void OnStarted(std::uint32_t priority, double work_us, instant now) { shares_.Add(priority, work_us, now); }
 
+  /// Whether tasks of a higher priority were started within the window.
+  bool HasServedHigherPriority(std::uint32_t priority, instant now) const { return shares_.HasAbove(priority, now); }
+
   /// Returns the service of each job, by its index in @p jobs, which are in order of latest start. Where a job would
   /// miss its latest start, the jobs that cost their callers least are deferred: those of the lowest priority, and
   /// among them those with the most work. Takes O(n log n).
--- a/include/bamboowing/service/settings.h
+++ b/include/bamboowing/service/settings.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "bamboowing/base/types.h"
+#include "bamboowing/overload/overload_order.h"
 #include "bamboowing/transport/worker_commitments.h"
 
 namespace bamboowing {
@@ -19,14 +20,15 @@
 /// Settings of a daemon that runs best-effort jobs on leased targets.
 struct best_effort_settings {
   bool enabled = false;
-  std::string callers_address;                ///< entry: listens for callers
-  std::string readiness_address;              ///< entry: readiness checks of the load balancer
-  std::string metrics_address;                ///< entry: GET /metrics; empty disables it
-  std::string announce_address;               ///< agent: listens for announcements of the target
-  duration announcement_interval{1'500'000};  ///< interval between announcements of the target
-  duration lease{1'000'000};                  ///< upper bound of the lease of runs on a target
-  duration grace{6'000'000};                  ///< time limit from SIGTERM to process exit
-  bool evacuation = false;                    ///< whether operators may evacuate failure domains
+  std::string callers_address;                       ///< entry: listens for callers
+  std::string readiness_address;                     ///< entry: readiness checks of the load balancer
+  std::string metrics_address;                       ///< entry: GET /metrics; empty disables it
+  std::string announce_address;                      ///< agent: listens for announcements of the target
+  duration announcement_interval{1'500'000};         ///< interval between announcements of the target
+  duration lease{1'000'000};                         ///< upper bound of the lease of runs on a target
+  duration grace{6'000'000};                         ///< time limit from SIGTERM to process exit
+  bool evacuation = false;                           ///< whether operators may evacuate failure domains
+  overload_order order = overload_order::kDeadline;  ///< entry: order of waiting jobs while capacity is short
 };
 
 /// Settings of one daemon. Addresses are "IP:PORT".
--- a/schema/wire.capnp
+++ b/schema/wire.capnp
@@ -49,6 +49,10 @@
   startWithinUs @3 :Int64;
   queue @4 :Text;
   exclusive @5 :Bool;
+  # 1 + the priority of the queue; 0 if the run waits in the order of arrival.
+  priority @6 :UInt32;
+  # Time until the latest start; only with a priority.
+  startSlackUs @7 :Int64;
 }
 
 struct CrashedTask {
--- a/src/besteffort/dispatch_claims.cc
+++ b/src/besteffort/dispatch_claims.cc
@@ -7,6 +7,7 @@
 
 namespace bamboowing {
 void dispatch_core::OnPeers(const std::vector<std::string>& addresses, instant now) {
+  peer_count_ = addresses.size();
   claims_.OnPeers(addresses, now);
   HandleClaims();
 }
--- a/src/besteffort/dispatch_core.cc
+++ b/src/besteffort/dispatch_core.cc
@@ -137,7 +137,14 @@
       task.index = index;
       job.tasks.push_back(task);
     }
-  }
+    job.mean_need.cpu_millicores += shape.count * static_cast<double>(shape.need.cpu_millicores);
+    job.mean_need.memory_mb += shape.count * static_cast<double>(shape.need.memory_mb);
+    job.mean_need.accelerators += shape.count * static_cast<double>(shape.need.accelerators);
+  }
+  const double tasks = static_cast<double>(job.tasks.size());
+  job.mean_need.cpu_millicores /= tasks;
+  job.mean_need.memory_mb /= tasks;
+  job.mean_need.accelerators /= tasks;
 }
 
 void dispatch_core::OnSubmit(call_id call, best_effort_job job, const queue_rule& queue, instant now) {
@@ -205,7 +212,7 @@
   return std::max(settings_.queue_wait_floor, duration(static_cast<std::int64_t>(slack * settings_.queue_wait_share)));
 }
 
-std::optional<failure> dispatch_core::CheckAdmission(const open_job& job, instant now) {
+std::optional<failure> dispatch_core::CheckAdmission(open_job& job, instant now) {
   if (jobs_.size() >= settings_.max_jobs) {
     failure full(error_kind::kOverloaded, not_run_state::kYes, std::to_string(jobs_.size()) + " jobs are already open");
     full.retry_after = kMinRetryAfter;
@@ -220,6 +227,9 @@
   if (std::optional<failure> oversized = CheckSize(job, now); oversized) {
     return oversized;
   }
+  if (settings_.order == overload_order::kCost) {
+    return CheckCost(job, now);
+  }
   const duration wait(static_cast<std::int64_t>(QueueWaitUs()));
   const duration longest = std::min(job.latest_start - now, MaxQueueWait(now));
   if (wait.count() > 0 && wait > longest) {
@@ -427,6 +437,9 @@
     } else {
       failure late(error_kind::kOverloaded, not_run_state::kYes, "no free capacity within " + waited);
       late.retry_after = kMinRetryAfter;
+      if (settings_.order == overload_order::kCost) {
+        CountOverload(job, overload_decision::kExpired);
+      }
       Answer(job, job_verdict::kRefused, std::move(late));
     }
     StopRuns(job, now);
--- a/src/besteffort/dispatch_place.cc
+++ b/src/besteffort/dispatch_place.cc
@@ -138,11 +138,11 @@
 
 void dispatch_core::Enqueue(open_job& job) {
   if (job.claimed && job.waiting > 0) {
-    queue_.emplace(job.latest_start, job.spec.id);
+    queue_.insert({job.rank, job.latest_start, job.spec.id});
   }
 }
 
-void dispatch_core::Dequeue(open_job& job) { queue_.erase({job.latest_start, job.spec.id}); }
+void dispatch_core::Dequeue(open_job& job) { queue_.erase({job.rank, job.latest_start, job.spec.id}); }
 
 bool dispatch_core::IsEligible(const open_job& job, const job_task& task, const fleet_target& target) const {
   const job_step& step = job.spec.steps[task.step];
@@ -188,6 +188,7 @@
   const double work_us = EstimateOf(job, task.step).mean_us;
   double fastest_us = std::numeric_limits<double>::max();
   double best_us = std::numeric_limits<double>::max();
+  const bool yields = YieldsCapacity(job, now);
   std::vector<target_choice> free;
   for (std::pair<const std::string, fleet_target>& item : fleet_.all()) {
     fleet_target& target = item.second;
@@ -198,7 +199,11 @@
     const double run_us = work_us * affinity_factor / fleet_.RelativeSpeed(target);
     fastest_us = std::min(fastest_us, run_us);
     const bool avoided = task.avoided_target == target.index && fleet_.all().size() > 1;
-    if (!avoided && FitsWithin(step.need, target.Committed(), target.description.capacity)) {
+    resource_amount held = target.Committed();
+    if (yields && FitsWithin(step.need, step.need, target.description.capacity)) {
+      AddTo(held, step.need);
+    }
+    if (!avoided && FitsWithin(step.need, held, target.description.capacity)) {
       best_us = std::min(best_us, run_us);
       free.push_back({&target, run_us});
     }
@@ -251,17 +256,21 @@
 void dispatch_core::Dispatch(instant now) {
   // Jobs that can still meet their objective are placed first; jobs that are already late get the remaining capacity.
   // Otherwise a burst would make every job slightly late instead of a few.
-  const waiting_queue::iterator in_time = queue_.lower_bound({now, std::string()});
-  const bool capacity_left = DispatchRange(in_time, queue_.end(), now);
+  const auto begin_of = [this](std::uint64_t rank, instant latest_start) {
+    return queue_.lower_bound({rank, latest_start, std::string()});
+  };
+  const bool capacity_left = DispatchRange(queue_.begin(), begin_of(kInTimeRank, instant::min()), now) &&
+                             DispatchRange(begin_of(kInTimeRank, now), begin_of(kServedRank, instant::min()), now) &&
+                             DispatchRange(begin_of(kInTimeRank, instant::min()), begin_of(kInTimeRank, now), now);
   if (capacity_left) {
-    DispatchRange(queue_.begin(), queue_.lower_bound({now, std::string()}), now);
+    DispatchRange(begin_of(kServedRank, instant::min()), queue_.end(), now);
   }
 }
 
 bool dispatch_core::DispatchRange(waiting_queue::iterator next, waiting_queue::iterator end, instant now) {
   int unplaced_jobs = 0;
   while (next != end && unplaced_jobs < kMaxUnplacedJobs) {
-    open_job& job = *jobs_.at(next->second);
+    open_job& job = *jobs_.at(next->job_id);
     unplaced_jobs += DispatchJob(job, now) ? 0 : 1;
     next = job.waiting == 0 ? queue_.erase(next) : std::next(next);
   }
@@ -290,6 +299,9 @@
   start.start_within = settings_.capacity_wait;
   start.queue = job.queue.name;
   start.exclusive = IsSuspect(job, task);
+  if (settings_.order == overload_order::kCost && !start.exclusive) {
+    start.order = run_order{job.rank == kUrgentRank ? 0 : job.queue.priority, job.latest_start - now};
+  }
   if (start.exclusive) {
     start.start_within = settings_.exclusive_wait;
   }
@@ -312,6 +324,7 @@
   };
   run.straggler_deadline = after(settings_.straggler_factor);
   run.lone_straggler_deadline = after(settings_.lone_straggler_factor);
+  CountStartedWork(job, step.need, *chosen.target, run);
   if (task.attempt > 1) {
     LogEvent("task_restarted", job.spec.id,
              "task " + std::to_string(task.step) + "." + std::to_string(task.index) + " attempt " +
--- a/src/besteffort/dispatch_runs.cc
+++ b/src/besteffort/dispatch_runs.cc
@@ -124,6 +124,9 @@
     --target->own_runs;
     target->own_exclusive_runs -= run->second.exclusive ? 1 : 0;
   }
+  if (run->second.load != nullptr) {
+    run->second.load->in_flight = std::max(0.0, run->second.load->in_flight - run->second.target_share);
+  }
   runs_.erase(run);
 }
 
@@ -170,6 +173,7 @@
         break;
       case run_outcome::kNoRoom:
       case run_outcome::kUnavailable:
+        UncountRejectedWork(job, ended);
         from.backoff_until = now + (end.outcome == run_outcome::kNoRoom ? kNoRoomPause : kUnavailablePause);
         RequeueTask(job, task);
         break;
--- a/src/besteffort/run_manager.cc
+++ b/src/besteffort/run_manager.cc
@@ -82,11 +82,11 @@
     EndRun(added, run_outcome::kNoRoom, "larger than the target", now);
     return;
   }
-  if (!start.exclusive && !FitsBesideOthers(added->second) && ExpectedWait() > start.start_within) {
+  if (!start.exclusive && !FitsBesideOthers(added->second) && ExpectedWait(added->second) > start.start_within) {
     EndRun(added, run_outcome::kNoRoom, "no free capacity is expected in time", now);
     return;
   }
-  waiting_.push_back(start.key);
+  InsertWaiting(start.key, added->second);
 }
 
 std::string run_manager::DescribeRun(const run_key& key, const managed_run& run, instant now) const {
@@ -232,11 +232,33 @@
   waiting_ = std::move(still_waiting);
 }
 
-duration run_manager::ExpectedWait() const {
+bool run_manager::StartsBefore(const managed_run& run, const managed_run& other) {
+  if (!run.start.order || !other.start.order) {
+    return false;
+  }
+  const auto key = [](const managed_run& waiting) {
+    return std::make_pair(waiting.start.order->priority, waiting.state_since + waiting.start.order->start_slack);
+  };
+  return key(run) < key(other);
+}
+
+void run_manager::InsertWaiting(const run_key& key, const managed_run& run) {
+  std::deque<run_key>::iterator position = waiting_.end();
+  while (position != waiting_.begin()) {
+    const run_map::const_iterator before = runs_.find(*std::prev(position));
+    if (before == runs_.end() || !StartsBefore(run, before->second)) {
+      break;
+    }
+    --position;
+  }
+  waiting_.insert(position, key);
+}
+
+duration run_manager::ExpectedWait(const managed_run& arriving) const {
   const std::size_t ahead =
-      static_cast<std::size_t>(std::count_if(waiting_.begin(), waiting_.end(), [this](const run_key& key) {
+      static_cast<std::size_t>(std::count_if(waiting_.begin(), waiting_.end(), [this, &arriving](const run_key& key) {
         const run_map::const_iterator run = runs_.find(key);
-        return run != runs_.end() && run->second.state == run_state::kWaiting;
+        return run != runs_.end() && run->second.state == run_state::kWaiting && !StartsBefore(arriving, run->second);
       }));
   return end_interval_.mean() * static_cast<std::int64_t>(ahead + 1);
 }
--- a/src/observe/metrics_table.cc
+++ b/src/observe/metrics_table.cc
@@ -82,6 +82,13 @@
      "Failure domains that the operators have evacuated: no task is started there.",
      "If it differs between entries for more than a few seconds, some don't reach the store: compare the revisions in "
      "their log lines evacuation_changed."},
+    {metric::kOverloadDecisions, "bamboowing_overload_decisions_total", type::kCounter, "jobs", "decision",
+     "Best-effort jobs by priority and decision while capacity was short, with overload_order: cost. deferred: behind "
+     "the "
+     "jobs that are in time; refused: at arrival; displaced: after it; expired: not started in time.",
+     "If the highest priority is refused or displaced, its demand alone exceeds the capacity: add targets. For one "
+     "job, "
+     "see the log lines job_deferred, job_refused and job_answered."},
 }};
 
 }  // namespace
--- a/src/overload/overload_planner.cc
+++ b/src/overload/overload_planner.cc
@@ -1,6 +1,7 @@
 #include "bamboowing/overload/overload_planner.h"
 
 #include <algorithm>
+#include <map>
 #include <queue>
 #include <set>
 #include <tuple>
@@ -10,14 +11,17 @@
 
 double Micros(duration time) { return static_cast<double>(time.count()); }
 
-/// Order in which jobs are deferred: the lowest priority first, and among those the most work.
+/// Order in which jobs are deferred: the lowest priority first, among those jobs without a started task, and then the
+/// most work.
 struct candidate {
   std::uint32_t priority = 0;
+  bool refusable = true;
   double work_us = 0;
   std::size_t index = 0;
 
   bool operator<(const candidate& other) const {
-    return std::tie(priority, work_us, index) < std::tie(other.priority, other.work_us, other.index);
+    return std::tie(priority, refusable, work_us, index) <
+           std::tie(other.priority, other.refusable, other.work_us, other.index);
   }
 };
 
@@ -29,47 +33,49 @@
 
   void Add(std::size_t index, bool reserved) {
     const waiting_job& job = jobs_[index];
-    if (job.latest_start < now_) {
-      if (!reserved) {
-        Defer(index, planned_job::kNone);
-        return;
-      }
-      plan_[index].service = job_service::kUrgent;
-    }
-    kept_us_ += job.work_us;
-    if (reserved || job.started) {
-      fixed_us_ += job.work_us;
-    } else {
-      candidates_.push({job.priority, job.work_us, index});
+    const bool late = job.latest_start < now_;
+    if (reserved) {
+      // Its work is not added up: it is served by the reserved part of the rate.
+      plan_[index].service = late ? job_service::kUrgent : job_service::kInTime;
+      return;
     }
-    // Deferring others is of no use to a job that misses its latest start beside those that cannot be deferred.
-    const double smallest_us = fixed_us_ + (reserved || job.started ? 0 : job.work_us);
-    if (!reserved && !job.started && WaitUs(smallest_us - job.last_task_us) > SlackUs(job)) {
-      DeferCandidate(index, planned_job::kNone);
+    // Deferring others is of no use to a job that misses its latest start by itself.
+    if (late || WaitUs(job.work_us - job.last_task_us) > SlackUs(job)) {
+      Defer(index, planned_job::kNone);
+      return;
     }
-    while (plan_[index].service == job_service::kInTime && !candidates_.empty() &&
-           WaitUs(kept_us_ - job.last_task_us) > SlackUs(job)) {
+    kept_us_ += job.work_us;
+    candidates_.push({job.priority, !job.started, job.work_us, index});
+    while (plan_[index].service == job_service::kInTime && WaitUs(kept_us_ - job.last_task_us) > SlackUs(job)) {
       const std::size_t dropped = candidates_.top().index;
       candidates_.pop();
-      if (plan_[dropped].service == job_service::kInTime) {
-        DeferCandidate(dropped, dropped == index ? planned_job::kNone : index);
-      }
+      kept_us_ -= jobs_[dropped].work_us;
+      Defer(dropped, dropped == index ? planned_job::kNone : index);
     }
     plan_[index].wait_us = WaitUs(kept_us_ - job.last_task_us);
   }
 
   std::vector<planned_job> Finish() {
-    // Started jobs come first: refusing them is impossible, and their completed tasks would be wasted.
     std::sort(deferred_.begin(), deferred_.end(), [this](std::size_t one, std::size_t other) {
       const auto key = [this](std::size_t index) {
         const waiting_job& job = jobs_[index];
-        return std::make_tuple(!job.started, job.priority, job.latest_start, index);
+        return std::make_tuple(job.priority, job.latest_start, index);
       };
       return key(one) < key(other);
     });
-    double ahead_us = kept_us_;
+    // A deferred job is served after those of its own and of higher priorities that are in time. The kept jobs are
+    // added up in the same order.
+    std::map<std::uint32_t, double> kept_us;
+    for (; !candidates_.empty(); candidates_.pop()) {
+      kept_us[candidates_.top().priority] += candidates_.top().work_us;
+    }
+    std::map<std::uint32_t, double>::const_iterator next = kept_us.begin();
+    double ahead_us = 0;
     for (const std::size_t index : deferred_) {
       const waiting_job& job = jobs_[index];
+      for (; next != kept_us.end() && next->first <= job.priority; ++next) {
+        ahead_us += next->second;
+      }
       planned_job& planned = plan_[index];
       planned.wait_us = WaitUs(ahead_us);
       if (!job.started && planned.wait_us > Micros(job.start_by - now_)) {
@@ -93,11 +99,6 @@
     deferred_.push_back(index);
   }
 
-  void DeferCandidate(std::size_t index, std::size_t favoured) {
-    kept_us_ -= jobs_[index].work_us;
-    Defer(index, favoured);
-  }
-
   // Avoids a division by 0 for an entry without targets.
   static constexpr double kMinRate = 1e-3;
 
@@ -105,10 +106,9 @@
   service_capacity capacity_;
   instant now_;
   std::vector<planned_job> plan_;
-  std::priority_queue<candidate> candidates_;  ///< may contain jobs that were deferred because of themselves
+  std::priority_queue<candidate> candidates_;  ///< the jobs that `kept_us_` adds up
   std::vector<std::size_t> deferred_;
-  double kept_us_ = 0;   ///< work of the jobs that are in time or urgent
-  double fixed_us_ = 0;  ///< part of it that cannot be deferred
+  double kept_us_ = 0;  ///< work of the jobs that are in time, without those of reserved shares
 };
 
 }  // namespace
@@ -149,6 +149,12 @@
   return total;
 }
 
+bool started_shares::HasAbove(std::uint32_t priority, instant now) const {
+  return std::any_of(
+      by_priority_.begin(), by_priority_.lower_bound(priority),
+      [this, now](const std::pair<const std::uint32_t, slices>& item) { return Sum(item.second, now) > 0; });
+}
+
 std::vector<bool> overload_planner::MarkReserved(span<const waiting_job> jobs, instant now) const {
   std::vector<bool> reserved(jobs.size(), false);
   const double share_us = settings_.reserved_share * shares_.Total(now);
@@ -171,7 +177,15 @@
 std::vector<planned_job> overload_planner::Plan(span<const waiting_job> jobs, const service_capacity& capacity,
                                                 instant now) const {
   const std::vector<bool> reserved = MarkReserved(jobs, now);
-  plan_builder builder(jobs, capacity, now);
+  std::set<std::uint32_t> reserving;
+  for (std::size_t index = 0; index < jobs.size(); ++index) {
+    if (reserved[index]) {
+      reserving.insert(jobs[index].priority);
+    }
+  }
+  service_capacity shared = capacity;
+  shared.rate *= std::max(0.0, 1 - settings_.reserved_share * static_cast<double>(reserving.size()));
+  plan_builder builder(jobs, shared, now);
   for (std::size_t index = 0; index < jobs.size(); ++index) {
     builder.Add(index, reserved[index]);
   }
--- a/src/service/best_effort_entry.cc
+++ b/src/service/best_effort_entry.cc
@@ -120,6 +120,7 @@
   core.lease = settings.best_effort.lease;
   core.stall_limit = kStalledAfter;
   core.health.first_ejection = kFirstEjectionTime;
+  core.order = settings.best_effort.order;
   return core;
 }
 
@@ -370,6 +371,13 @@
     for (const std::pair<const run_outcome, std::uint64_t>& item : core_.outcome_counts()) {
       metrics_.Set(metric::kRunEnds, RunOutcomeName(item.first), static_cast<double>(item.second));
     }
+    for (const std::pair<const std::pair<std::uint32_t, overload_decision>, std::uint64_t>& item :
+         core_.overload_counts()) {
+      metrics_.Set(
+          metric::kOverloadDecisions,
+          "priority " + std::to_string(item.first.first) + " " + std::string(OverloadDecisionName(item.first.second)),
+          static_cast<double>(item.second));
+    }
     const claim_totals& claims = core_.claims().totals();
     metrics_.Set(metric::kClaims, "granted", static_cast<double>(claims.granted));
     metrics_.Set(metric::kClaims, "denied", static_cast<double>(claims.denied));
--- a/src/service/settings.cc
+++ b/src/service/settings.cc
@@ -248,6 +248,9 @@
     map.Address("metrics_address", best_effort.metrics_address, false);
     map.Address("readiness_address", best_effort.readiness_address, true);
     map.Address("peers_address", settings.peers_address, true);
+    std::string order;
+    map.OneOf("overload_order", order, {"deadline", "cost"}, false);
+    best_effort.order = order == "cost" ? overload_order::kCost : overload_order::kDeadline;
   } else {
     map.Address("announce_address", best_effort.announce_address, true);
     map.Duration("announcement_interval_ms", best_effort.announcement_interval, kMillisecond, 100, 600'000);
--- a/src/wire/runs_codec.cc
+++ b/src/wire/runs_codec.cc
@@ -1,10 +1,15 @@
 #include "runs_codec.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <optional>
 
 namespace bamboowing::detail {
 namespace {
 
+// Highest priority number in messages, which add 1 to it.
+constexpr std::uint32_t kMaxWirePriority = UINT32_MAX - 1;
+
 void WriteAmount(const resource_amount& amount, rpc::ResourceAmount::Builder out) {
   out.setCpuMillicores(amount.cpu_millicores);
   out.setMemoryMb(amount.memory_mb);
@@ -145,6 +150,10 @@
     item.setStartWithinUs(start.start_within.count());
     item.setQueue(start.queue);
     item.setExclusive(start.exclusive);
+    if (start.order) {
+      item.setPriority(std::min(start.order->priority, kMaxWirePriority) + 1);
+      item.setStartSlackUs(start.order->start_slack.count());
+    }
   }
   WriteRunKeys(requests.stops, out.initStops(requests.stops.size()));
   out.setStartsSent(requests.starts_sent);
@@ -158,7 +167,11 @@
   run_requests requests;
   for (rpc::RunStart::Reader item : in.getStarts()) {
     requests.starts.push_back({ReadRunKey(item.getKey()), ToString(item.getPayload()), ReadAmount(item.getNeed()),
-                               duration(item.getStartWithinUs()), ToString(item.getQueue()), item.getExclusive()});
+                               duration(item.getStartWithinUs()), ToString(item.getQueue()), item.getExclusive(),
+                               std::nullopt});
+    if (item.getPriority() > 0) {
+      requests.starts.back().order = run_order{item.getPriority() - 1, duration(item.getStartSlackUs())};
+    }
   }
   requests.stops = ReadRunKeys(in.getStops());
   requests.starts_sent = in.getStartsSent();
--- a/tests/wire/codec_test.cc
+++ b/tests/wire/codec_test.cc
@@ -157,6 +157,22 @@
   EXPECT_EQ(without->runs.evacuation.revision, 0U);
 }
 
+// Guards against an order of waiting runs that is lost on the wire, or that runs without one get.
+TEST(Codec, RunsKeepTheirOrder) {
+  entry_batch sent;
+  sent.runs.starts.push_back({{"a", 0, 0, 1}, "", {}, duration(50), "checks", false, run_order{0, duration(-7)}});
+  sent.runs.starts.push_back({{"b", 0, 0, 1}, "", {}, duration(50), "checks", false, run_order{2, duration(9)}});
+  sent.runs.starts.push_back({{"c", 0, 0, 1}, "", {}, duration(50), "checks", false, std::nullopt});
+  const std::optional<entry_batch> received = RoundTrip<rpc::EntryBatch>(sent);
+  ASSERT_TRUE(received && received->runs.starts.size() == 3);
+  ASSERT_TRUE(received->runs.starts[0].order && received->runs.starts[1].order);
+  EXPECT_EQ(received->runs.starts[0].order->priority, 0U);
+  EXPECT_EQ(received->runs.starts[0].order->start_slack, duration(-7));
+  EXPECT_EQ(received->runs.starts[1].order->priority, 2U);
+  EXPECT_EQ(received->runs.starts[1].order->start_slack, duration(9));
+  EXPECT_FALSE(received->runs.starts[2].order);
+}
+
 // Guards against crash counts and exclusive runs that are lost between processes: a deadly task would be started again.
 TEST(Codec, RunsKeepEveryFieldOnCrashes) {
   const crash_record crash{
@@ -185,6 +201,7 @@
   ASSERT_TRUE(received && received->runs.starts.size() == 1);
   EXPECT_EQ(received->runs.starts[0].queue, "checks");
   EXPECT_TRUE(received->runs.starts[0].exclusive);
+  EXPECT_FALSE(received->runs.starts[0].order);
   expect_same(received->runs.crashes);
 
   agent_batch reply;
