--- a/tests/besteffort/overload_test.cc
+++ b/tests/besteffort/overload_test.cc
@@ -95,8 +95,8 @@
  private:
   void Submit(std::size_t priority) {
     const job_shape& shape = kShapes.at(priority);
-    const int work_ms =
-        shape.min_ms + static_cast<int>(load_.Below(static_cast<std::uint64_t>(shape.max_ms - shape.min_ms + 1)));
+    const int spread_ms = shape.max_ms - shape.min_ms + 1;
+    const int work_ms = shape.min_ms + static_cast<int>(load_.Below(static_cast<std::uint64_t>(spread_ms)));
     const std::string id = "p" + std::to_string(priority) + "-" + std::to_string(++number_);
     queue_rule queue = cluster_sim::QueueOf(id);
     queue.name = "queue-p" + std::to_string(priority);
