--- a/tests/besteffort/run_manager_test.cc
+++ b/tests/besteffort/run_manager_test.cc
@@ -225,6 +225,27 @@
   EXPECT_EQ(ActionsOf<send_start_request>().size(), 1U);
 }
 
+// Guards against a run of low priority, or one that can wait longer, that starts before the others that wait at the
+// agent.
+TEST_F(run_manager_fixture, StartsWaitingRunsByPriorityAndLatestStart) {
+  StartAccepted("running");
+  run_requests requests;
+  const auto add = [&requests](const char* job, std::uint32_t priority, int slack_ms) {
+    requests.starts.push_back(Start(job));
+    requests.starts.back().order = run_order{priority, std::chrono::milliseconds(slack_ms)};
+  };
+  add("low", 2, 1);
+  add("patient", 0, 30);
+  add("urgent", 0, 5);
+  SendRequests(requests);
+  now += std::chrono::milliseconds(10);
+  poll_response ended;
+  ended.finished.push_back({1, {"running", 0, 0, 1}, target_outcome::kDone});
+  AnswerPolls(ended);
+  ASSERT_EQ(ActionsOf<send_start_request>().size(), 1U);
+  EXPECT_EQ(ActionsOf<send_start_request>()[0].request.key.job_id, "urgent");
+}
+
 TEST_F(run_manager_fixture, StartsRunAndReportsItsResult) {
   run_requests requests;
   requests.starts.push_back(Start("a"));
--- a/tests/platform/templates_test.cc
+++ b/tests/platform/templates_test.cc
@@ -107,5 +107,24 @@
   }
 }
 
+// Guards against features that stay off although the settings ask for them, and against a malformed value that is
+// ignored.
+TEST(Settings, ReadEvacuationAndOverloadOrder) {
+  const std::string text = FillIn("entry", {});
+  std::vector<settings_error> errors;
+  const std::optional<daemon_settings> defaults = ParseSettings(text, errors);
+  ASSERT_TRUE(defaults);
+  EXPECT_FALSE(defaults->best_effort.evacuation);
+  EXPECT_EQ(defaults->best_effort.order, overload_order::kDeadline);
+  const std::optional<daemon_settings> enabled =
+      ParseSettings(text + "\n  evacuation: true\n  overload_order: cost\n", errors);
+  ASSERT_TRUE(enabled) << Describe(errors.at(0));
+  EXPECT_TRUE(enabled->best_effort.evacuation);
+  EXPECT_EQ(enabled->best_effort.order, overload_order::kCost);
+  for (const char* wrong : {"evacuation: perhaps", "overload_order: priority"}) {
+    EXPECT_FALSE(ParseSettings(text + "\n  " + wrong + "\n", errors)) << wrong;
+  }
+}
+
 }  // namespace
 }  // namespace bamboowing::platform
