Compare the middle priority under a burst with the order by deadline

Cause: the bound 0.9 of BurstOfLowPriorityDelaysOnlyItself was set after a run had shown 0.904; bounds come from the target, not from a measured figure. Change: with the order by cost, the middle priority must complete at least as many jobs as with the order by deadline.

--- a/tests/besteffort/overload_test.cc
+++ b/tests/besteffort/overload_test.cc
@@ -161,7 +161,8 @@
   Print("burst", overload_order::kDeadline, by_deadline);
   Print("burst", overload_order::kCost, by_cost);
   EXPECT_GE(Share(by_cost[0].completed, by_cost[0]), 0.98);
-  EXPECT_GE(Share(by_cost[1].completed, by_cost[1]), 0.9);
+  // The order must not cost the middle priority jobs, whose demand fits beside that of the highest.
+  EXPECT_GE(by_cost[1].completed, by_deadline[1].completed);
   EXPECT_GE(by_cost[0].in_time, by_deadline[0].in_time);
 }
 
